--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"brackenslip/balance"
+	"yokemast/balance"
 )
 
 // A router of your own hands over each event as it happens and carries out the actions it gets back: Send by
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"brackenslip/balance"
-	"brackenslip/internal/wire"
+	"yokemast/balance"
+	"yokemast/internal/wire"
 )
 
 func main() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"brackenslip/balance"
+	"yokemast/balance"
 )
 
 // Settings is the start-up object, as far as this project reads it.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"brackenslip/balance"
+	"yokemast/balance"
 )
 
 func TestEventsIn(t *testing.T) {
