--- /dev/null
+++ b/internal/lifecycle/config.go
@@ -0,0 +1,109 @@
+// Package lifecycle starts the gateway, keeps its parts together and ends it.
+package lifecycle
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"yokemast/balance"
+	"yokemast/internal/wire/discovery"
+	"yokemast/internal/wire/settings"
+)
+
+// Config is all that a gateway is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   discovery.List
+	Settings                settings.Settings
+}
+
+const (
+	leastSockets  = 64
+	leastMemoryMB = 32
+)
+
+// LoadConfig reads and checks a configuration; the error names the field at fault.
+func LoadConfig(path string) (Config, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	c, err := ParseConfig(b)
+	if err != nil {
+		return c, fmt.Errorf("config: %w", err)
+	}
+	return c, nil
+}
+
+// ParseConfig reads and checks a configuration; the error names the field at fault.
+func ParseConfig(b []byte) (Config, error) {
+	if !gjson.ValidBytes(b) {
+		return Config{}, errors.New("not JSON")
+	}
+	root := gjson.ParseBytes(b)
+	c := Config{Name: root.Get("name").Str, Listen: root.Get("listen").Str, Discovery: root.Get("discovery").Str,
+		Cores: root.Get("limits.cores").Num, MemoryMB: int(root.Get("limits.memory_mb").Int()),
+		Sockets: int(root.Get("limits.sockets").Int())}
+	if err := c.Override("", "", ""); err != nil {
+		return c, err
+	}
+	if !(c.Cores > 0) {
+		return c, errors.New("limits.cores: not above 0")
+	}
+	if c.MemoryMB < leastMemoryMB {
+		return c, fmt.Errorf("limits.memory_mb: under %d", leastMemoryMB)
+	}
+	if c.Sockets < leastSockets {
+		return c, fmt.Errorf("limits.sockets: under %d", leastSockets)
+	}
+	seed := root.Get("seed")
+	if seed.Type != gjson.String || seed.Str == "" {
+		return c, errors.New("seed: missing")
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(seed.Str, 16, 64); err != nil {
+		h := fnv.New64a() // any text will do
+		_, _ = h.Write([]byte(seed.Str))
+		c.Seed = h.Sum64()
+	}
+	if known := root.Get("known"); known.Exists() && known.Type != gjson.Null {
+		if c.Known, err = discovery.ParseList([]byte(known.Raw)); err != nil {
+			return c, fmt.Errorf("known: %w", err)
+		}
+	}
+	if c.Settings, err = settings.Decode([]byte(root.Get("settings").Raw)); err != nil {
+		return c, err
+	}
+	if _, err = balance.New(c.Settings.Balance, c.Seed); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+// Override puts what is not empty in place of what the configuration holds, and checks the addresses.
+func (c *Config) Override(name, listen, discovery string) error {
+	for _, f := range []struct {
+		to    *string
+		value string
+	}{{&c.Name, name}, {&c.Listen, listen}, {&c.Discovery, discovery}} {
+		if f.value != "" {
+			*f.to = f.value
+		}
+	}
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lifecycle/serve.go
@@ -0,0 +1,166 @@
+package lifecycle
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"yokemast/internal/memory/counters"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/backend"
+	"yokemast/internal/wire/discovery"
+	"yokemast/internal/wire/frontend"
+)
+
+const (
+	// readyWithin is how long a start waits for discovery before it makes do with the list it was given.
+	readyWithin = time.Second
+	// serveOn is how long after SIGTERM clients are served as before: they go on coming for 0.2 to 0.4 s.
+	serveOn = 450 * time.Millisecond
+	// endWithin is how long after SIGTERM, on top of the longest deadline, the process ends: SIGKILL comes no sooner
+	// than 0.7 s after that.
+	endWithin = 550 * time.Millisecond
+	// leastDeadline is what a shorter longest deadline counts as, for that.
+	leastDeadline = 3 * time.Second
+
+	defaultConnIdle       = 30 * time.Second
+	defaultConnectTimeout = 250 * time.Millisecond
+	idlePart              = 0.8  // of the hosts' own limit
+	memoryPart            = 0.75 // of the memory, as the collector's limit
+	spareSockets          = 48   // for the listener, discovery, the log, and clients that are being turned away
+	clientPart            = 0.55 // of the other sockets
+	statementPart         = 0.15 // of the memory, for large statements held at a time
+	user, database        = "backend", "store"
+)
+
+// Serve runs a gateway until SIGTERM or SIGINT, or until a part of it can't go on.
+func Serve(c Config, log *zap.Logger) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+	memory := float64(c.MemoryMB) * (1 << 20)
+	debug.SetMemoryLimit(int64(memory * memoryPart))
+
+	clock, counts := exchange.NewClock(), &counters.Set{}
+	defer func() { log.Info("counters", counts.Fields()...) }()
+	x, err := exchange.New(exchange.Config{Settings: c.Settings.Balance, Seed: c.Seed, Clock: clock, Log: log,
+		Counters: counts})
+	if err != nil {
+		return err
+	}
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer listener.Close()
+
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	sockets := c.Sockets - spareSockets
+	clients := int(float64(sockets) * clientPart)
+	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts,
+		ConnectTimeout: orElse(c.Settings.ConnectTimeout, defaultConnectTimeout),
+		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
+		MaxConns:       sockets - clients, User: user, Database: database}, x)
+	front := frontend.New(frontend.Config{Clock: clock, Log: log, Counters: counts, MaxConns: clients,
+		MaxBytes: int64(memory * statementPart)}, x)
+	if len(c.Known.Members) > 0 {
+		x.Members(true, c.Known.Members)
+	}
+	ready := sync.OnceFunc(func() {
+		log.Info("ready", zap.String("name", c.Name), zap.String("listen", c.Listen))
+		front.Ready()
+	})
+	watcher := &discovery.Watcher{Address: c.Discovery, Log: log, Counters: counts, Members: x.Members, Answered: ready}
+
+	group.Go(func() error { return x.Run(ctx, hosts) })
+	group.Go(func() error { return watcher.Run(ctx, c.Known.Revision) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-time.After(readyWithin):
+			ready()
+		}
+		return nil
+	})
+	served := make(chan struct{})
+	group.Go(func() error {
+		defer close(served)
+		return front.Serve(ctx, listener)
+	})
+	group.Go(func() error {
+		defer stop()
+		return run(ctx, c, log, counts, func() {
+			listener.Close()
+			front.Drain()
+		}, served)
+	})
+	return group.Wait()
+}
+
+// run waits for signals; when it returns, the gateway ends.
+func run(ctx context.Context, c Config, log *zap.Logger, counts *counters.Set, drain func(), served <-chan struct{}) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	for s := range received(ctx, signals) {
+		if s != syscall.SIGUSR1 {
+			log.Info("ending", zap.Stringer("signal", s))
+			break
+		}
+		log.Info("counters", counts.Fields()...)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	longest := leastDeadline
+	for _, class := range c.Settings.Balance.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	end := time.After(longest + endWithin)
+	select {
+	case <-ctx.Done():
+	case <-time.After(serveOn):
+	}
+	drain()
+	select {
+	case <-ctx.Done():
+	case <-served:
+	case <-end:
+		log.Warn("ending with requests unanswered")
+	}
+	return nil
+}
+
+// received yields signals until the context ends.
+func received(ctx context.Context, signals <-chan os.Signal) func(yield func(os.Signal) bool) {
+	return func(yield func(os.Signal) bool) {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-signals:
+				if !yield(s) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func orElse(d, otherwise time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/memory/counters/counters.go
@@ -0,0 +1,57 @@
+// Package counters counts what the gateway takes in, sends and answers.
+package counters
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+)
+
+// Count is one counter, or a level that goes up and down.
+type Count struct{ n atomic.Int64 }
+
+// Add adds to the counter.
+func (c *Count) Add(n int64) { c.n.Add(n) }
+
+// Get reads the counter.
+func (c *Count) Get() int64 { return c.n.Load() }
+
+// Set holds the counters of one gateway. Its zero value is ready for use.
+type Set struct {
+	Taken, Served, Refused, Failed, Rejected, Gone Count // requests; rejected: never handed to the module
+	Sent, Canceled, Probes                         Count // attempts and probes
+	Outcomes                                       [9]Count
+	Clients, ClientsOpen, ClientsOver              Count // connections: accepted, open, turned away
+	BadMessages, BadStatements                     Count // of clients
+	HostsDialed, HostsOpen, HostsClosed, HostsFull Count // connections to hosts; full: none to be had
+	Lists, BadLists, ListErrors                    Count // of discovery
+	Panics, Timers                                 Count
+}
+
+var outcomeNames = [9]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
+	"not_sent", "miss"}
+
+// Fields gives every counter with its name, for the log.
+func (s *Set) Fields() []zap.Field {
+	var out []zap.Field
+	for _, c := range []struct {
+		name  string
+		count *Count
+	}{
+		{"requests_taken", &s.Taken}, {"requests_served", &s.Served}, {"requests_refused", &s.Refused},
+		{"requests_failed", &s.Failed}, {"requests_rejected", &s.Rejected}, {"requests_gone", &s.Gone},
+		{"attempts_sent", &s.Sent}, {"attempts_canceled", &s.Canceled}, {"probes_sent", &s.Probes},
+		{"clients_accepted", &s.Clients}, {"clients_open", &s.ClientsOpen}, {"clients_over", &s.ClientsOver},
+		{"messages_bad", &s.BadMessages}, {"statements_bad", &s.BadStatements},
+		{"hosts_dialed", &s.HostsDialed}, {"hosts_open", &s.HostsOpen}, {"hosts_closed", &s.HostsClosed},
+		{"hosts_full", &s.HostsFull},
+		{"lists", &s.Lists}, {"lists_bad", &s.BadLists}, {"list_errors", &s.ListErrors},
+		{"panics", &s.Panics}, {"timers_pending", &s.Timers},
+	} {
+		out = append(out, zap.Int64(c.name, c.count.Get()))
+	}
+	for i, name := range outcomeNames {
+		out = append(out, zap.Int64("outcome_"+name, s.Outcomes[i].Get()))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/memory/exchange/exchange.go
@@ -0,0 +1,441 @@
+// Package exchange is where the client side and the host side of the gateway meet, in terms of no protocol:
+// requests come in, attempts go out, outcomes come back, answers go out. One goroutine owns the decision module,
+// hands it every event in order and carries out its actions. Nothing is decided here.
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yokemast/balance"
+	"yokemast/internal/memory/counters"
+)
+
+// Clock is the gateway's one clock: wall time read once, monotonic from there. Its readings are Unix time.
+type Clock struct{ start time.Time }
+
+// NewClock reads the wall.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the time since the start of 1970.
+func (c Clock) Now() time.Duration {
+	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+}
+
+// Request is what a client asks for.
+type Request struct {
+	ID, Class, Session string
+	Group              int
+	Write, Retry       bool
+	Arrived            time.Duration
+	Wait               time.Duration // the client's, from when it sent; 0: the class's deadline
+	After              time.Duration // position that the read must see; 0: none
+	Command            any           // for the host side: what to run
+	Answer             chan<- Answer // takes the one answer; must have room for it
+}
+
+// Kind is the kind of a final answer.
+type Kind int
+
+const (
+	Served    Kind = iota
+	Refused        // it did not run, or may be run again: trying again is harmless
+	Failed         // no promise
+	Undefined      // it names a class that the settings lack, or does not fit its class
+	Duplicate      // a request of that id is still held
+)
+
+// Answer is a request's final answer.
+type Answer struct {
+	Kind       Kind
+	Value      any // of a served one, as the host side gave it
+	Reason     string
+	RetryAfter time.Duration // of a refused one; 0: no advice
+}
+
+// Attempt is a request on its way to a host.
+type Attempt struct {
+	ID      string
+	Number  int
+	Server  string
+	Command any
+	Sent    time.Duration // when it was decided on
+	Until   time.Duration // the gateway stops waiting then
+	StartBy time.Duration // it must not go out any later; 0: no such bound
+}
+
+// Outcome ends an attempt: the module's outcome, and the value if it was served.
+type Outcome struct {
+	balance.Outcome
+	Value any
+}
+
+// Member is an entry of the list of hosts, with the address that this gateway reaches it at.
+type Member struct {
+	balance.Member
+	Address string
+}
+
+// Hosts is the host side. No call may wait for the network; each Send ends in one Outcome, each Probe in one Probed.
+type Hosts interface {
+	Send(Attempt)
+	Cancel(id string, attempt int)
+	Probe(server string)
+	Members(list []Member) // entries that are new or changed
+}
+
+// Config is what an Exchange needs to know.
+type Config struct {
+	Settings balance.Settings
+	Seed     uint64
+	Clock    Clock
+	Log      *zap.Logger
+	Counters *counters.Set
+}
+
+const (
+	// answerMargin is kept free before the client stops waiting: its wait runs from when it sent, and the answer has
+	// to travel.
+	answerMargin = 15 * time.Millisecond
+	// sendMargin is how long a send may take to get out before what it was decided on no longer holds.
+	sendMargin = 30 * time.Millisecond
+	// drainMargin is kept free before the end of a drain's grace, for the way to the host.
+	drainMargin = 20 * time.Millisecond
+	// forgetAfter is how long a host that left is remembered, later than the module forgets it: a fleet that is
+	// replaced again and again must not fill memory.
+	forgetAfter = 2 * time.Minute
+)
+
+type open struct {
+	*Request
+	class    *balance.Class
+	deadline time.Duration
+	attempts int
+	out      bool // an attempt has no outcome yet
+	answered bool
+}
+
+type posted struct {
+	at time.Duration
+	ev any
+}
+
+type gone struct{ request *Request }
+
+// Exchange is safe for concurrent use; Run does the work.
+type Exchange struct {
+	cfg     Config
+	classes map[string]*balance.Class
+
+	mu    sync.Mutex
+	queue []posted
+	wake  chan struct{}
+
+	// All below belongs to Run.
+	hosts  Hosts
+	router *balance.Router
+	open   map[string]*open
+	groups map[int]bool
+	list   map[string]Member
+	told   map[string]time.Duration // since when a host drains or is gone
+	timers timers
+	acts   []balance.Action
+	seq    uint64 // of timers
+}
+
+// New makes an exchange; the error names the setting that makes no sense.
+func New(cfg Config) (*Exchange, error) {
+	router, err := balance.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), classes: map[string]*balance.Class{},
+		open: map[string]*open{}, groups: map[int]bool{}, list: map[string]Member{},
+		told: map[string]time.Duration{}}
+	for i := range cfg.Settings.Classes {
+		c := &cfg.Settings.Classes[i]
+		x.classes[c.Name] = c
+	}
+	return x, nil
+}
+
+func (x *Exchange) post(ev any) {
+	at := x.cfg.Clock.Now()
+	x.mu.Lock()
+	x.queue = append(x.queue, posted{at, ev})
+	x.mu.Unlock()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Submit takes a request; its answer comes on its channel.
+func (x *Exchange) Submit(r *Request) { x.post(r) }
+
+// Gone says that a request's client has left; no answer is owed.
+func (x *Exchange) Gone(r *Request) { x.post(gone{r}) }
+
+// Outcome ends an attempt.
+func (x *Exchange) Outcome(o Outcome) { x.post(o) }
+
+// Probed ends a probe.
+func (x *Exchange) Probed(p balance.ProbeResult) { x.post(p) }
+
+type members struct {
+	whole bool
+	list  []Member
+}
+
+// Members hands over the list of hosts, whole or changes only.
+func (x *Exchange) Members(whole bool, list []Member) { x.post(members{whole, list}) }
+
+// Run handles events until the context ends. It alone touches the module.
+func (x *Exchange) Run(ctx context.Context, hosts Hosts) error {
+	x.hosts = hosts
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var batch []posted
+	for {
+		x.mu.Lock()
+		batch, x.queue = x.queue, batch[:0]
+		x.mu.Unlock()
+		for i, p := range batch {
+			x.due(p.at) // what was due before this came
+			x.handle(p.ev)
+			batch[i] = posted{}
+		}
+		x.due(x.cfg.Clock.Now())
+		if len(batch) > 0 {
+			continue
+		}
+		wait := time.Hour
+		if len(x.timers) > 0 {
+			wait = max(x.timers[0].due-x.cfg.Clock.Now(), 0)
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-x.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// due hands over the timers that were due by then.
+func (x *Exchange) due(by time.Duration) {
+	for len(x.timers) > 0 && x.timers[0].due <= by {
+		x.decide(balance.Timer{Tag: x.timers.pop().tag})
+		x.cfg.Counters.Timers.Add(-1)
+	}
+}
+
+func (x *Exchange) handle(ev any) {
+	switch e := ev.(type) {
+	case *Request:
+		x.request(e)
+	case gone:
+		if o := x.open[e.request.ID]; o != nil && o.Request == e.request && !o.answered {
+			o.answered = true
+			x.cfg.Counters.Gone.Add(1)
+			x.decide(balance.Gone{ID: o.ID})
+			x.forget(o)
+		}
+	case Outcome:
+		x.outcome(e)
+	case balance.ProbeResult:
+		x.decide(e)
+	case members:
+		x.members(e)
+	}
+}
+
+func (x *Exchange) request(r *Request) {
+	x.cfg.Counters.Taken.Add(1)
+	class, now := x.classes[r.Class], x.cfg.Clock.Now()
+	reject := func(k Kind, reason string) {
+		x.cfg.Counters.Rejected.Add(1)
+		r.Answer <- Answer{Kind: k, Reason: reason}
+	}
+	switch {
+	case class == nil:
+		reject(Undefined, "unknown class")
+		return
+	case r.Write != (class.Need == balance.Write):
+		// A write under a read's class would be repeated as freely as a read.
+		reject(Undefined, "the statement does not fit its class")
+		return
+	case !x.groups[r.Group]:
+		// The module would hold it for a member that may never come.
+		reject(Refused, "no host of that group is listed")
+		return
+	case x.open[r.ID] != nil:
+		// The module takes no notice of a doubled id, so its answer would never come.
+		reject(Duplicate, "a request of this id is held")
+		return
+	}
+	wait := class.Deadline
+	if r.Wait > 0 && (r.Wait < wait || wait == 0) {
+		wait = r.Wait
+	}
+	o := &open{Request: r, class: class, deadline: r.Arrived + max(wait-answerMargin, wait/2)}
+	x.open[r.ID] = o
+	q := balance.Request{ID: r.ID, Class: r.Class, Session: r.Session, Group: r.Group, Deadline: o.deadline,
+		Retry: r.Retry}
+	if r.After > 0 {
+		// The module counts back from now, and takes an age of nothing for no write at all: a position that lies
+		// ahead of this clock must not turn into that.
+		q.WriteAge = max(now-r.After, 1)
+	}
+	x.decide(q)
+}
+
+// answer gives the final answer, once.
+func (x *Exchange) answer(o *open, a Answer, count *counters.Count) {
+	if o.answered {
+		return
+	}
+	o.answered = true
+	count.Add(1)
+	o.Answer <- a
+	x.forget(o)
+}
+
+// forget drops the record of a request that is answered and has no attempt out.
+func (x *Exchange) forget(o *open) {
+	if o.answered && !o.out {
+		delete(x.open, o.ID)
+	}
+}
+
+func (x *Exchange) outcome(e Outcome) {
+	x.cfg.Counters.Outcomes[e.Result].Add(1)
+	o := x.open[e.ID]
+	if o == nil || e.Attempt != o.attempts-1 || !o.out {
+		return // of a request that a panic cut off
+	}
+	o.out = false
+	if e.Result == balance.OK {
+		x.answer(o, Answer{Kind: Served, Value: e.Value}, &x.cfg.Counters.Served)
+	}
+	e.Final = o.answered
+	x.decide(e.Outcome)
+	x.forget(o)
+}
+
+func (x *Exchange) members(e members) {
+	now := x.cfg.Clock.Now()
+	ev := balance.Members{Whole: e.whole, List: make([]balance.Member, 0, len(e.list))}
+	named := map[string]bool{}
+	for _, m := range e.list {
+		named[m.Server] = true
+		x.list[m.Server] = m
+		x.groups[m.Group] = true
+		ev.List = append(ev.List, m.Member)
+	}
+	for server, m := range x.list {
+		if e.whole && !named[server] {
+			m.State = balance.Left
+			x.list[server] = m
+		}
+		switch told := x.told[server]; {
+		case m.State == balance.Active:
+			delete(x.told, server)
+		case told == 0:
+			x.told[server] = now
+		case m.State == balance.Left && now-told > forgetAfter:
+			delete(x.told, server)
+			delete(x.list, server)
+		}
+	}
+	x.hosts.Members(e.list)
+	x.decide(ev)
+}
+
+// decide hands the module one event and carries out what it answers. A panic there must not end the process: what
+// is open is answered, and a new module starts from the list, as after a restart.
+func (x *Exchange) decide(ev balance.Event) {
+	defer func() {
+		if p := recover(); p != nil {
+			x.cfg.Counters.Panics.Add(1)
+			x.cfg.Log.Error("decision module panicked", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+			x.restart()
+		}
+	}()
+	x.acts = x.router.Handle(x.cfg.Clock.Now(), ev, x.acts[:0])
+	for _, a := range x.acts {
+		x.act(a)
+	}
+}
+
+func (x *Exchange) restart() {
+	for _, o := range x.open {
+		x.answer(o, Answer{Kind: Failed, Reason: "internal error"}, &x.cfg.Counters.Failed)
+	}
+	x.cfg.Seed++
+	x.router, _ = balance.New(x.cfg.Settings, x.cfg.Seed) // New took these settings before
+	x.cfg.Counters.Timers.Add(-int64(len(x.timers)))
+	x.timers = nil
+	list := balance.Members{Whole: true}
+	for _, m := range x.list {
+		list.List = append(list.List, m.Member)
+	}
+	x.router.Handle(x.cfg.Clock.Now(), list, nil)
+}
+
+func (x *Exchange) act(a balance.Action) {
+	switch a := a.(type) {
+	case balance.Send:
+		x.send(a)
+	case balance.Refuse:
+		if o := x.open[a.ID]; o != nil {
+			x.answer(o, Answer{Kind: Refused, Reason: "turned away", RetryAfter: a.RetryAfter}, &x.cfg.Counters.Refused)
+		}
+	case balance.Fail:
+		if o := x.open[a.ID]; o != nil {
+			x.answer(o, Answer{Kind: Failed, Reason: "given up"}, &x.cfg.Counters.Failed)
+		}
+	case balance.Cancel:
+		x.cfg.Counters.Canceled.Add(1)
+		x.hosts.Cancel(a.ID, a.Attempt)
+	case balance.Probe:
+		x.cfg.Counters.Probes.Add(1)
+		x.hosts.Probe(a.Server)
+	case balance.After:
+		x.seq++
+		x.timers.push(x.cfg.Clock.Now()+a.Wait, a.Tag, x.seq)
+		x.cfg.Counters.Timers.Add(1)
+	case balance.Watch: // the list is always watched
+	}
+}
+
+func (x *Exchange) send(a balance.Send) {
+	o, now := x.open[a.ID], x.cfg.Clock.Now()
+	if o == nil {
+		return
+	}
+	t := Attempt{ID: a.ID, Number: o.attempts, Server: a.Server, Command: o.Command, Sent: now, Until: o.deadline}
+	o.attempts++
+	o.out = true
+	x.cfg.Counters.Sent.Add(1)
+	if a.Timeout != 0 {
+		t.Until = min(t.Until, now+a.Timeout)
+	}
+	if o.class.Need == balance.Bounded {
+		// The known position is inside the bound now; a slow connect must not carry the read past it.
+		t.StartBy = now + sendMargin
+	}
+	if told := x.told[a.Server]; told > 0 {
+		// Nothing may go out after the grace, however long the connection takes to come up.
+		if last := told + x.cfg.Settings.DrainGrace - drainMargin; t.StartBy == 0 || last < t.StartBy {
+			t.StartBy = last
+		}
+	}
+	x.hosts.Send(t)
+}
--- /dev/null
+++ b/internal/memory/exchange/timers.go
@@ -0,0 +1,30 @@
+package exchange
+
+import (
+	"container/heap"
+	"time"
+)
+
+type timer struct {
+	due time.Duration
+	tag int64
+	seq uint64
+}
+
+// timers is a heap; of timers due at the same time the one asked for first comes first.
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].due < t[j].due || t[i].due == t[j].due && t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(v any)   { *t = append(*t, v.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+func (t *timers) push(due time.Duration, tag int64, seq uint64) { heap.Push(t, timer{due, tag, seq}) }
+func (t *timers) pop() timer                                    { return heap.Pop(t).(timer) }
--- /dev/null
+++ b/internal/wire/backend/backend.go
@@ -0,0 +1,397 @@
+// Package backend is the host side: it carries attempts and probes to database hosts over PostgreSQL's protocol and
+// tells the exchange how each ended.
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"yokemast/balance"
+	"yokemast/internal/memory/counters"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/settings"
+)
+
+// Reporter is told how attempts and probes ended.
+type Reporter interface {
+	Outcome(exchange.Outcome)
+	Probed(balance.ProbeResult)
+}
+
+// Command is what a request asks a host to run.
+type Command interface {
+	// AppendQuery appends the query, which says how long the gateway will wait.
+	AppendQuery(out []byte, wait time.Duration) []byte
+}
+
+// Config is what a Backend needs to know.
+type Config struct {
+	Clock          exchange.Clock
+	Log            *zap.Logger
+	Counters       *counters.Set
+	ConnectTimeout time.Duration // for a connection to come up, and for a probe's answer
+	IdleTimeout    time.Duration // a connection is closed after as much idling; below the hosts' own limit
+	MaxConns       int           // open at a time, to all hosts together
+	User, Database string
+}
+
+// Backend is safe for concurrent use.
+type Backend struct {
+	cfg   Config
+	to    Reporter
+	group *errgroup.Group
+	ctx   context.Context
+
+	mu       sync.Mutex
+	hosts    map[string]*host
+	attempts map[key]*attempt
+	conns    int // open or being opened
+}
+
+type key struct {
+	id     string
+	number int
+}
+
+type host struct {
+	address string
+	idle    []*conn // the one used last at the end
+}
+
+// New makes a backend whose goroutines belong to the group and end with the context.
+func New(ctx context.Context, group *errgroup.Group, cfg Config, to Reporter) *Backend {
+	b := &Backend{cfg: cfg, to: to, group: group, ctx: ctx, hosts: map[string]*host{}, attempts: map[key]*attempt{}}
+	group.Go(b.reap)
+	return b
+}
+
+// Members takes the addresses of hosts and lets go of connections that lead nowhere any more.
+func (b *Backend) Members(list []exchange.Member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range list {
+		h := b.hosts[m.Server]
+		if h == nil {
+			h = &host{}
+			b.hosts[m.Server] = h
+		}
+		if h.address != m.Address || m.State == balance.Left {
+			for _, c := range h.idle {
+				b.closeLocked(c)
+			}
+			h.idle = nil
+		}
+		h.address = m.Address
+	}
+}
+
+// reap closes what has idled for too long.
+func (b *Backend) reap() error {
+	tick := time.NewTicker(max(b.cfg.IdleTimeout/20, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			b.mu.Lock()
+			for _, h := range b.hosts {
+				for _, c := range h.idle {
+					b.closeLocked(c)
+				}
+				h.idle = nil
+			}
+			b.mu.Unlock()
+			return nil
+		case <-tick.C:
+		}
+		now := b.cfg.Clock.Now()
+		b.mu.Lock()
+		for _, h := range b.hosts {
+			n := 0
+			for n < len(h.idle) && now-h.idle[n].idleSince > b.cfg.IdleTimeout {
+				b.closeLocked(h.idle[n])
+				n++
+			}
+			h.idle = append(h.idle[:0], h.idle[n:]...)
+		}
+		b.mu.Unlock()
+	}
+}
+
+// Send starts an attempt.
+func (b *Backend) Send(a exchange.Attempt) {
+	t := &attempt{b: b, Attempt: a}
+	t.ctx, t.stop = context.WithCancel(b.ctx)
+	b.mu.Lock()
+	b.attempts[key{a.ID, a.Number}] = t
+	b.mu.Unlock()
+	b.group.Go(func() error {
+		defer t.stop()
+		defer func() {
+			if p := recover(); p != nil { // one attempt must not end the process
+				b.cfg.Counters.Panics.Add(1)
+				b.cfg.Log.Error("attempt panicked", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+				t.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.Reset}})
+			}
+		}()
+		t.run()
+		return nil
+	})
+}
+
+// Cancel stops waiting for an attempt; the connection is closed before the outcome is told.
+func (b *Backend) Cancel(id string, number int) {
+	b.mu.Lock()
+	t := b.attempts[key{id, number}]
+	b.mu.Unlock()
+	if t != nil {
+		t.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.Cancelled}})
+	}
+}
+
+// Probe asks a host for its load report.
+func (b *Backend) Probe(server string) {
+	b.group.Go(func() error {
+		start := b.cfg.Clock.Now()
+		p := balance.ProbeResult{Server: server}
+		defer func() {
+			if v := recover(); v != nil { // one probe must not end the process
+				b.cfg.Counters.Panics.Add(1)
+				b.cfg.Log.Error("probe panicked", zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
+				p.Result = balance.Failed
+			}
+			p.Took = b.cfg.Clock.Now() - start
+			b.to.Probed(p)
+		}()
+		until := start + b.cfg.ConnectTimeout
+		c, err := b.take(b.ctx, server, until)
+		if err != nil {
+			p.Result = connectResult(err)
+			return nil
+		}
+		r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), until)
+		b.put(server, c)
+		p.Result = r.result
+		if r.result == balance.OK {
+			p.Report = report(string(r.value.Data))
+		}
+		return nil
+	})
+}
+
+var (
+	errNoRoom  = errors.New("backend: every connection is in use")
+	errExpired = errors.New("backend: no time left")
+	errUnknown = errors.New("backend: unknown host")
+)
+
+// connectResult tells what the lack of a connection means.
+func connectResult(err error) balance.Result {
+	var refused *pg.Error
+	switch {
+	case errors.Is(err, errNoRoom), errors.Is(err, errExpired), errors.Is(err, errUnknown):
+		return balance.NotSent
+	case errors.As(err, &refused) && refused.Code == pg.CodeTooMany:
+		return balance.Full
+	}
+	return balance.NoConnection
+}
+
+// take gives a connection to the host: the one used last, or a new one.
+func (b *Backend) take(ctx context.Context, server string, until time.Duration) (*conn, error) {
+	b.mu.Lock()
+	h := b.hosts[server]
+	if h == nil {
+		b.mu.Unlock()
+		return nil, errUnknown
+	}
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		// A host may have closed it meanwhile: what is written to it then would count as a reset that may have run.
+		if b.cfg.Clock.Now()-c.idleSince <= b.cfg.IdleTimeout && c.alive() {
+			b.mu.Unlock()
+			return c, nil
+		}
+		b.closeLocked(c)
+	}
+	if b.conns >= b.cfg.MaxConns && !b.evictLocked() {
+		b.mu.Unlock()
+		b.cfg.Counters.HostsFull.Add(1)
+		return nil, errNoRoom
+	}
+	b.conns++
+	address := h.address
+	b.mu.Unlock()
+	c, err := b.dial(ctx, address, until)
+	if err != nil {
+		b.mu.Lock()
+		b.conns--
+		b.mu.Unlock()
+		return nil, err
+	}
+	return c, nil
+}
+
+// evictLocked closes the connection that has idled longest, of all hosts.
+func (b *Backend) evictLocked() bool {
+	var from *host
+	for _, h := range b.hosts {
+		if len(h.idle) > 0 && (from == nil || h.idle[0].idleSince < from.idle[0].idleSince) {
+			from = h
+		}
+	}
+	if from == nil {
+		return false
+	}
+	b.closeLocked(from.idle[0])
+	from.idle = append(from.idle[:0], from.idle[1:]...)
+	return true
+}
+
+// put keeps a connection for the next attempt, if nothing is left of the last one on it; it closes it otherwise.
+func (b *Backend) put(server string, c *conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.hosts[server]
+	if !c.clean || h == nil || h.address != c.address || b.ctx.Err() != nil {
+		b.closeLocked(c)
+		return
+	}
+	c.idleSince = b.cfg.Clock.Now()
+	h.idle = append(h.idle, c)
+}
+
+func (b *Backend) closeLocked(c *conn) {
+	c.close()
+	b.conns--
+	b.cfg.Counters.HostsOpen.Add(-1)
+	b.cfg.Counters.HostsClosed.Add(1)
+}
+
+// dial opens a connection and starts a session on it. One that does not come up in time has never been there.
+func (b *Backend) dial(ctx context.Context, address string, until time.Duration) (*conn, error) {
+	now := b.cfg.Clock.Now()
+	left := min(b.cfg.ConnectTimeout, until-now)
+	if left <= 0 {
+		return nil, errExpired
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	b.cfg.Counters.HostsDialed.Add(1)
+	var d net.Dialer
+	n, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		c := newConn(n.(*net.TCPConn), address, b.cfg.Clock)
+		stop := context.AfterFunc(ctx, c.close)
+		if err = c.start(now+left, b.cfg.User, b.cfg.Database); err == nil && stop() {
+			b.cfg.Counters.HostsOpen.Add(1)
+			return c, nil
+		}
+		c.close()
+	}
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		return nil, errNoRoom // this machine's fault, not the host's
+	}
+	if b.cfg.Clock.Now() >= until && left < b.cfg.ConnectTimeout {
+		return nil, errExpired // the attempt's time ran out first: that says nothing of the host
+	}
+	if err == nil {
+		err = ctx.Err()
+	}
+	return nil, fmt.Errorf("connecting to %s: %w", address, err)
+}
+
+// attempt is one attempt. Whoever ends it first tells its outcome.
+type attempt struct {
+	b *Backend
+	exchange.Attempt
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu    sync.Mutex
+	conn  *conn // only while something may be out on it
+	ended bool
+}
+
+// end tells the outcome, once. A connection with something out on it is closed first: what is sent next must not
+// meet it.
+func (t *attempt) end(o exchange.Outcome) {
+	t.mu.Lock()
+	if t.ended {
+		t.mu.Unlock()
+		return
+	}
+	t.ended = true
+	if t.conn != nil {
+		t.conn.close()
+	}
+	t.mu.Unlock()
+	t.stop()
+	t.b.mu.Lock()
+	delete(t.b.attempts, key{t.ID, t.Number})
+	t.b.mu.Unlock()
+	o.ID, o.Attempt, o.Server, o.Took = t.ID, t.Number, t.Server, t.b.cfg.Clock.Now()-t.Sent
+	t.b.to.Outcome(o)
+}
+
+func (t *attempt) run() {
+	result := func(r balance.Result) { t.end(exchange.Outcome{Outcome: balance.Outcome{Result: r}}) }
+	c, err := t.b.take(t.ctx, t.Server, t.Until)
+	if err != nil {
+		result(connectResult(err))
+		return
+	}
+	now := t.b.cfg.Clock.Now()
+	query := t.Command.(Command).AppendQuery(nil, t.Until-now)
+	t.mu.Lock()
+	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until
+	if t.ended || late {
+		t.mu.Unlock()
+		t.b.put(t.Server, c)
+		result(balance.NotSent)
+		return
+	}
+	t.conn = c
+	t.mu.Unlock()
+	r := c.roundTrip(query, t.Until)
+	t.mu.Lock()
+	t.conn = nil
+	if t.ended {
+		c.clean = false // closed under it
+	}
+	t.mu.Unlock()
+	t.b.put(t.Server, c)
+	o := exchange.Outcome{Outcome: balance.Outcome{Result: r.result, Role: r.role, Position: r.position,
+		Report: r.report}}
+	if r.result == balance.OK {
+		o.Value = r.value
+	}
+	t.end(o)
+}
+
+// report reads a load report: names and values.
+func report(s string) balance.Report {
+	values := map[string]float64{}
+	for field := range strings.SplitSeq(s, ",") {
+		name, value, _ := strings.Cut(field, "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			values[strings.TrimSpace(name)] = v
+		}
+	}
+	return settings.Report(values, 0)
+}
+
+func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- /dev/null
+++ b/internal/wire/discovery/watch.go
@@ -0,0 +1,101 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yokemast/internal/memory/counters"
+	"yokemast/internal/memory/exchange"
+)
+
+const (
+	// waitFor is what a watch is asked to wait. Short: what a call that got stuck would have told counts as told 2 s
+	// after the end of its wait.
+	waitFor = 3 * time.Second
+	// answerWithin is how long after that wait an answer may take.
+	answerWithin = time.Second
+	// retryPause comes after a failed call; the next must follow the last answer within 200 ms or the watch is new.
+	retryPause = 100 * time.Millisecond
+	maxList    = 8 << 20
+)
+
+// Watcher follows the list.
+type Watcher struct {
+	Address  string // of the agent
+	Log      *zap.Logger
+	Counters *counters.Set
+	Members  func(whole bool, list []exchange.Member)
+	Answered func() // called once, when the agent has answered for the first time
+}
+
+// Run watches from the revision on until the context ends.
+func (w *Watcher) Run(ctx context.Context, revision int64) error {
+	transport := &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: waitFor + answerWithin}
+	first := true
+	for ctx.Err() == nil {
+		// The first call does not wait: a gateway is ready once it knows what discovery knows.
+		wait := waitFor
+		if first {
+			wait = 0
+		}
+		list, err := w.call(ctx, client, revision, wait)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			w.Counters.ListErrors.Add(1)
+			w.Log.Warn("discovery", zap.Error(err))
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryPause):
+			}
+			continue
+		}
+		w.Counters.Lists.Add(1)
+		revision = list.Revision
+		if list.Complete || len(list.Members) > 0 {
+			w.Members(list.Complete, list.Members)
+		}
+		if first {
+			first = false
+			w.Answered()
+		}
+	}
+	return nil
+}
+
+func (w *Watcher) call(ctx context.Context, client *http.Client, revision int64, wait time.Duration) (List, error) {
+	u := url.URL{Scheme: "http", Host: w.Address, Path: "/v1/endpoints", RawQuery: url.Values{
+		"after":   {strconv.FormatInt(revision, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return List{}, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return List{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return List{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return List{}, fmt.Errorf("status %s", resp.Status)
+	}
+	list, err := ParseList(body)
+	if err != nil {
+		w.Counters.BadLists.Add(1)
+	}
+	return list, err
+}
--- /dev/null
+++ b/internal/wire/pg/message.go
@@ -0,0 +1,176 @@
+// Package pg speaks version 3 of PostgreSQL's wire protocol as far as simple queries need it, for both ends of a
+// connection: framing, startup, the statements and their comment, and errors.
+package pg
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Types of messages, as sent by a client and by a server. Some letters mean different things to the two.
+const (
+	Query     = 'Q'
+	Terminate = 'X'
+	Parse     = 'P'
+	Bind      = 'B'
+	Describe  = 'D'
+	Execute   = 'E'
+	Close     = 'C'
+	Flush     = 'H'
+	Sync      = 'S'
+	Function  = 'F'
+	CopyData  = 'd'
+	CopyDone  = 'c'
+	CopyFail  = 'f'
+	Password  = 'p'
+
+	Authentication     = 'R'
+	ParameterStatus    = 'S'
+	BackendKeyData     = 'K'
+	NegotiateVersion   = 'v'
+	ReadyForQuery      = 'Z'
+	RowDescription     = 'T'
+	DataRow            = 'D'
+	CommandComplete    = 'C'
+	EmptyQueryResponse = 'I'
+	ErrorResponse      = 'E'
+	NoticeResponse     = 'N'
+)
+
+// MaxValue is the size of the largest value, in bytes.
+const MaxValue = 64 << 10
+
+// MaxMessage bounds the body of a message that is taken: a value in hex and the statement round it.
+const MaxMessage = 2*MaxValue + 8<<10
+
+// maxSkipped bounds a message whose body is read only to be dropped; a longer one means that framing is lost.
+const maxSkipped = 64 << 20
+
+// ErrFraming says that the stream can't be followed any further.
+var ErrFraming = errors.New("pg: framing lost")
+
+// TooLong says that a message was over the limit; its body was skipped and the stream can be followed.
+type TooLong struct{ Length int }
+
+func (e TooLong) Error() string { return fmt.Sprintf("pg: message of %d bytes", e.Length) }
+
+// Head reads a message's type and the length of its body.
+func Head(r *bufio.Reader) (kind byte, length int, err error) {
+	var head [5]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, 0, err
+	}
+	n := int64(binary.BigEndian.Uint32(head[1:])) - 4
+	if n < 0 || n > maxSkipped {
+		return head[0], 0, fmt.Errorf("%w: length %d", ErrFraming, n)
+	}
+	return head[0], int(n), nil
+}
+
+// Body reads the body that Head announced, or skips it and returns TooLong if it is longer than most.
+func Body(r *bufio.Reader, length, most int) ([]byte, error) {
+	if length > most {
+		if _, err := io.CopyN(io.Discard, r, int64(length)); err != nil {
+			return nil, err
+		}
+		return nil, TooLong{length}
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// Read reads one message whole.
+func Read(r *bufio.Reader, most int) (kind byte, body []byte, err error) {
+	kind, length, err := Head(r)
+	if err == nil {
+		body, err = Body(r, length, most)
+	}
+	return kind, body, err
+}
+
+// Append appends a message whose body is the parts.
+func Append(out []byte, kind byte, parts ...[]byte) []byte {
+	n := 4
+	for _, p := range parts {
+		n += len(p)
+	}
+	out = binary.BigEndian.AppendUint32(append(out, kind), uint32(n))
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
+
+func cstring(s string) []byte { return append([]byte(s), 0) }
+
+// AppendQuery appends a simple query of a statement that has no comment to fill in.
+func AppendQuery(out []byte, statement string) []byte { return Append(out, Query, cstring(statement)) }
+
+// AppendReady appends ReadyForQuery, outside a transaction.
+func AppendReady(out []byte) []byte { return Append(out, ReadyForQuery, []byte{'I'}) }
+
+// AppendRow appends the answer to a statement that served one value.
+func AppendRow(out []byte, v Value, tag string) []byte {
+	description := append([]byte{0, 1}, "content\x00"...)
+	description = append(description, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, byte(v.Format))
+	out = Append(out, RowDescription, description)
+	row := binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(v.Data)))
+	if v.Data == nil {
+		row = []byte{0, 1, 0xff, 0xff, 0xff, 0xff}
+	}
+	out = Append(out, DataRow, row, v.Data)
+	return Append(out, CommandComplete, cstring(tag))
+}
+
+// Value is what a statement served: the bytes as a database host gave them and the format it gave them in.
+type Value struct {
+	Data   []byte // nil: null
+	Format int16  // 0 text, 1 binary
+}
+
+// RowFormat reads the format of the one column that a RowDescription names.
+func RowFormat(body []byte) (int16, error) {
+	if len(body) < 2+1+18 || binary.BigEndian.Uint16(body) != 1 {
+		return 0, fmt.Errorf("%w: not a row of one column", ErrFraming)
+	}
+	return int16(binary.BigEndian.Uint16(body[len(body)-2:])), nil
+}
+
+// RowData reads the one column of a DataRow; nil is null.
+func RowData(body []byte) ([]byte, error) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return nil, fmt.Errorf("%w: not a row of one column", ErrFraming)
+	}
+	switch n := int32(binary.BigEndian.Uint32(body[2:])); {
+	case n == -1 && len(body) == 6:
+		return nil, nil
+	case int64(n) != int64(len(body)-6):
+		return nil, fmt.Errorf("%w: a column of %d bytes in a row of %d", ErrFraming, n, len(body))
+	}
+	return body[6:], nil
+}
+
+// Parameter reads a ParameterStatus.
+func Parameter(body []byte) (name, value string, err error) {
+	fields := splitZero(body)
+	if len(fields) != 2 {
+		return "", "", fmt.Errorf("%w: ParameterStatus with %d strings", ErrFraming, len(fields))
+	}
+	return fields[0], fields[1], nil
+}
+
+// splitZero splits strings that each end in a zero byte.
+func splitZero(b []byte) (out []string) {
+	start := 0
+	for i, c := range b {
+		if c == 0 {
+			out = append(out, string(b[start:i]))
+			start = i + 1
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wire/pg/startup.go
@@ -0,0 +1,79 @@
+package pg
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+)
+
+const (
+	version3      = 3 << 16
+	codeCancel    = 1234<<16 | 5678
+	codeSSL       = 1234<<16 | 5679
+	codeGSS       = 1234<<16 | 5680
+	maxStartup    = 10000 // as PostgreSQL has it
+	serverVersion = "15.0 (yokemast)"
+)
+
+// Startup is what a client's first message asks for.
+type Startup int
+
+const (
+	StartSession Startup = iota // a session, in a version that is spoken here
+	StartOlder                  // a session in a later minor version: negotiate down
+	StartEncrypt                // SSL or GSS encryption: answer 'N', then read the next one
+	StartCancel                 // a cancel request: there is nothing to answer
+)
+
+// ReadStartup reads a client's first message. An *Error is to be sent before the connection ends.
+func ReadStartup(r *bufio.Reader) (Startup, error) {
+	var head [8]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, err
+	}
+	n, code := int64(binary.BigEndian.Uint32(head[:]))-8, binary.BigEndian.Uint32(head[4:])
+	if n < 0 || n > maxStartup {
+		return 0, &Error{Code: CodeProtocolViolation, Message: "invalid length of startup packet", Fatal: true}
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, err
+	}
+	switch {
+	case code == codeSSL || code == codeGSS:
+		return StartEncrypt, nil
+	case code == codeCancel:
+		return StartCancel, nil
+	case code>>16 != 3:
+		return 0, &Error{Code: CodeNotSupported, Fatal: true,
+			Message: fmt.Sprintf("unsupported frontend protocol %d.%d: server supports 3.0", code>>16, code&0xffff)}
+	case n > 0 && body[n-1] != 0:
+		return 0, &Error{Code: CodeProtocolViolation, Message: "invalid startup packet layout", Fatal: true}
+	case code != version3:
+		return StartOlder, nil
+	}
+	return StartSession, nil
+}
+
+// AppendStartup appends the startup message of a session.
+func AppendStartup(out []byte, user, database string) []byte {
+	body := "user\x00" + user + "\x00database\x00" + database + "\x00\x00"
+	out = binary.BigEndian.AppendUint32(out, uint32(8+len(body)))
+	return append(binary.BigEndian.AppendUint32(out, version3), body...)
+}
+
+// AppendWelcome appends all that a server says at the start of a session, ReadyForQuery included.
+func AppendWelcome(out []byte, s Startup) []byte {
+	if s == StartOlder {
+		out = Append(out, NegotiateVersion, []byte{0, 3, 0, 0, 0, 0, 0, 0})
+	}
+	out = Append(out, Authentication, []byte{0, 0, 0, 0})
+	for _, p := range [][2]string{{"server_version", serverVersion}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"}} {
+		out = Append(out, ParameterStatus, cstring(p[0]), cstring(p[1]))
+	}
+	out = Append(out, BackendKeyData, make([]byte, 8))
+	return AppendReady(out)
+}
