Guard the ends of attempts, drains and shutdown; test the program as a process

Read through against the protocol's page; lines at fault and what they get: - backend/conn.go waited for ReadyForQuery after a fatal error, which need not come: a fatal error now ends the answer. - backend.go: an abandoned write kept the gateway from ending after SIGTERM for as long as its client would have waited; attempts now end with the context. - frontend: a command behind another counted its wait from when it was read; the wait now starts when the answer before it is written. - A silent client over the limit held its slot for 10 s; now for 1 s. - A refusal of the gateway's own gave no come-back time. - Hosts gone for good were kept for ever. - discovery logged every failed call, ten a second while it was out.

Tests start the real program and talk to it as clients, hosts and discovery would: the outcomes, bad input, startup, lists, SIGTERM, limits, configuration.

--- /dev/null
+++ b/cmd/yokemast/serve_test.go
@@ -0,0 +1,406 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os/exec"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"yokemast/internal/wire/pg"
+)
+
+// always answers every query alike; then answers the first one so and all others with their row.
+func always(code string) func(*host) func(int, string) []byte {
+	return func(h *host) func(int, string) []byte {
+		return func(int, string) []byte { return h.refuse(code) }
+	}
+}
+
+func first(answer func(*host) []byte) func(*host) func(int, string) []byte {
+	return func(h *host) func(int, string) []byte {
+		return func(n int, query string) []byte {
+			if n == 0 {
+				return answer(h)
+			}
+			return h.row(query)
+		}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	refuse := func(code string) func(*host) []byte { return func(h *host) []byte { return h.refuse(code) } }
+	fatal := func(h *host) []byte { return pg.AppendError(nil, &pg.Error{Code: "XX000", Message: "no", Fatal: true}) }
+	hangUp := func(*host) []byte { return nil }
+	silent := func(*host) []byte { return []byte{} }
+	torn := func(h *host) []byte { return h.row(read("k", comment("view", "")))[:80] }
+	soon := func(q string) string { return strings.Replace(q, "d=15000", "d=2000", 1) }
+	w, r, own := write("k", "9f03", comment("order", "")), read("k", comment("view", "")), read("k", comment("own", ""))
+	for _, c := range []struct {
+		name, query string
+		script      func(*host) func(int, string) []byte
+		want        string
+		sends       int
+	}{
+		{"a write is served", w, nil, "row k", 1},
+		{"a read is served", r, nil, "row k", 1},
+		{"a key with a quote in it", read("o''k", comment("view", "")), nil, "row o'k", 1},
+		{"a session's read", read("k", comment("own", ",after=1767225600123")), nil, "row k", 1},
+		{"fields of the comment that say nothing here", read("k", comment("view", ",k=zz,r=1")), nil, "row k", 1},
+		{"a value of 64 KiB", write("k", strings.Repeat("9f", pg.MaxValue), comment("order", "")), nil, "row k", 1},
+		{"a write that was turned away goes again", w, first(refuse("53300")), "row k", 2},
+		{"a write that no primary took goes again", w, first(refuse("25006")), "row k", 2},
+		{"a write that may have run never goes again: error", w, first(refuse("XX000")), "58000", 1},
+		{"a write that may have run never goes again: fatal error", w, first(fatal), "58000", 1},
+		{"a write that may have run never goes again: reset", w, first(hangUp), "58000", 1},
+		{"a write that may have run never goes again: silence", soon(w), first(silent), "58000", 1},
+		{"a write that may have run never goes again: torn answer", soon(w), first(torn), "58000", 1},
+		{"a read goes again after an error", own, first(refuse("XX000")), "row k", 2},
+		{"a read goes again after a reset", own, first(hangUp), "row k", 2},
+		{"a read that fails everywhere is given up", own, always("XX000"), "53300 come back", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "s-1", "leader", nil)
+			if c.script != nil {
+				h.script = c.script(h)
+			}
+			if got := start(t, nil, h).client().ask(c.query); got != c.want {
+				t.Errorf("answered %q, want %q", got, c.want)
+			}
+			d := regexp.MustCompile(`d=\d+`)
+			asked := h.asked()
+			if len(asked) != c.sends {
+				t.Fatalf("sent %d times, want %d: %.200q", len(asked), c.sends, asked)
+			}
+			if diff := cmp.Diff(d.ReplaceAllString(c.query, ""), d.ReplaceAllString(asked[0], "")); diff != "" {
+				t.Errorf("the statement was changed: %.300s", diff)
+			}
+		})
+	}
+}
+
+func TestReadGoesOnToAnotherHost(t *testing.T) {
+	primary := newHost(t, "s-1", "leader", nil)
+	replica := newHost(t, "s-2", "follower", func(int, string) []byte { return nil })
+	g := start(t, nil, primary, replica)
+	c := g.client()
+	for i := 0; len(replica.asked()) == 0 && i < 200; i++ {
+		if got := c.ask(read("k", comment("view", ""))); got != "row k" {
+			t.Fatalf("answered %q", got)
+		}
+	}
+	if len(replica.asked()) == 0 {
+		t.Error("no read was tried on the replica")
+	}
+}
+
+func TestTimedOutConnectionEndsBeforeTheNextSend(t *testing.T) {
+	// The silent replica's time-out is a part of the aim, so the read comes to the primary in good time.
+	primary := newHost(t, "s-1", "leader", nil)
+	replica := newHost(t, "s-2", "follower", func(int, string) []byte { return []byte{} })
+	primary.script = func(_ int, query string) []byte {
+		if n := len(replica.asked()); n > 0 {
+			for range n {
+				select {
+				case <-replica.ended:
+				case <-time.After(patience):
+					t.Error("the replica's connection is still open")
+				}
+			}
+		}
+		return primary.row(query)
+	}
+	edit := func(c string) string { return strings.ReplaceAll(c, `"onTime":10000000000`, `"onTime":1000000000`) }
+	c := start(t, edit, primary, replica).client()
+	for i := 0; len(replica.asked()) == 0 && i < 200; i++ {
+		c.ask(read("k", comment("view", "")))
+	}
+	if len(replica.asked()) == 0 {
+		t.Error("no read was tried on the replica")
+	}
+}
+
+func TestClientThatLeavesEndsItsAttempt(t *testing.T) {
+	h := newHost(t, "s-1", "leader", func(int, string) []byte { return []byte{} })
+	c := start(t, nil, h).client()
+	c.send(read("k", comment("own", "")))
+	for end := time.Now().Add(patience); len(h.asked()) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close()
+	select {
+	case <-h.ended:
+	case <-time.After(patience):
+		t.Error("the attempt is still out")
+	}
+}
+
+func TestConnectionThatTheHostClosedIsNotUsed(t *testing.T) {
+	h := newHost(t, "s-1", "leader", nil)
+	h.brief = true
+	c := start(t, nil, h).client()
+	for range 5 { // a write on a closed connection would end as a reset, and fail
+		if got := c.ask(write("k", "9f", comment("order", ""))); got != "row k" {
+			t.Fatalf("answered %q", got)
+		}
+		<-h.ended
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	h := newHost(t, "s-1", "leader", nil)
+	g := start(t, nil, h)
+	view := comment("view", "")
+	message := func(kind byte, body string) []byte { return pg.Append(nil, kind, []byte(body)) }
+	query := func(q string) []byte { return pg.AppendQuery(nil, q) }
+	sync := message(pg.Sync, "")
+	for _, c := range []struct {
+		name  string
+		bytes []byte
+		want  []string // the answers, then "closed" where the connection must end
+	}{
+		{"another statement", query("DELETE FROM kv " + view), []string{"42601"}},
+		{"another table", query("SELECT content FROM kw WHERE name = 'k' " + view), []string{"42601"}},
+		{"two statements", query(read("k", view) + "; " + read("k", view)), []string{"42601"}},
+		{"no comment", query("SELECT content FROM kv WHERE name = 'k'"), []string{"42601"}},
+		{"open quote", query("SELECT content FROM kv WHERE name = 'k"), []string{"42601"}},
+		{"odd hex digits", query(write("k", "9f0", comment("order", ""))), []string{"42601"}},
+		{"a comment cut short", query("SELECT content FROM kv WHERE name = 'k' /* */"), []string{"42601"}},
+		{"no id", query(read("k", "/* c=view,d=1,cluster=1 */")), []string{"42601"}},
+		{"no class", query(read("k", "/* id=1,d=1,cluster=1 */")), []string{"42601"}},
+		{"a field twice", query(read("k", comment("view", ",id=2"))), []string{"42601"}},
+		{"no number", query(read("k", comment("view", ",after=soon"))), []string{"42601"}},
+		{"a position beyond all time", query(read("k", comment("own", ",after=9223372036854775807"))), []string{"42601"}},
+		{"an unknown class", query(read("k", comment("other", ""))), []string{"42704"}},
+		{"an unknown group", query(read("k", "/* id=2,c=view,d=900,cluster=7 */")), []string{"53300 come back"}},
+		{"a write in a read's class", query(write("k", "9f", view)), []string{"42704"}},
+		{"a value of over 64 KiB", query(write("k", strings.Repeat("9f", pg.MaxValue+1), view)), []string{"08P01"}},
+		{"a long message", message(pg.Query, strings.Repeat("x", 1<<20)), []string{"08P01"}},
+		{"no zero byte", message(pg.Query, "SELECT 1"), []string{"08P01"}},
+		{"no body", message(pg.Query, ""), []string{"08P01"}},
+		{"an extended query", append(append(message(pg.Parse, "\x00SELECT 1\x00\x00\x00"), message(pg.Bind, "x")...),
+			sync...), []string{"0A000"}},
+		{"a function call", message(pg.Function, "xxxx"), []string{"0A000"}},
+		{"a password", message(pg.Password, "x\x00"), []string{"08P01"}},
+		{"only white space", query(" ;\n"), []string{"empty"}},
+		{"a type that is none", message('!', ""), []string{"08P01, closed"}},
+		{"a length under 4", []byte{'Q', 0, 0, 0, 3}, []string{"08P01, closed"}},
+		{"a length beyond all use", []byte{'Q', 0x7f, 0xff, 0xff, 0xff}, []string{"08P01, closed"}},
+		{"commands sent in a row", append(query(""), query("x")...), []string{"empty", "42601"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := g.client()
+			conn.Write(c.bytes)
+			var got []string
+			for range c.want {
+				got = append(got, conn.answer())
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+			if !strings.HasSuffix(c.want[len(c.want)-1], "closed") {
+				if got := conn.ask(""); got != "empty" {
+					t.Errorf("the connection goes on with %q", got)
+				}
+			}
+		})
+	}
+	if asked := h.asked(); len(asked) != 0 {
+		t.Errorf("a host was sent %.300q", asked)
+	}
+}
+
+func TestStartup(t *testing.T) {
+	h := newHost(t, "s-1", "leader", nil)
+	g := start(t, nil, h)
+	session := pg.AppendStartup(nil, "backend", "store")
+	version := func(major, minor byte) []byte {
+		return append([]byte{0, 0, 0, 9, 0, major, 0, minor}, 0)
+	}
+	for _, c := range []struct {
+		name  string
+		bytes []byte
+		want  []string
+	}{
+		{"a query in the same segment", append(session[:len(session):len(session)],
+			pg.AppendQuery(nil, read("k", comment("view", "")))...), []string{"ready", "row k"}},
+		{"a later minor version", version(3, 2), []string{"ready"}},
+		{"another version", version(2, 0), []string{"0A000, closed"}},
+		{"a packet of nonsense", []byte("GET / HTTP/1.1\r\n\r\n"), []string{"08P01, closed"}},
+		{"a cancel request", []byte{0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 0, 0, 0, 0, 0}, []string{"closed"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := g.dial()
+			conn.Write(c.bytes)
+			for _, want := range c.want {
+				if got := conn.answer(); got != want {
+					t.Errorf("got %q, want %q", got, want)
+				}
+			}
+		})
+	}
+	conn := g.dial()
+	conn.Write([]byte{0, 0, 0, 8, 4, 210, 22, 47})
+	if b, err := conn.in.ReadByte(); b != 'N' || err != nil {
+		t.Fatalf("SSLRequest is answered %q (%v)", b, err)
+	}
+	conn.Write(session)
+	if got := conn.answer(); got != "ready" {
+		t.Errorf("after SSLRequest: %q", got)
+	}
+}
+
+func TestDoubledIDIsAnswered(t *testing.T) {
+	release := make(chan struct{})
+	h := newHost(t, "s-1", "leader", nil)
+	h.script = func(_ int, query string) []byte { <-release; return h.row(query) }
+	g := start(t, nil, h)
+	a, b, query := g.client(), g.client(), write("k", "9f", comment("order", ""))
+	a.send(query)
+	for len(h.asked()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := b.ask(query); got != "42710" {
+		t.Errorf("the second is answered %q", got)
+	}
+	close(release)
+	if got := a.answer(); got != "row k" || len(h.asked()) != 1 {
+		t.Errorf("the first is answered %q after %d sends", got, len(h.asked()))
+	}
+}
+
+func TestTooManyClients(t *testing.T) {
+	h := newHost(t, "s-1", "leader", nil)
+	g := start(t, func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }, h)
+	var all []*client
+	over := 0
+	for range 20 {
+		c := g.dial()
+		c.Write(append(pg.AppendStartup(nil, "backend", "store"), pg.AppendQuery(nil, "")...))
+		if got := c.answer(); got != "ready" {
+			t.Fatalf("the startup is answered %q", got)
+		}
+		switch got := c.answer(); got {
+		case "empty":
+			all = append(all, c)
+		case "53300 come back, closed":
+			over++
+		default:
+			t.Fatalf("answered %q", got)
+		}
+	}
+	if over == 0 || len(all) == 0 {
+		t.Errorf("%d served, %d turned away", len(all), over)
+	}
+	if got := all[0].ask(read("k", comment("view", ""))); got != "row k" {
+		t.Errorf("one that was there first is answered %q", got)
+	}
+}
+
+func TestLists(t *testing.T) {
+	a, b := newHost(t, "s-1", "leader", nil), newHost(t, "s-2", "leader", nil)
+	g := start(t, nil, a)
+	c := g.client()
+	until := func(h *host) {
+		t.Helper()
+		before := len(h.asked())
+		for end := time.Now().Add(patience); len(h.asked()) == before; {
+			if got := c.ask(write("k", "9f", comment("order", ""))); got != "row k" || time.Now().After(end) {
+				t.Fatalf("answered %q", got)
+			}
+		}
+	}
+	until(a)
+	for _, bad := range []string{`{`, `[]`, `{"revision":"x"}`, `{"revision":42,"complete":true,"members":[{}]}`,
+		`{"revision":42,"complete":true,"members":[{"id":"s-9","phase":"NEW","host_port":"127.0.0.1:1"}]}`} {
+		g.lists <- bad
+	}
+	// Changes only: the host that is not named stays. Then a whole list, without it.
+	g.lists <- list(42, false, b.entry("DRAINING"))
+	until(a)
+	g.lists <- list(43, true, b.entry("SERVING"))
+	until(b)
+	g.lists <- list(44, false, b.entry("DELETED"), a.entry("SERVING"))
+	until(a)
+}
+
+func TestSIGTERMFinishesWhatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	h := newHost(t, "s-1", "leader", nil)
+	h.script = func(_ int, query string) []byte { <-release; return h.row(query) }
+	g := start(t, nil, h)
+	idle, busy := g.client(), g.client()
+	busy.send(write("k", "9f", comment("order", "")))
+	for len(h.asked()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_ = g.cmd.Process.Signal(syscall.SIGUSR1)
+	_ = g.cmd.Process.Signal(syscall.SIGTERM)
+	if got := idle.answer(); got != "closed" {
+		t.Errorf("an idle connection gets %q", got)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", g.address)
+		if err != nil {
+			break
+		}
+		c.Close()
+		if time.Now().After(end) {
+			t.Fatal("it still listens")
+		}
+	}
+	close(release)
+	if got := busy.answer(); got != "row k" {
+		t.Errorf("what was taken gets %q", got)
+	}
+	if got := busy.answer(); got != "closed" {
+		t.Errorf("the connection goes on with %q", got)
+	}
+	if err := g.cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v: %s", err, g.log)
+	}
+	for _, want := range []string{`"requests_taken":1,"requests_served":1,`, `"requests_taken":1,"requests_served":0,`} {
+		if !strings.Contains(g.log.String(), want) {
+			t.Errorf("no %s in the log: %s", want, g.log)
+		}
+	}
+}
+
+func TestBadConfiguration(t *testing.T) {
+	ctx, stop := context.WithTimeout(t.Context(), patience) // one that is taken for good would serve for ever
+	defer stop()
+	for field, edit := range map[string][2]string{
+		"listen":                              {`"listen":"127.`, `"listen":"host.`},
+		"discovery":                           {`"discovery":"127.0.0.1:1"`, `"discovery":7`},
+		"limits.sockets":                      {`"sockets":1024`, `"sockets":3`},
+		"limits.memory_mb":                    {`"memory_mb":192`, `"memory_mb":"all"`},
+		"limits.cores":                        {`"cores":1.0`, `"cores":0`},
+		"seed":                                {`"seed":"8c1f30d27a5be964"`, `"seed":null`},
+		"known: list: revision":               {`"revision":41`, `"revision":[]`},
+		"settings.step":                       {`"step":5000000`, `"step":"x"`},
+		"settings.profiles.2.effect":          {`"effect":"fragile"`, `"effect":"x"`},
+		"settings.domain.oldestData":          {`"oldestData":[500000000,0,0]`, `"oldestData":[]`},
+		"settings: Classes[own]: named twice": {`"name":"view"`, `"name":"own"`},
+		"not JSON":                            {`{"name"`, `{name`},
+	} {
+		for _, command := range []string{"serve", "check"} {
+			path := config(t, list(41, true), "127.0.0.1:1", func(c string) string {
+				return strings.Replace(c, edit[0], edit[1], 1)
+			})
+			out, err := program(ctx, command, "--config", path).CombinedOutput()
+			exit, ok := err.(*exec.ExitError)
+			if !ok || exit.ExitCode() == 0 || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), field) {
+				t.Errorf("%s, %s: %v, %q", command, field, err, out)
+			}
+		}
+	}
+	if out, err := program(ctx, "check", "--config", config(t, list(41, true), "127.0.0.1:1", nil)).CombinedOutput(); err != nil {
+		t.Errorf("a good one: %v, %s", err, out)
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"yokemast/balance"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/backend"
@@ -27,20 +28,21 @@
 	// readyWithin is how long a start waits for discovery before it makes do with the list it was given.
 	readyWithin = time.Second
 	// serveOn is how long after SIGTERM clients are served as before: they go on coming for 0.2 to 0.4 s.
-	serveOn = 450 * time.Millisecond
+	serveOn = 500 * time.Millisecond
 	// endWithin is how long after SIGTERM, on top of the longest deadline, the process ends: SIGKILL comes no sooner
 	// than 0.7 s after that.
-	endWithin = 550 * time.Millisecond
+	endWithin = 600 * time.Millisecond
 	// leastDeadline is what a shorter longest deadline counts as, for that.
 	leastDeadline = 3 * time.Second
 
 	defaultConnIdle       = 30 * time.Second
 	defaultConnectTimeout = 250 * time.Millisecond
-	idlePart              = 0.8  // of the hosts' own limit
-	memoryPart            = 0.75 // of the memory, as the collector's limit
-	spareSockets          = 48   // for the listener, discovery, the log, and clients that are being turned away
-	clientPart            = 0.55 // of the other sockets
-	statementPart         = 0.15 // of the memory, for large statements held at a time
+	idlePart              = 0.8                    // of the hosts' own limit
+	memoryPart            = 0.75                   // of the memory, as the collector's limit
+	spareSockets          = 48                     // for the listener, discovery, the log, and clients that are being turned away
+	clientPart            = 0.55                   // of the other sockets
+	statementPart         = 0.15                   // of the memory, for large statements held at a time
+	comeBack              = 200 * time.Millisecond // for a client that found no room
 	user, database        = "backend", "store"
 )
 
@@ -73,7 +75,7 @@
 		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
 		MaxConns:       sockets - clients, User: user, Database: database}, x)
 	front := frontend.New(frontend.Config{Clock: clock, Log: log, Counters: counts, MaxConns: clients,
-		MaxBytes: int64(memory * statementPart)}, x)
+		MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance)}, x)
 	if len(c.Known.Members) > 0 {
 		x.Members(true, c.Known.Members)
 	}
@@ -158,6 +160,14 @@
 	}
 }
 
+// advice is the come-back time of a client that found no room.
+func advice(s balance.Settings) time.Duration {
+	if !s.RetryAfter {
+		return 0
+	}
+	return min(comeBack, s.MaxRetryAfter)
+}
+
 func orElse(d, otherwise time.Duration) time.Duration {
 	if d > 0 {
 		return d
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -87,6 +87,7 @@
 	Cancel(id string, attempt int)
 	Probe(server string)
 	Members(list []Member) // entries that are new or changed
+	Forget(server string)  // it is gone for good
 }
 
 // Config is what an Exchange needs to know.
@@ -106,6 +107,8 @@
 	sendMargin = 30 * time.Millisecond
 	// drainMargin is kept free before the end of a drain's grace, for the way to the host.
 	drainMargin = 20 * time.Millisecond
+	// comeBack is when a client may try a group again that no list has named yet.
+	comeBack = 500 * time.Millisecond
 	// forgetAfter is how long a host that left is remembered, later than the module forgets it: a fleet that is
 	// replaced again and again must not fill memory.
 	forgetAfter = 2 * time.Minute
@@ -261,7 +264,11 @@
 	class, now := x.classes[r.Class], x.cfg.Clock.Now()
 	reject := func(k Kind, reason string) {
 		x.cfg.Counters.Rejected.Add(1)
-		r.Answer <- Answer{Kind: k, Reason: reason}
+		a := Answer{Kind: k, Reason: reason}
+		if s := x.cfg.Settings; k == Refused && s.RetryAfter {
+			a.RetryAfter = min(comeBack, s.MaxRetryAfter)
+		}
+		r.Answer <- a
 	}
 	switch {
 	case class == nil:
@@ -352,6 +359,7 @@
 		case m.State == balance.Left && now-told > forgetAfter:
 			delete(x.told, server)
 			delete(x.list, server)
+			x.hosts.Forget(server)
 		}
 	}
 	x.hosts.Members(e.list)
--- /dev/null
+++ b/internal/memory/exchange/exchange_test.go
@@ -0,0 +1,111 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.uber.org/zap"
+
+	"yokemast/balance"
+	"yokemast/internal/memory/counters"
+)
+
+// hosts keeps what it is told.
+type hosts struct{ sent []Attempt }
+
+func (h *hosts) Send(a Attempt)     { h.sent = append(h.sent, a) }
+func (h *hosts) Cancel(string, int) {}
+func (h *hosts) Probe(string)       {}
+func (h *hosts) Members([]Member)   {}
+func (h *hosts) Forget(string)      {}
+
+// fresh is an exchange that is driven by hand, with one primary listed.
+func fresh(t *testing.T) (*Exchange, *hosts, func(class string) chan Answer) {
+	x, err := New(Config{Clock: NewClock(), Log: zap.NewNop(), Counters: &counters.Set{},
+		Settings: balance.Settings{Probes: true, RetryAfter: true, MaxRetryAfter: time.Second, DrainGrace: time.Second,
+			Classes: []balance.Class{
+				{Name: "view", Need: balance.Bounded, Bound: time.Second, Aim: time.Minute, Deadline: time.Minute},
+				{Name: "order", Need: balance.Write, Effect: balance.Unsafe, Aim: time.Minute, Deadline: time.Minute}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &hosts{}
+	x.hosts = h
+	list(x, balance.Active)
+	n := 0
+	return x, h, func(class string) chan Answer {
+		n++
+		c := make(chan Answer, 1)
+		x.handle(&Request{ID: string(rune('a' + n)), Class: class, Group: 1, Write: class == "order",
+			Arrived: x.cfg.Clock.Now(), Answer: c})
+		return c
+	}
+}
+
+func list(x *Exchange, s balance.State) {
+	x.handle(members{true, []Member{{balance.Member{Server: "s", Group: 1, State: s, Primary: true, Weight: 1}, "h:1"}}})
+}
+
+func TestStartBy(t *testing.T) {
+	x, h, ask := fresh(t)
+	before := x.cfg.Clock.Now()
+	ask("order")
+	ask("view")
+	list(x, balance.Draining)
+	told := x.cfg.Clock.Now()
+	ask("order")
+	if len(h.sent) != 3 {
+		t.Fatalf("sent %v", h.sent)
+	}
+	write, bounded, draining := h.sent[0].StartBy, h.sent[1].StartBy, h.sent[2].StartBy
+	if write != 0 || bounded <= before || bounded > told+sendMargin || draining <= told || draining > told+time.Second {
+		t.Errorf("bounds %v, %v, %v after %v", write, bounded-before, draining-told, told-before)
+	}
+}
+
+func TestPanicOfTheModule(t *testing.T) {
+	x, h, ask := fresh(t)
+	held := ask("order")
+	x.router = nil // Handle panics
+	x.decide(balance.Timer{})
+	if a := <-held; a.Kind != Failed {
+		t.Errorf("what was held is answered %v", a)
+	}
+	// The outcome of what was out then comes to a module that never heard of it.
+	x.handle(Outcome{Outcome: balance.Outcome{ID: h.sent[0].ID, Server: "s", Result: balance.OK}})
+	again := ask("order")
+	x.handle(Outcome{Outcome: balance.Outcome{ID: h.sent[1].ID, Server: "s", Result: balance.OK}, Value: "v"})
+	if diff := cmp.Diff(Answer{Kind: Served, Value: "v"}, <-again); diff != "" {
+		t.Error(diff)
+	}
+	if len(x.open) != 0 {
+		t.Errorf("%d records are left", len(x.open))
+	}
+}
+
+func TestTimersComeInOrder(t *testing.T) {
+	var ts timers
+	for i, due := range []time.Duration{5, 3, 5, 1} {
+		ts.push(due, int64(i), uint64(i))
+	}
+	var got []timer
+	for len(ts) > 0 {
+		got = append(got, ts.pop())
+	}
+	want := []timer{{1, 3, 3}, {3, 1, 1}, {5, 0, 0}, {5, 2, 2}}
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(timer{}), cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestGoneHostIsForgotten(t *testing.T) {
+	x, _, _ := fresh(t)
+	x.handle(members{whole: true})
+	x.told["s"] -= 2 * forgetAfter
+	x.handle(members{whole: true})
+	if len(x.list) != 0 || len(x.told) != 0 {
+		t.Errorf("kept: %v, %v", x.list, x.told)
+	}
+}
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// Forget lets go of a host that is gone for good.
+func (b *Backend) Forget(server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h := b.hosts[server]; h != nil {
+		for _, c := range h.idle {
+			b.closeLocked(c)
+		}
+		delete(b.hosts, server)
+	}
+}
+
 // reap closes what has idled for too long.
 func (b *Backend) reap() error {
 	tick := time.NewTicker(max(b.cfg.IdleTimeout/20, 10*time.Millisecond))
@@ -138,7 +150,9 @@
 	b.attempts[key{a.ID, a.Number}] = t
 	b.mu.Unlock()
 	b.group.Go(func() error {
-		defer t.stop()
+		// An abandoned write is waited for as long as its client would have: the end of the gateway must not wait too.
+		ended := context.AfterFunc(b.ctx, func() { t.end(canceled) })
+		defer func() { ended(); t.stop() }()
 		defer func() {
 			if p := recover(); p != nil { // one attempt must not end the process
 				b.cfg.Counters.Panics.Add(1)
@@ -157,10 +171,12 @@
 	t := b.attempts[key{id, number}]
 	b.mu.Unlock()
 	if t != nil {
-		t.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.Cancelled}})
+		t.end(canceled)
 	}
 }
 
+var canceled = exchange.Outcome{Outcome: balance.Outcome{Result: balance.Cancelled}}
+
 // Probe asks a host for its load report.
 func (b *Backend) Probe(server string) {
 	b.group.Go(func() error {
--- /dev/null
+++ b/internal/wire/backend/backend_test.go
@@ -0,0 +1,84 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"yokemast/balance"
+	"yokemast/internal/memory/counters"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/pg"
+)
+
+type outcomes chan exchange.Outcome
+
+func (o outcomes) Outcome(e exchange.Outcome)                   { o <- e }
+func (outcomes) Probed(balance.ProbeResult)                     {}
+func (outcomes) AppendQuery(out []byte, _ time.Duration) []byte { return pg.AppendQuery(out, "x") }
+
+func TestAttemptsThatNeverStart(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	mute, err := net.Listen("tcp", "127.0.0.1:0") // comes up and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	clock := exchange.NewClock()
+	for _, c := range []struct {
+		name, server string
+		conns        int
+		until        time.Duration
+		connect      time.Duration
+		want         balance.Result
+	}{
+		{"refused", "closed", 1, time.Minute, time.Minute, balance.NoConnection},
+		{"never comes up", "mute", 1, time.Minute, 20 * time.Millisecond, balance.NoConnection},
+		{"its own time runs out first", "mute", 1, 20 * time.Millisecond, time.Minute, balance.NotSent},
+		{"no time left", "mute", 1, -1, time.Minute, balance.NotSent},
+		{"no connection to be had", "mute", 0, time.Minute, time.Minute, balance.NotSent},
+		{"never listed", "other", 1, time.Minute, time.Minute, balance.NotSent},
+	} {
+		ctx, stop := context.WithCancel(context.Background())
+		group, to := &errgroup.Group{}, make(outcomes, 2)
+		b := New(ctx, group, Config{Clock: clock, Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: c.conns,
+			ConnectTimeout: c.connect, IdleTimeout: time.Minute}, to)
+		b.Members([]exchange.Member{{Member: balance.Member{Server: "closed"}, Address: closed.Addr().String()},
+			{Member: balance.Member{Server: "mute"}, Address: mute.Addr().String()}})
+		b.Send(exchange.Attempt{ID: "a", Server: c.server, Command: to, Sent: clock.Now(), Until: clock.Now() + c.until})
+		if got := <-to; got.Result != c.want {
+			t.Errorf("%s: result %v, want %v", c.name, got.Result, c.want)
+		}
+		stop()
+		_ = group.Wait()
+		if len(b.attempts) != 0 || b.conns != 0 {
+			t.Errorf("%s: %d attempts and %d connections are left", c.name, len(b.attempts), b.conns)
+		}
+	}
+}
+
+func TestReport(t *testing.T) {
+	for in, want := range map[string]balance.Report{
+		"":                          {},
+		"inflight=7,util=0.61":      {},
+		"x0=1767225600.123,x1=1":    {Has: true, Primary: true, Position: 1767225600122 * time.Millisecond},
+		"x0=1767225600.12,x1=0,y=z": {Has: true, Position: 1767225600119 * time.Millisecond},
+	} {
+		got := report(in)
+		if want.Has && want.Position-got.Position == time.Millisecond {
+			got.Position = want.Position // a binary fraction may lie one below: that never flatters
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%q: %s", in, diff)
+		}
+	}
+}
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -125,7 +125,8 @@
 				c.clean = c.in.Buffered() == 0
 			}
 		}
-		if err == nil && kind != pg.ReadyForQuery {
+		// A fatal error ends the session: no ReadyForQuery need follow, so waiting for it could take all the time.
+		if err == nil && kind != pg.ReadyForQuery && (refusal == nil || !refusal.Fatal) {
 			continue
 		}
 		switch {
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -40,7 +40,7 @@
 	transport := &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: waitFor + answerWithin}
-	first := true
+	first, failing := true, false
 	for ctx.Err() == nil {
 		// The first call does not wait: a gateway is ready once it knows what discovery knows.
 		wait := waitFor
@@ -53,13 +53,17 @@
 		}
 		if err != nil {
 			w.Counters.ListErrors.Add(1)
-			w.Log.Warn("discovery", zap.Error(err))
+			if !failing { // once for each time that it is out, not ten times a second
+				w.Log.Warn("discovery failed", zap.Error(err))
+			}
+			failing = true
 			select {
 			case <-ctx.Done():
 			case <-time.After(retryPause):
 			}
 			continue
 		}
+		failing = false
 		w.Counters.Lists.Add(1)
 		revision = list.Revision
 		if list.Complete || len(list.Members) > 0 {
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -38,8 +38,9 @@
 	Clock    exchange.Clock
 	Log      *zap.Logger
 	Counters *counters.Set
-	MaxConns int   // clients at a time
-	MaxBytes int64 // of large statements held at a time
+	MaxConns int           // clients at a time
+	MaxBytes int64         // of large statements held at a time
+	ComeBack time.Duration // when a client that found no room may try again; 0: no advice
 }
 
 // Server serves clients.
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -23,7 +23,8 @@
 	commands chan command
 	closed   chan struct{} // the client has left
 	draining atomic.Bool
-	skipping bool // an extended query was turned down: all up to Sync is skipped
+	free     time.Duration // when the last answer was written
+	skipping bool          // an extended query was turned down: all up to Sync is skipped
 }
 
 // command is one thing to answer.
@@ -40,7 +41,7 @@
 func (c *session) serve(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
 	defer stop()
-	if !c.start() {
+	if !c.start(startupTimeout) {
 		return
 	}
 	if c.draining.Load() {
@@ -70,8 +71,8 @@
 }
 
 // start goes through the startup; what a client sends behind its startup message stays in the buffer.
-func (c *session) start() bool {
-	_ = c.conn.SetDeadline(time.Now().Add(startupTimeout))
+func (c *session) start(within time.Duration) bool {
+	_ = c.conn.SetDeadline(time.Now().Add(within))
 	for range 4 { // at most one request for each kind of encryption comes first
 		kind, err := pg.ReadStartup(c.in)
 		var refused *pg.Error
@@ -98,10 +99,10 @@
 // take the answer away.
 func (c *session) turnAway() {
 	defer c.conn.Close()
-	if !c.start() {
+	if !c.start(overflowLinger) {
 		return
 	}
-	e := pg.Refusal("too many connections", 0)
+	e := pg.Refusal("too many connections", c.s.cfg.ComeBack)
 	e.Fatal = true
 	if c.write(pg.AppendError(nil, e)) {
 		if t, ok := c.conn.(*net.TCPConn); ok {
@@ -185,7 +186,7 @@
 			c.s.bytes.give(cmd.held)
 			return command{}, false, nil
 		case long && length <= pg.MaxMessage:
-			cmd.err = pg.Refusal("no memory for the statement", 0)
+			cmd.err = pg.Refusal("no memory for the statement", c.s.cfg.ComeBack)
 			return cmd, true, nil
 		case long:
 			return bad(pg.CodeProtocolViolation, "message too long")
@@ -260,11 +261,13 @@
 	answer := make(chan exchange.Answer, 1)
 	st := cmd.statement
 	r := &exchange.Request{ID: st.ID, Class: st.Class, Session: st.Key, Group: st.Group, Write: st.Write,
-		Retry: st.Retry, Arrived: cmd.arrived, Wait: st.Wait, After: st.After, Command: st, Answer: answer}
+		Retry: st.Retry, Arrived: max(cmd.arrived, c.free), Wait: st.Wait, After: st.After, Command: st, Answer: answer}
 	c.s.x.Submit(r)
 	select {
 	case a := <-answer:
-		return c.write(pg.AppendReady(appendAnswer(nil, st, a)))
+		ok := c.write(pg.AppendReady(appendAnswer(nil, st, a)))
+		c.free = c.s.cfg.Clock.Now() // the wait of a command behind this one starts only now
+		return ok
 	case <-c.closed:
 		c.s.x.Gone(r)
 	case <-ctx.Done():
