Give up a write that found no primary before half of its time is gone

At fault: balance.go, hopeless: a write counts as useful up to its deadline, so with no primary known it was parked to the end and refused then, with no time left for its client to come back. Now it is refused, with a come-back time, before half of its time, if it was never sent and no primary is known.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -417,8 +417,11 @@
 }
 
 // hopeless says that q can hardly be answered in time. Half the aim is enough, or a slow class stayed shut.
+// A write never sent, with no primary known, is not held past half its time: its client can come back.
 func (r *Router) hopeless(q *request) bool {
-	return r.now+min(q.cls.took*3/2, q.cls.Aim/2) > r.useful(q)
+	return r.now+min(q.cls.took*3/2, q.cls.Aim/2) > r.useful(q) ||
+		q.group.lostAt > 0 && q.cls.Need == Write && q.attempts == 0 &&
+			2*(r.now-q.arrived+2*beat) > q.Deadline-q.arrived
 }
 
 func (r *Router) useful(q *request) time.Duration {
@@ -441,8 +444,7 @@
 	}
 	m.out = append(m.out, q)
 	q.at, q.sentAt, q.parked, q.withdrawn = m, r.now, false, false
-	q.tried = append(q.tried, m)
-	q.attempts++
+	q.tried, q.attempts = append(q.tried, m), q.attempts+1
 	r.do(Send{q.ID, m.Server, q.limit})
 	if m == q.group.primary {
 		r.wake(q.group) // it may fall silent
@@ -851,8 +853,7 @@
 		r.waiting = slices.DeleteFunc(r.waiting, func(g *group) bool {
 			r.seek(g)
 			r.release(g)
-			p := g.primary
-			g.waiting = len(g.parked) > 0 || p != nil && len(p.out) > 0
+			g.waiting = len(g.parked) > 0 || g.primary != nil && len(g.primary.out) > 0
 			return !g.waiting
 		})
 		r.wake(nil)
@@ -882,8 +883,7 @@
 		r.now-g.soughtAt < r.askPause() || len(g.members) == 0 {
 		return
 	}
-	g.soughtAt = r.now
-	g.next++
+	g.soughtAt, g.next = r.now, g.next+1
 	if m := g.members[g.next%len(g.members)]; r.open(m, true) {
 		r.probe(m)
 	}
