Take a message that has begun to come whole when SIGTERM drains a connection

Seen in reading session.go: drain set the deadline for reading while a message was half read, so the rest of it was cut off and the client got a close for a request that it had written. A new part of the SIGTERM test showed it: with the old lines a statement sent in two halves round the drain was answered "closed". Now the deadline is set only between messages.

pg.Append grows its buffer once: a statement with a value of 64 KiB was copied several times on the way to a host.

--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -335,7 +335,12 @@
 	h := newHost(t, "s-1", "leader", nil)
 	h.script = func(_ int, query string) []byte { <-release; return h.row(query) }
 	g := start(t, nil, h)
-	idle, busy := g.client(), g.client()
+	idle, busy, midway := g.client(), g.client(), g.client()
+	whole := pg.AppendQuery(nil, write("m", "9f", comment("order", "")))
+	midway.Write(append(pg.AppendQuery(nil, ""), whole[:40]...))
+	if got := midway.answer(); got != "empty" {
+		t.Fatalf("the empty query is answered %q", got)
+	}
 	busy.send(write("k", "9f", comment("order", "")))
 	for len(h.asked()) == 0 {
 		time.Sleep(time.Millisecond)
@@ -356,6 +361,10 @@
 		}
 	}
 	close(release)
+	midway.Write(whole[40:])
+	if got := midway.answer(); got != "row m" {
+		t.Errorf("what had begun to come gets %q", got)
+	}
 	if got := busy.answer(); got != "row k" {
 		t.Errorf("what was taken gets %q", got)
 	}
@@ -365,7 +374,7 @@
 	if err := g.cmd.Wait(); err != nil {
 		t.Errorf("it ended with %v: %s", err, g.log)
 	}
-	for _, want := range []string{`"requests_taken":1,"requests_served":1,`, `"requests_taken":1,"requests_served":0,`} {
+	for _, want := range []string{`"requests_taken":2,"requests_served":2,`, `"requests_taken":1,"requests_served":0,`} {
 		if !strings.Contains(g.log.String(), want) {
 			t.Errorf("no %s in the log: %s", want, g.log)
 		}
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -7,7 +7,7 @@
 	"io"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"yokemast/internal/memory/exchange"
@@ -17,12 +17,15 @@
 // session is one client's connection. One goroutine reads commands, so that a client that leaves is noticed; another
 // answers them in order.
 type session struct {
+	mu       sync.Mutex // guards the two below, with the deadline for reading that follows from them
+	draining bool
+	midway   bool // a message has begun to come
+
 	s        *Server
 	conn     net.Conn
 	in       *bufio.Reader
 	commands chan command
 	closed   chan struct{} // the client has left
-	draining atomic.Bool
 	free     time.Duration // when the last answer was written
 	skipping bool          // an extended query was turned down: all up to Sync is skipped
 }
@@ -44,9 +47,7 @@
 	if !c.start(startupTimeout) {
 		return
 	}
-	if c.draining.Load() {
-		c.drain() // the deadline of the startup was set after the drain's
-	}
+	c.between() // the startup's deadline may have been set after a drain's
 	go c.s.guard(func() {
 		defer close(c.commands)
 		c.read()
@@ -64,10 +65,42 @@
 	}
 }
 
-// drain stops the reading between two messages; what has come before that is still answered.
+// drain stops the reading between two messages; what has come before that is still answered. A message that has
+// begun to come is taken whole: cut off in its middle, a request would be lost that its client has written.
 func (c *session) drain() {
-	c.draining.Store(true)
-	_ = c.conn.SetReadDeadline(time.Now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	if !c.midway {
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// begin says that a message has begun to come.
+func (c *session) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.midway = true
+	if c.draining {
+		_ = c.conn.SetReadDeadline(time.Now().Add(startupTimeout))
+	}
+}
+
+// between says that no message has begun to come.
+func (c *session) between() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.midway = false
+	if c.draining {
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// drained says that a read ended because of a drain.
+func (c *session) drained(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // start goes through the startup; what a client sends behind its startup message stays in the buffer.
@@ -123,15 +156,12 @@
 func (c *session) read() {
 	for {
 		if _, err := c.in.Peek(1); err != nil {
-			if !c.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			if !c.drained(err) {
 				close(c.closed)
 			}
 			return
 		}
-		if c.draining.Load() {
-			// A message that has begun to come is taken whole.
-			_ = c.conn.SetReadDeadline(time.Now().Add(startupTimeout))
-		}
+		c.begin()
 		cmd, ok, err := c.next()
 		if err != nil {
 			if errors.Is(err, pg.ErrFraming) {
@@ -145,9 +175,7 @@
 		if ok {
 			c.commands <- cmd
 		}
-		if c.draining.Load() {
-			c.drain()
-		}
+		c.between()
 	}
 }
 
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 )
 
 // Types of messages, as sent by a client and by a server. Some letters mean different things to the two.
@@ -98,6 +99,7 @@
 	for _, p := range parts {
 		n += len(p)
 	}
+	out = slices.Grow(out, n+1) // no copies of large values on the way
 	out = binary.BigEndian.AppendUint32(append(out, kind), uint32(n))
 	for _, p := range parts {
 		out = append(out, p...)
