--- a/balance/balance.go
+++ b/balance/balance.go
@@ -417,10 +417,10 @@
 }
 
 // hopeless says that q can hardly be answered in time. Half the aim is enough, or a slow class stayed shut.
-// A write that was never sent is not held past half its time: its client can come back.
+// What was never sent is not held past half its time: its client can come back.
 func (r *Router) hopeless(q *request) bool {
 	return r.now+min(q.cls.took*3/2, q.cls.Aim/2) > r.useful(q) ||
-		q.cls.Need == Write && q.attempts == 0 && 2*(r.now-q.arrived+2*beat) > q.Deadline-q.arrived
+		q.attempts == 0 && 2*(r.now-q.arrived+2*beat) > q.Deadline-q.arrived
 }
 
 func (r *Router) useful(q *request) time.Duration {
