Follow the configuration's discovery at SIGHUP instead of ending

Now the file is read anew, the watcher's call is ended and the whole list is asked for at the new address with no revision. Signals are caught from the first line to the last, so none ends the process late. Ruled out: the file's other fields; only discovery is said to change, the rest holds until the next start. The test starts the program with ROUTER_DISCOVERY set to the old agent and fails without the handling (signal: hangup).

--- a/cmd/yokemast/harness_test.go
+++ b/cmd/yokemast/harness_test.go
@@ -149,8 +149,10 @@
 	t       *testing.T
 	cmd     *exec.Cmd
 	address string
-	log     *bytes.Buffer
-	lists   chan string // what discovery answers next
+	path    string // of the configuration
+	log     *logged
+	lists   chan string   // what discovery answers next
+	left    chan struct{} // gets one for each call to discovery that the gateway ended
 }
 
 const settingsJSON = `{"balancers":1,"step":5000000,"membershipMode":"push","clients":{},
@@ -193,10 +195,38 @@
 	return cmd
 }
 
+// logged is what a running program logs.
+type logged struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// waitLog waits until the log holds the text.
+func (g *gateway) waitLog(text string) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); !strings.Contains(g.log.String(), text); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("no %s in the log: %s", text, g.log)
+		}
+	}
+}
+
 // start runs a gateway that knows the hosts and waits until it is ready.
 func start(t *testing.T, edit func(string) string, hosts ...*host) *gateway {
 	t.Helper()
-	g := &gateway{t: t, log: &bytes.Buffer{}, lists: make(chan string, 10)}
+	g := &gateway{t: t, log: &logged{}, lists: make(chan string, 10), left: make(chan struct{}, 1000)}
 	var entries []map[string]any
 	for _, h := range hosts {
 		entries = append(entries, h.entry("SERVING"))
@@ -212,13 +242,15 @@
 		case l := <-g.lists:
 			fmt.Fprint(w, l)
 		case <-r.Context().Done():
+			g.left <- struct{}{}
 		case <-stop:
 		}
 	}))
-	path := config(t, known, agent.Listener.Addr().String(), edit)
-	g.cmd = program(context.Background(), "serve", "--config", path)
+	g.path = config(t, known, agent.Listener.Addr().String(), edit)
+	g.cmd = program(context.Background(), "serve", "--config", g.path)
+	g.cmd.Env = append(g.cmd.Env, "ROUTER_DISCOVERY="+agent.Listener.Addr().String())
 	g.cmd.Stderr = g.log
-	b, _ := os.ReadFile(path)
+	b, _ := os.ReadFile(g.path)
 	g.address = gjson.GetBytes(b, "listen").Str
 	if err := g.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/yokemast/main.go
+++ b/cmd/yokemast/main.go
@@ -14,7 +14,7 @@
 )
 
 type cli struct {
-	Serve   serveCmd   `cmd:"" help:"Run the gateway until SIGTERM. SIGUSR1 logs the counters."`
+	Serve   serveCmd   `cmd:"" help:"Run the gateway until SIGTERM. SIGHUP takes discovery from the file anew, SIGUSR1 logs the counters."`
 	Check   checkCmd   `cmd:"" help:"Read a configuration and say whether a gateway could start from it."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -44,7 +44,15 @@
 		return fmt.Errorf("log: %w", err)
 	}
 	defer func() { _ = log.Sync() }()
-	return lifecycle.Serve(c, log)
+	reload := func() (lifecycle.Config, error) {
+		c, err := lifecycle.LoadConfig(s.Config)
+		if err == nil {
+			// Discovery as the file has it: the environment still names the address of the start.
+			err = c.Override(s.Name, s.Listen, "")
+		}
+		return c, err
+	}
+	return lifecycle.Serve(c, reload, log)
 }
 
 type checkCmd struct{ configFlag }
--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
 	"os/exec"
 	"regexp"
 	"strings"
@@ -11,6 +15,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/tidwall/gjson"
 
 	"yokemast/internal/wire/pg"
 )
@@ -381,6 +386,63 @@
 	}
 }
 
+func TestSIGHUPMovesToAnotherDiscovery(t *testing.T) {
+	a, b := newHost(t, "s-1", "leader", nil), newHost(t, "s-2", "leader", nil)
+	release, calls := make(chan struct{}), make(chan string, 100)
+	a.script = func(_ int, query string) []byte { <-release; return a.row(query) }
+	g := start(t, nil, a)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		if len(calls) > 1 {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, list(7, true, a.entry("DRAINING"), b.entry("SERVING"))) // a lower revision than the old agent's
+	}))
+	defer func() { next.CloseClientConnections(); next.Close() }()
+	hup := func(config string, logged string) {
+		t.Helper()
+		if err := os.WriteFile(g.path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_ = g.cmd.Process.Signal(syscall.SIGHUP)
+		g.waitLog(logged)
+	}
+	taken := g.client()
+	taken.send(write("k", "9f", comment("order", "")))
+	for len(a.asked()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	old, _ := os.ReadFile(g.path)
+	hup(strings.Replace(string(old), `"cores":1.0`, `"cores":0`, 1), "limits.cores")
+	if len(g.left) > 0 || len(calls) > 0 {
+		t.Error("a bad configuration has an effect")
+	}
+	hup(strings.Replace(string(old), gjson.GetBytes(old, "discovery").Str, next.Listener.Addr().String(), 1), "read anew")
+	select {
+	case <-g.left: // at once: the old agent's call would have gone on for seconds
+	case <-time.After(patience):
+		t.Error("the call to the old discovery goes on")
+	}
+	for len(calls) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := []string{<-calls, <-calls}; got[0] != "" || !strings.HasPrefix(got[1], "after=7&") {
+		t.Errorf("the new discovery is asked %q", got)
+	}
+	c := g.client()
+	for end := time.Now().Add(patience); len(b.asked()) == 0; { // the old primary is used until the hand-over
+		c.send(read("k", comment("view", "")))
+		if got := c.answer(); got != "row k" || time.Now().After(end) {
+			t.Fatalf("answered %q", got)
+		}
+	}
+	close(release)
+	if got := taken.answer(); got != "row k" {
+		t.Errorf("what was open gets %q", got)
+	}
+}
+
 func TestBadConfiguration(t *testing.T) {
 	ctx, stop := context.WithTimeout(t.Context(), patience) // one that is taken for good would serve for ever
 	defer stop()
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -46,8 +46,12 @@
 	user, database        = "backend", "store"
 )
 
-// Serve runs a gateway until SIGTERM or SIGINT, or until a part of it can't go on.
-func Serve(c Config, log *zap.Logger) error {
+// Serve runs a gateway until SIGTERM or SIGINT, or until a part of it can't go on. At SIGHUP it takes the address of
+// discovery from what reload gives.
+func Serve(c Config, reload func() (Config, error), log *zap.Logger) error {
+	// From the first line on, and to the last: a SIGHUP that nobody waits for ends the process.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	memory := float64(c.MemoryMB) * (1 << 20)
 	debug.SetMemoryLimit(int64(memory * memoryPart))
@@ -83,7 +87,8 @@
 		log.Info("ready", zap.String("name", c.Name), zap.String("listen", c.Listen))
 		front.Ready()
 	})
-	watcher := &discovery.Watcher{Address: c.Discovery, Log: log, Counters: counts, Members: x.Members, Answered: ready}
+	watcher := discovery.NewWatcher(c.Discovery)
+	watcher.Log, watcher.Counters, watcher.Members, watcher.Answered = log, counts, x.Members, ready
 
 	group.Go(func() error { return x.Run(ctx, hosts) })
 	group.Go(func() error { return watcher.Run(ctx, c.Known.Revision) })
@@ -100,30 +105,57 @@
 		defer close(served)
 		return front.Serve(ctx, listener)
 	})
+	ending := make(chan struct{})
+	group.Go(func() error {
+		end := sync.OnceFunc(func() { close(ending) })
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case sig := <-signals:
+				switch sig {
+				case syscall.SIGUSR1:
+					log.Info("counters", counts.Fields()...)
+				case syscall.SIGHUP:
+					move(watcher, reload, log, counts)
+				default:
+					log.Info("ending", zap.Stringer("signal", sig))
+					end()
+				}
+			}
+		}
+	})
 	group.Go(func() error {
 		defer stop()
-		return run(ctx, c, log, counts, func() {
+		run(ctx, c, log, ending, served, func() {
 			listener.Close()
 			front.Drain()
-		}, served)
+		})
+		return nil
 	})
 	return group.Wait()
 }
 
-// run waits for signals; when it returns, the gateway ends.
-func run(ctx context.Context, c Config, log *zap.Logger, counts *counters.Set, drain func(), served <-chan struct{}) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
-	for s := range received(ctx, signals) {
-		if s != syscall.SIGUSR1 {
-			log.Info("ending", zap.Stringer("signal", s))
-			break
-		}
-		log.Info("counters", counts.Fields()...)
+// move follows the configuration to another discovery. Hosts, sessions and requests stay as they are: the list of the
+// new one is merged into what is known. All else that a configuration says holds from the start to the end.
+func move(w *discovery.Watcher, reload func() (Config, error), log *zap.Logger, counts *counters.Set) {
+	c, err := reload()
+	if err != nil {
+		counts.BadReloads.Add(1)
+		log.Error("the new configuration is not used", zap.Error(err))
+		return
 	}
-	if ctx.Err() != nil {
-		return nil
+	counts.Reloads.Add(1)
+	log.Info("configuration read anew", zap.String("discovery", c.Discovery))
+	w.Move(c.Discovery)
+}
+
+// run waits for the end to be asked for; when it returns, the gateway ends.
+func run(ctx context.Context, c Config, log *zap.Logger, ending, served <-chan struct{}, drain func()) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-ending:
 	}
 	longest := leastDeadline
 	for _, class := range c.Settings.Balance.Classes {
@@ -141,23 +173,6 @@
 	case <-end:
 		log.Warn("ending with requests unanswered")
 	}
-	return nil
-}
-
-// received yields signals until the context ends.
-func received(ctx context.Context, signals <-chan os.Signal) func(yield func(os.Signal) bool) {
-	return func(yield func(os.Signal) bool) {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case s := <-signals:
-				if !yield(s) {
-					return
-				}
-			}
-		}
-	}
 }
 
 // advice is the come-back time of a client that found no room.
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -25,6 +25,7 @@
 	BadMessages, BadStatements                     Count // of clients
 	HostsDialed, HostsOpen, HostsClosed, HostsFull Count // connections to hosts; full: none to be had
 	Lists, BadLists, ListErrors                    Count // of discovery
+	Reloads, BadReloads                            Count // configurations read anew, and those not used
 	Panics, Timers                                 Count
 }
 
@@ -46,6 +47,7 @@
 		{"hosts_dialed", &s.HostsDialed}, {"hosts_open", &s.HostsOpen}, {"hosts_closed", &s.HostsClosed},
 		{"hosts_full", &s.HostsFull},
 		{"lists", &s.Lists}, {"lists_bad", &s.BadLists}, {"list_errors", &s.ListErrors},
+		{"reloads", &s.Reloads}, {"reloads_bad", &s.BadReloads},
 		{"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	} {
 		out = append(out, zap.Int64(c.name, c.count.Get()))
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,32 +25,69 @@
 	// retryPause comes after a failed call; the next must follow the last answer within 200 ms or the watch is new.
 	retryPause = 100 * time.Millisecond
 	maxList    = 8 << 20
+	// whole is the revision of who has no list yet: all of it is asked for.
+	whole = -1
 )
 
 // Watcher follows the list.
 type Watcher struct {
-	Address  string // of the agent
 	Log      *zap.Logger
 	Counters *counters.Set
 	Members  func(whole bool, list []exchange.Member)
 	Answered func() // called once, when the agent has answered for the first time
+
+	mu      sync.Mutex
+	address string             // of the agent
+	moved   bool               // since the last call began
+	cancel  context.CancelFunc // ends the call that is going on
+}
+
+// NewWatcher makes a watcher of the agent at an address.
+func NewWatcher(address string) *Watcher { return &Watcher{address: address} }
+
+// Move goes on at another address. What the old agent would still say is not waited for.
+func (w *Watcher) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.address, w.moved = address, true
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// begin gives the address of the next call and the context that ends it.
+func (w *Watcher) begin(ctx context.Context) (address string, moved bool, call context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	address, moved, w.moved = w.address, w.moved, false
+	if w.cancel != nil {
+		w.cancel()
+	}
+	call, w.cancel = context.WithCancel(ctx)
+	return address, moved, call
 }
 
 // Run watches from the revision on until the context ends.
 func (w *Watcher) Run(ctx context.Context, revision int64) error {
 	transport := &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport, Timeout: waitFor + answerWithin}
+	client := &http.Client{Transport: transport}
 	first, failing := true, false
 	for ctx.Err() == nil {
+		address, moved, call := w.begin(ctx)
+		if moved {
+			// Another agent need not count as the last one did: a revision of that one's could hide changes for good.
+			revision, failing = whole, false
+			transport.CloseIdleConnections()
+		}
 		// The first call does not wait: a gateway is ready once it knows what discovery knows.
 		wait := waitFor
-		if first {
+		if first || revision == whole {
 			wait = 0
 		}
-		list, err := w.call(ctx, client, revision, wait)
-		if ctx.Err() != nil {
-			return nil
+		list, err := w.call(call, client, address, revision, wait)
+		if call.Err() != nil {
+			continue // the end, or a move: what the old agent said last is not used
 		}
 		if err != nil {
 			w.Counters.ListErrors.Add(1)
@@ -58,7 +96,7 @@
 			}
 			failing = true
 			select {
-			case <-ctx.Done():
+			case <-call.Done():
 			case <-time.After(retryPause):
 			}
 			continue
@@ -77,10 +115,15 @@
 	return nil
 }
 
-func (w *Watcher) call(ctx context.Context, client *http.Client, revision int64, wait time.Duration) (List, error) {
-	u := url.URL{Scheme: "http", Host: w.Address, Path: "/v1/endpoints", RawQuery: url.Values{
-		"after":   {strconv.FormatInt(revision, 10)},
-		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}.Encode()}
+func (w *Watcher) call(ctx context.Context, client *http.Client, address string, revision int64,
+	wait time.Duration) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerWithin)
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: address, Path: "/v1/endpoints"}
+	if revision != whole {
+		u.RawQuery = url.Values{"after": {strconv.FormatInt(revision, 10)},
+			"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}.Encode()
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return List{}, err
