Make room for clients that ask from those that are silent or hold an idle connection

Causes: held connections and silent ones filled MaxConns for good (no end between requests, startupTimeout 10 s, no deadline inside a message), and 'over <- struct{}{}' in Serve stopped Accept for all once 16 were being turned away. Now a newcomer takes the place of the longest silent client (over 0.1 s) or of the longest idle one (over 2 s); a startup has 2 s, a message 2.5 s; a message of no known type is refused by its head, one too long is answered before its body; what is over all limits is closed at once, and Accept waits for nothing. A fatal error lingers so that it can be read, and a drained connection with something unread is read once more, as its client has written it.

--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -195,6 +195,8 @@
 		{"a password", message(pg.Password, "x\x00"), []string{"08P01"}},
 		{"only white space", query(" ;\n"), []string{"empty"}},
 		{"a type that is none", message('!', ""), []string{"08P01, closed"}},
+		{"a type that is none, its body never comes", []byte{'!', 0, 1, 0, 0}, []string{"08P01, closed"}},
+		{"a message cut off in its middle", []byte{'Q', 0, 0, 0, 9, 'S'}, []string{"08P01, closed"}},
 		{"a length under 4", []byte{'Q', 0, 0, 0, 3}, []string{"08P01, closed"}},
 		{"a length beyond all use", []byte{'Q', 0x7f, 0xff, 0xff, 0xff}, []string{"08P01, closed"}},
 		{"commands sent in a row", append(query(""), query("x")...), []string{"empty", "42601"}},
@@ -308,6 +310,47 @@
 	}
 }
 
+func TestClientsMakeRoom(t *testing.T) {
+	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
+	for name, hold := range map[string]func(*client){
+		"silent from the start":    func(*client) {},
+		"silent after the startup": func(c *client) { c.Write(pg.AppendStartup(nil, "backend", "store")) },
+		"asked once and held theirs": func(c *client) {
+			c.Write(append(pg.AppendStartup(nil, "backend", "store"), pg.AppendQuery(nil, "")...))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := start(t, few, newHost(t, "s-1", "leader", nil))
+			for range 100 {
+				hold(g.dial())
+			}
+			for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+				c := g.dial()
+				c.Write(append(pg.AppendStartup(nil, "backend", "store"),
+					pg.AppendQuery(nil, read("k", comment("view", "")))...))
+				if c.answer() == "ready" && c.answer() == "row k" {
+					break
+				}
+				if time.Now().After(end) {
+					t.Fatal("no room is made")
+				}
+			}
+		})
+	}
+}
+
+func TestLongMessageIsAnsweredBeforeItHasCome(t *testing.T) {
+	c := start(t, nil, newHost(t, "s-1", "leader", nil)).client()
+	c.Write([]byte{'Q', 3, 0x93, 0x87, 0})
+	if kind, _, err := pg.Read(c.in, 1000); kind != pg.ErrorResponse {
+		t.Errorf("got %c (%v)", kind, err)
+	}
+	if got := c.answer(); got != "08P01, closed" { // the rest never comes
+		t.Errorf("then %q", got)
+	}
+}
+
 func TestLists(t *testing.T) {
 	a, b := newHost(t, "s-1", "leader", nil), newHost(t, "s-2", "leader", nil)
 	g := start(t, nil, a)
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -39,8 +39,10 @@
 	defaultConnectTimeout = 250 * time.Millisecond
 	idlePart              = 0.8                    // of the hosts' own limit
 	memoryPart            = 0.75                   // of the memory, as the collector's limit
-	spareSockets          = 48                     // for the listener, discovery, the log, and clients that are being turned away
-	clientPart            = 0.55                   // of the other sockets
+	spareSockets          = 44                     // for the listener, discovery, the log, and clients on their way out
+	clientPart            = 0.6                    // of the other sockets
+	clientsPerMB          = 8                      // each may have an answer of 64 KiB on its way
+	hostsPerMB            = 5                      // each may have one coming, and one read whole
 	statementPart         = 0.15                   // of the memory, for large statements held at a time
 	comeBack              = 200 * time.Millisecond // for a client that found no room
 	user, database        = "backend", "store"
@@ -73,11 +75,11 @@
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
 	sockets := c.Sockets - spareSockets
-	clients := int(float64(sockets) * clientPart)
+	clients := min(int(float64(sockets)*clientPart), c.MemoryMB*clientsPerMB)
 	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts,
 		ConnectTimeout: orElse(c.Settings.ConnectTimeout, defaultConnectTimeout),
 		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
-		MaxConns:       sockets - clients, User: user, Database: database}, x)
+		MaxConns:       min(sockets-clients, c.MemoryMB*hostsPerMB), User: user, Database: database}, x)
 	front := frontend.New(frontend.Config{Clock: clock, Log: log, Counters: counts, MaxConns: clients,
 		MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance)}, x)
 	if len(c.Known.Members) > 0 {
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -22,6 +22,7 @@
 	Sent, Canceled, Probes                         Count // attempts and probes
 	Outcomes                                       [9]Count
 	Clients, ClientsOpen, ClientsOver              Count // connections: accepted, open, turned away
+	ClientsDropped, ClientsEvicted, ClientsSlow    Count // closed at once; made to give way; cut off as too slow
 	BadMessages, BadStatements                     Count // of clients
 	HostsDialed, HostsOpen, HostsClosed, HostsFull Count // connections to hosts; full: none to be had
 	Lists, BadLists, ListErrors                    Count // of discovery
@@ -43,6 +44,7 @@
 		{"requests_failed", &s.Failed}, {"requests_rejected", &s.Rejected}, {"requests_gone", &s.Gone},
 		{"attempts_sent", &s.Sent}, {"attempts_canceled", &s.Canceled}, {"probes_sent", &s.Probes},
 		{"clients_accepted", &s.Clients}, {"clients_open", &s.ClientsOpen}, {"clients_over", &s.ClientsOver},
+		{"clients_dropped", &s.ClientsDropped}, {"clients_evicted", &s.ClientsEvicted}, {"clients_slow", &s.ClientsSlow},
 		{"messages_bad", &s.BadMessages}, {"statements_bad", &s.BadStatements},
 		{"hosts_dialed", &s.HostsDialed}, {"hosts_open", &s.HostsOpen}, {"hosts_closed", &s.HostsClosed},
 		{"hosts_full", &s.HostsFull},
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -5,12 +5,12 @@
 	"net"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"yokemast/balance"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/socket"
 )
 
 const (
@@ -68,20 +68,7 @@
 }
 
 // alive says whether the host has neither closed an idle connection nor written to it.
-func (c *conn) alive() bool {
-	raw, err := c.SyscallConn()
-	if err != nil || c.in.Buffered() > 0 {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true // never wait
-	})
-	return err == nil && quiet
-}
+func (c *conn) alive() bool { return c.in.Buffered() == 0 && socket.Quiet(c) }
 
 // reply is what a query came to.
 type reply struct {
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -19,12 +19,20 @@
 )
 
 const (
-	startupTimeout = 10 * time.Second // for a client to say what it wants
-	writeTimeout   = 5 * time.Second  // for a client to take an answer
-	overflow       = 16               // connections over the limit that are being told so
-	overflowLinger = time.Second
-	largeBody      = 8 << 10 // bodies over this count against MaxBytes
-	acceptPause    = 5 * time.Millisecond
+	// startWithin is how long a client may take to say what it wants, and then to begin its first command.
+	startWithin = 2 * time.Second
+	// messageWithin is how long a message may take to come whole, and skipWithin one that is only read past.
+	messageWithin = 2500 * time.Millisecond
+	skipWithin    = 5 * time.Second
+	writeTimeout  = 5 * time.Second // for a client to take an answer
+	// overflow is how many connections over the limit may be on their way out: told that there is no room, made to
+	// give way, or cut off for what they sent.
+	overflow    = 24
+	lingerFor   = 500 * time.Millisecond // for a client to read why it is cut off
+	mayClose    = 2 * time.Second        // a connection with nothing open may be closed after as long
+	silentFor   = 100 * time.Millisecond // a client that says nothing for longer gives way to one that may
+	largeBody   = 2 << 10                // bodies over this count against MaxBytes
+	acceptPause = 5 * time.Millisecond
 )
 
 // Exchange takes requests.
@@ -52,6 +60,7 @@
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
+	leaving  int // of them, on their way out
 	draining bool
 }
 
@@ -69,7 +78,6 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	sessions, ctx := errgroup.WithContext(ctx)
 	defer sessions.Wait()
-	over := make(chan struct{}, overflow)
 	for {
 		n, err := l.Accept()
 		switch {
@@ -81,21 +89,23 @@
 			continue
 		}
 		s.cfg.Counters.Clients.Add(1)
-		c := &session{s: s, conn: n, in: bufio.NewReaderSize(n, 4<<10), commands: make(chan command, 8),
-			closed: make(chan struct{})}
-		if s.add(c) {
-			sessions.Go(func() error {
-				defer s.remove(c)
-				s.guard(func() { c.serve(ctx) })
-				return nil
-			})
+		now := s.cfg.Clock.Now()
+		c := &session{s: s, conn: n.(*net.TCPConn), in: bufio.NewReaderSize(n, 4<<10), commands: make(chan command, 8),
+			closed: make(chan struct{}), accepted: now, idleSince: now}
+		room, held := s.add(c)
+		if !held { // nothing that clients do may keep others from being accepted
+			s.cfg.Counters.ClientsDropped.Add(1)
+			n.Close()
 			continue
 		}
-		s.cfg.Counters.ClientsOver.Add(1)
-		over <- struct{}{} // when even these are too many, clients wait to be accepted
+		serve := func() { c.serve(ctx) }
+		if !room {
+			s.cfg.Counters.ClientsOver.Add(1)
+			serve = c.turnAway
+		}
 		sessions.Go(func() error {
-			defer func() { <-over }()
-			s.guard(c.turnAway)
+			defer s.remove(c)
+			s.guard(serve)
 			return nil
 		})
 	}
@@ -112,17 +122,67 @@
 	f()
 }
 
-func (s *Server) add(c *session) bool {
+// add takes a session in; held says whether it may stay for a moment, room whether it may be served.
+func (s *Server) add(c *session) (room, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.sessions) >= s.cfg.MaxConns {
-		return false
+	room = len(s.sessions)-s.leaving < s.cfg.MaxConns || s.makeRoom()
+	if len(s.sessions) >= s.cfg.MaxConns+overflow {
+		return false, false
 	}
 	s.sessions[c] = struct{}{}
 	s.cfg.Counters.ClientsOpen.Add(1)
-	if s.draining {
+	if !room {
+		c.leaving = true
+		s.leaving++
+	} else if s.draining {
 		c.drain()
 	}
+	return room, true
+}
+
+// makeRoom ends the session that can best be spared: of clients that have said nothing yet the one silent for longest,
+// as those who mean it write at once, else the one that has had nothing open for longest. Clients that ask once and hold
+// their connection, or connect and say nothing, would otherwise keep all others out.
+func (s *Server) makeRoom() bool {
+	now := s.cfg.Clock.Now()
+	var silent, idle *session
+	var silentSince, idleSince time.Duration
+	for c := range s.sessions {
+		since, said, ok := c.spare()
+		switch {
+		case c.leaving || !ok:
+		case !said && now-since >= silentFor && (silent == nil || since < silentSince):
+			silent, silentSince = c, since
+		case said && now-since >= mayClose && (idle == nil || since < idleSince):
+			idle, idleSince = c, since
+		}
+	}
+	c := silent
+	if c == nil {
+		c = idle
+	}
+	if c == nil {
+		return false
+	}
+	s.cfg.Counters.ClientsEvicted.Add(1)
+	c.leaving = true
+	s.leaving++
+	c.drain()
+	return true
+}
+
+// leave says that a session is on its way out and counts no longer; false: too many are.
+func (s *Server) leave(c *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.leaving {
+		if s.leaving >= overflow {
+			return false
+		}
+		c.leaving = true
+		s.leaving++
+	}
 	return true
 }
 
@@ -130,6 +190,9 @@
 	c.conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.leaving {
+		s.leaving--
+	}
 	delete(s.sessions, c)
 	s.cfg.Counters.ClientsOpen.Add(-1)
 }
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -12,18 +12,24 @@
 
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/socket"
 )
 
 // session is one client's connection. One goroutine reads commands, so that a client that leaves is noticed; another
 // answers them in order.
 type session struct {
-	mu       sync.Mutex // guards the two below, with the deadline for reading that follows from them
-	draining bool
-	midway   bool // a message has begun to come
+	mu        sync.Mutex // guards those below, with the deadline for reading that follows from them
+	draining  bool
+	said      bool          // the startup is done and a command has begun to come
+	midway    bool          // a message has begun to come
+	open      int           // commands without an answer
+	idleSince time.Duration // since when nothing is open
 
+	leaving  bool // guarded by the server's mutex
 	s        *Server
-	conn     net.Conn
+	conn     *net.TCPConn
 	in       *bufio.Reader
+	accepted time.Duration
 	commands chan command
 	closed   chan struct{} // the client has left
 	free     time.Duration // when the last answer was written
@@ -38,13 +44,13 @@
 	empty     bool      // the empty query
 	err       *pg.Error // an answer that is known already
 	sync      bool      // only ReadyForQuery
-	extended  bool      // of the extended protocol: ReadyForQuery comes with Sync
+	ready     bool      // ReadyForQuery follows the error at once
 }
 
 func (c *session) serve(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
 	defer stop()
-	if !c.start(startupTimeout) {
+	if !c.start(startWithin) {
 		return
 	}
 	c.between() // the startup's deadline may have been set after a drain's
@@ -55,6 +61,7 @@
 	for cmd := range c.commands {
 		ok := c.answer(ctx, cmd)
 		c.s.bytes.give(cmd.held)
+		c.answered()
 		if !ok {
 			break
 		}
@@ -65,6 +72,28 @@
 	}
 }
 
+// queue hands a command on to be answered.
+func (c *session) queue(cmd command) {
+	c.mu.Lock()
+	c.open++
+	c.mu.Unlock()
+	c.commands <- cmd
+}
+
+func (c *session) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+	c.idleSince = c.s.cfg.Clock.Now()
+}
+
+// spare says since when the session has had nothing open, and whether it has said anything yet; not ok: it is at work.
+func (c *session) spare() (since time.Duration, said, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.said, c.open == 0 && !c.midway && socket.Quiet(c.conn)
+}
+
 // drain stops the reading between two messages; what has come before that is still answered. A message that has
 // begun to come is taken whole: cut off in its middle, a request would be lost that its client has written.
 func (c *session) drain() {
@@ -72,18 +101,19 @@
 	defer c.mu.Unlock()
 	c.draining = true
 	if !c.midway {
-		_ = c.conn.SetReadDeadline(time.Now())
+		c.readBy(0)
 	}
 }
 
-// begin says that a message has begun to come.
+// readBy sets the deadline for reading.
+func (c *session) readBy(within time.Duration) { _ = c.conn.SetReadDeadline(time.Now().Add(within)) }
+
+// begin says that a message has begun to come. A client that is stuck in its middle must not hold its place for good.
 func (c *session) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.midway = true
-	if c.draining {
-		_ = c.conn.SetReadDeadline(time.Now().Add(startupTimeout))
-	}
+	c.midway, c.said = true, true
+	c.readBy(messageWithin)
 }
 
 // between says that no message has begun to come.
@@ -91,16 +121,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.midway = false
-	if c.draining {
-		_ = c.conn.SetReadDeadline(time.Now())
+	switch {
+	case c.draining:
+		c.readBy(0)
+	case !c.said:
+		c.readBy(startWithin)
+	default:
+		_ = c.conn.SetReadDeadline(time.Time{})
 	}
 }
 
-// drained says that a read ended because of a drain.
-func (c *session) drained(err error) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.draining && errors.Is(err, os.ErrDeadlineExceeded)
+// ended says, of a read between messages that came to its deadline, that there is nothing to be read. A request that
+// came at the same moment is taken: its client has written it.
+func (c *session) ended(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return true
+	}
+	return c.in.Buffered() == 0 && socket.Quiet(c.conn)
 }
 
 // start goes through the startup; what a client sends behind its startup message stays in the buffer.
@@ -112,7 +149,9 @@
 		switch {
 		case errors.As(err, &refused):
 			c.s.cfg.Counters.BadMessages.Add(1)
-			c.write(pg.AppendError(nil, refused))
+			if c.write(pg.AppendError(nil, refused)) {
+				c.linger()
+			}
 			return false
 		case err != nil || kind == pg.StartCancel:
 			return false
@@ -128,20 +167,22 @@
 	return false
 }
 
-// turnAway tells a client that there is no room. It reads on for a moment, as a close with something unread would
-// take the answer away.
+// turnAway tells a client that there is no room.
 func (c *session) turnAway() {
-	defer c.conn.Close()
-	if !c.start(overflowLinger) {
+	if !c.start(lingerFor) {
 		return
 	}
 	e := pg.Refusal("too many connections", c.s.cfg.ComeBack)
 	e.Fatal = true
 	if c.write(pg.AppendError(nil, e)) {
-		if t, ok := c.conn.(*net.TCPConn); ok {
-			_ = t.CloseWrite()
-		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(overflowLinger))
+		c.linger()
+	}
+}
+
+// linger ends the sending and reads on for a moment: a close with something unread would take away what was said last.
+func (c *session) linger() {
+	if c.s.leave(c) && c.conn.CloseWrite() == nil {
+		c.readBy(lingerFor)
 		_, _ = io.Copy(io.Discard, c.conn)
 	}
 }
@@ -156,99 +197,119 @@
 func (c *session) read() {
 	for {
 		if _, err := c.in.Peek(1); err != nil {
-			if !c.drained(err) {
-				close(c.closed)
+			if c.ended(err) {
+				if !errors.Is(err, os.ErrDeadlineExceeded) {
+					close(c.closed)
+				}
+				return
 			}
-			return
+			c.begin()
+			continue
 		}
 		c.begin()
-		cmd, ok, err := c.next()
-		if err != nil {
-			if errors.Is(err, pg.ErrFraming) {
-				c.s.cfg.Counters.BadMessages.Add(1)
-				c.commands <- command{err: &pg.Error{Code: pg.CodeProtocolViolation, Message: err.Error(), Fatal: true}}
-				return
-			}
+		err := c.next()
+		switch {
+		case err == nil:
+			c.between()
+			continue
+		case errors.Is(err, pg.ErrFraming):
+			c.s.cfg.Counters.BadMessages.Add(1)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.s.cfg.Counters.ClientsSlow.Add(1)
+			err = errors.New("the message did not come whole in time")
+		default:
 			close(c.closed)
 			return
 		}
-		if ok {
-			c.commands <- cmd
-		}
-		c.between()
+		c.queue(command{err: &pg.Error{Code: pg.CodeProtocolViolation, Message: err.Error(), Fatal: true}})
+		return
 	}
 }
 
-// next reads one message; ok says that there is something to answer.
-func (c *session) next() (cmd command, ok bool, err error) {
+// next reads one message and queues what there is to answer.
+func (c *session) next() error {
 	kind, length, err := pg.Head(c.in)
 	if err != nil {
-		return cmd, false, err
-	}
-	most := pg.MaxMessage
-	if kind != pg.Query {
-		most = 0 // nothing else that is taken has a body
-	} else if length > largeBody {
-		if length <= pg.MaxMessage && c.s.bytes.take(length) {
-			cmd.held = length
-		} else {
-			most = 0
-		}
-	}
-	body, err := pg.Body(c.in, length, most)
-	long := errors.As(err, new(pg.TooLong))
-	if err != nil && !long {
-		c.s.bytes.give(cmd.held)
-		return cmd, false, err
+		return err
 	}
-	cmd.arrived = c.s.cfg.Clock.Now()
-	bad := func(code, message string) (command, bool, error) {
+	bad := func(code, message string) *pg.Error {
 		c.s.cfg.Counters.BadMessages.Add(1)
-		cmd.err = &pg.Error{Code: code, Message: message}
-		return cmd, true, nil
+		return &pg.Error{Code: code, Message: message}
 	}
 	switch kind {
 	case pg.Query:
-		switch {
-		case c.skipping:
-			c.s.bytes.give(cmd.held)
-			return command{}, false, nil
-		case long && length <= pg.MaxMessage:
-			cmd.err = pg.Refusal("no memory for the statement", c.s.cfg.ComeBack)
-			return cmd, true, nil
-		case long:
-			return bad(pg.CodeProtocolViolation, "message too long")
-		case len(body) == 0 || body[len(body)-1] != 0:
-			return bad(pg.CodeProtocolViolation, "the query does not end in a zero byte")
-		}
-		body = body[:len(body)-1]
-		if cmd.empty = blank(body); cmd.empty {
-			return cmd, true, nil
-		}
-		if cmd.statement, cmd.err = pg.ParseStatement(body); cmd.err != nil {
-			c.s.cfg.Counters.BadStatements.Add(1)
-			cmd.statement = nil
-		}
-		return cmd, true, nil
+		return c.query(length, bad)
 	case pg.Terminate:
-		return cmd, false, io.EOF
+		return io.EOF
 	case pg.Sync:
 		c.skipping = false
-		return command{sync: true}, true, nil
+		return c.skip(length, command{sync: true})
 	case pg.Parse, pg.Bind, pg.Describe, pg.Execute, pg.Close:
 		if c.skipping {
-			return cmd, false, nil
+			return c.skip(length)
 		}
-		c.skipping, cmd.extended = true, true
-		return bad(pg.CodeNotSupported, "the extended query protocol is not supported")
+		c.skipping = true
+		return c.skip(length, command{err: bad(pg.CodeNotSupported, "the extended query protocol is not supported")})
 	case pg.Function:
-		return bad(pg.CodeNotSupported, "function calls are not supported")
+		return c.skip(length, command{err: bad(pg.CodeNotSupported, "function calls are not supported")},
+			command{sync: true})
 	case pg.Flush, pg.CopyData, pg.CopyDone, pg.CopyFail:
-		return cmd, false, nil // as PostgreSQL does outside a copy
+		return c.skip(length) // as PostgreSQL does outside a copy
 	case pg.Password:
-		return bad(pg.CodeProtocolViolation, "no password was asked for")
+		return c.skip(length, command{err: bad(pg.CodeProtocolViolation, "no password was asked for")},
+			command{sync: true})
 	}
-	return cmd, false, pg.ErrFraming // a type that no client sends
+	return pg.ErrFraming // a type that no client sends: at once, as what it calls its length may never come
+}
+
+// skip reads past a body. The first of the answers is given before that, as the body may take long or never come.
+func (c *session) skip(length int, answers ...command) error {
+	if len(answers) > 0 {
+		c.queue(answers[0])
+		answers = answers[1:]
+	}
+	if length > pg.MaxMessage {
+		c.readBy(skipWithin)
+	}
+	if err := pg.Skip(c.in, length); err != nil {
+		return err
+	}
+	for _, a := range answers {
+		c.queue(a)
+	}
+	return nil
+}
+
+// query reads the body of a query.
+func (c *session) query(length int, bad func(code, message string) *pg.Error) error {
+	var cmd command
+	switch {
+	case c.skipping:
+		return c.skip(length)
+	case length > pg.MaxMessage:
+		return c.skip(length, command{err: bad(pg.CodeProtocolViolation, "message too long")}, command{sync: true})
+	case length > largeBody && !c.s.bytes.take(length):
+		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.cfg.ComeBack)},
+			command{sync: true})
+	case length > largeBody:
+		cmd.held = length
+	}
+	body, err := pg.Body(c.in, length, length)
+	if err != nil {
+		c.s.bytes.give(cmd.held)
+		return err
+	}
+	cmd.arrived, cmd.ready = c.s.cfg.Clock.Now(), true
+	if len(body) == 0 || body[len(body)-1] != 0 {
+		cmd.err = bad(pg.CodeProtocolViolation, "the query does not end in a zero byte")
+	} else if body = body[:len(body)-1]; blank(body) {
+		cmd.empty = true
+	} else if cmd.statement, cmd.err = pg.ParseStatement(body); cmd.err != nil {
+		c.s.cfg.Counters.BadStatements.Add(1)
+		cmd.statement = nil
+	}
+	c.queue(cmd)
+	return nil
 }
 
 func blank(b []byte) bool {
@@ -266,11 +327,13 @@
 func (c *session) answer(ctx context.Context, cmd command) bool {
 	switch {
 	case cmd.err != nil && cmd.err.Fatal:
-		c.write(pg.AppendError(nil, cmd.err))
+		if c.write(pg.AppendError(nil, cmd.err)) {
+			c.linger()
+		}
 		return false
 	case cmd.err != nil:
 		out := pg.AppendError(nil, cmd.err)
-		if !cmd.extended {
+		if cmd.ready {
 			out = pg.AppendReady(out)
 		}
 		return c.write(out)
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -53,7 +53,7 @@
 // ErrFraming says that the stream can't be followed any further.
 var ErrFraming = errors.New("pg: framing lost")
 
-// TooLong says that a message was over the limit; its body was skipped and the stream can be followed.
+// TooLong says that a message is over the limit; its body has not been read.
 type TooLong struct{ Length int }
 
 func (e TooLong) Error() string { return fmt.Sprintf("pg: message of %d bytes", e.Length) }
@@ -71,12 +71,9 @@
 	return head[0], int(n), nil
 }
 
-// Body reads the body that Head announced, or skips it and returns TooLong if it is longer than most.
+// Body reads the body that Head announced; one that is longer than most is left unread.
 func Body(r *bufio.Reader, length, most int) ([]byte, error) {
 	if length > most {
-		if _, err := io.CopyN(io.Discard, r, int64(length)); err != nil {
-			return nil, err
-		}
 		return nil, TooLong{length}
 	}
 	body := make([]byte, length)
@@ -84,6 +81,12 @@
 	return body, err
 }
 
+// Skip reads past the body that Head announced.
+func Skip(r *bufio.Reader, length int) error {
+	_, err := io.CopyN(io.Discard, r, int64(length))
+	return err
+}
+
 // Read reads one message whole.
 func Read(r *bufio.Reader, most int) (kind byte, body []byte, err error) {
 	kind, length, err := Head(r)
--- /dev/null
+++ b/internal/wire/socket/socket.go
@@ -0,0 +1,20 @@
+// Package socket looks at connections below the protocols spoken on them.
+package socket
+
+import "syscall"
+
+// Quiet says whether the other end of a connection has neither closed it nor written anything that is still unread.
+// It does not wait.
+func Quiet(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
