End clients that have had nothing open for 2 s where they are many

Clients may have a third of the descriptors for requests, and those that asked once and hold theirs count. The cap on this side (127 of 256) is never reached by then, so makeRoom alone never ended any.

--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -340,6 +341,22 @@
 	}
 }
 
+func TestIdleClientsAreEndedWhereTheyAreMany(t *testing.T) {
+	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
+	g := start(t, few, newHost(t, "s-1", "leader", nil))
+	var all []*client
+	for range 8 { // fewer than there is room for
+		all = append(all, g.client())
+		all[len(all)-1].ask("")
+	}
+	if _, err := all[0].in.ReadByte(); err != io.EOF {
+		t.Errorf("the one that was idle for longest reads %v", err)
+	}
+	if got := all[7].ask(""); got != "empty" {
+		t.Errorf("the one that was idle last is answered %q", got)
+	}
+}
+
 func TestLongMessageIsAnsweredBeforeItHasCome(t *testing.T) {
 	c := start(t, nil, newHost(t, "s-1", "leader", nil)).client()
 	c.Write([]byte{'Q', 3, 0x93, 0x87, 0})
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -33,6 +33,7 @@
 	silentFor   = 100 * time.Millisecond // a client that says nothing for longer gives way to one that may
 	largeBody   = 2 << 10                // bodies over this count against MaxBytes
 	acceptPause = 5 * time.Millisecond
+	sweepPause  = 100 * time.Millisecond // between two looks at who has nothing open
 )
 
 // Exchange takes requests.
@@ -47,6 +48,7 @@
 	Log      *zap.Logger
 	Counters *counters.Set
 	MaxConns int           // clients at a time
+	KeepIdle int           // of them that may stay for long with nothing open
 	MaxBytes int64         // of large statements held at a time
 	ComeBack time.Duration // when a client that found no room may try again; 0: no advice
 }
@@ -62,11 +64,12 @@
 	sessions map[*session]struct{}
 	leaving  int // of them, on their way out
 	draining bool
+	drained  chan struct{} // closed when draining begins
 }
 
 // New makes a server.
 func New(cfg Config, x Exchange) *Server {
-	return &Server{cfg: cfg, x: x, ready: make(chan struct{}), bytes: &budget{left: cfg.MaxBytes},
+	return &Server{cfg: cfg, x: x, ready: make(chan struct{}), drained: make(chan struct{}), bytes: &budget{left: cfg.MaxBytes},
 		sessions: map[*session]struct{}{}}
 }
 
@@ -78,6 +81,10 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	sessions, ctx := errgroup.WithContext(ctx)
 	defer sessions.Wait()
+	sessions.Go(func() error {
+		s.sweep(ctx)
+		return nil
+	})
 	for {
 		n, err := l.Accept()
 		switch {
@@ -126,7 +133,7 @@
 func (s *Server) add(c *session) (room, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	room = len(s.sessions)-s.leaving < s.cfg.MaxConns || s.makeRoom()
+	room = len(s.sessions)-s.leaving < s.cfg.MaxConns || s.makeRoom(true)
 	if len(s.sessions) >= s.cfg.MaxConns+overflow {
 		return false, false
 	}
@@ -141,10 +148,32 @@
 	return room, true
 }
 
+// sweep ends sessions that have had nothing open for long, where they are many. Clients may have no more than a part of
+// the descriptors among them: those that ask once and hold their connection keep others from ever getting one, long
+// before this side is full.
+func (s *Server) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepPause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.drained:
+			return
+		case <-tick.C:
+		}
+		s.mu.Lock()
+		for spared := len(s.sessions) - s.leaving - s.cfg.KeepIdle; spared > 0 && s.makeRoom(false); spared-- {
+		}
+		s.mu.Unlock()
+	}
+}
+
 // makeRoom ends the session that can best be spared: of clients that have said nothing yet the one silent for longest,
 // as those who mean it write at once, else the one that has had nothing open for longest. Clients that ask once and hold
-// their connection, or connect and say nothing, would otherwise keep all others out.
-func (s *Server) makeRoom() bool {
+// their connection, or connect and say nothing, would otherwise keep all others out. The silent ones count only where
+// the house is full: they are cut off soon in any case.
+func (s *Server) makeRoom(full bool) bool {
 	now := s.cfg.Clock.Now()
 	var silent, idle *session
 	var silentSince, idleSince time.Duration
@@ -152,7 +181,7 @@
 		since, said, ok := c.spare()
 		switch {
 		case c.leaving || !ok:
-		case !said && now-since >= silentFor && (silent == nil || since < silentSince):
+		case !said && full && now-since >= silentFor && (silent == nil || since < silentSince):
 			silent, silentSince = c, since
 		case said && now-since >= mayClose && (idle == nil || since < idleSince):
 			idle, idleSince = c, since
@@ -201,7 +230,10 @@
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
+	if !s.draining {
+		s.draining = true
+		close(s.drained)
+	}
 	for c := range s.sessions {
 		c.drain()
 	}
