--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,7 @@
 	badMemory    = 10.0  // attempts
 
 	firstLimit, leastLimit         = 8, 2           // attempts out at a new member; kept however slow all are
-	highShare, lowShare            = 0.35, 0.25     // of the aim: slower answers, fewer attempts out
+	highShare, lowShare            = 0.45, 0.35     // of the aim: slower answers, fewer attempts out
 	longSpill, longRoom, longSlack = 1e-6, 0.1, 0.2 // weights: of others for these, of theirs for others
 	shareMemory, overMargin        = 100.0, 1.2     // requests tenants are compared by; above that is over
 	badFrom, badSlope, badMost     = 0.1, 2.0, 0.9  // bad ends: thinned from there, how steeply, at most
