Keep four attempts out at a member, not two, however slow the answers are

A probe of giveUp printed that nearly all were list-reads never sent, 150 to 180 ms old (no longer answerable within their 300 ms), while most replicas had a limit of 2.0 and 0 to 2 attempts out: a read takes 49 to 85 ms unqueued, over a quarter of its aim, so 'adapt' cuts limits without a queue and never raises them. leastLimit in balance.go is at fault: a host has four cores.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,7 @@
 	leastWeight  = 1e-9  // weights of nothing, all alike, still make a draw
 	badMemory    = 10.0  // attempts
 
-	firstLimit, leastLimit         = 8, 2           // attempts out at a new member; kept however slow all are
+	firstLimit, leastLimit         = 8, 4           // attempts out at a new member; kept however slow all are
 	highShare, lowShare            = 0.45, 0.35     // of the aim: slower answers, fewer attempts out
 	longSpill, longRoom, longSlack = 1e-6, 0.1, 0.2 // weights: of others for these, of theirs for others
 	shareMemory, overMargin        = 100.0, 1.2     // requests tenants are compared by; above that is over
