Serve only one exact row; a spoilt answer or broken connection blames no host yet

At fault: roundTrip took rows in any order and number, any tag and any type, skipped up to 64 MB, and failed a good answer for a note that can't be read; every Reset set its host aside and cancelled all it was doing (balance 'onOutcome'); a probe that found no connection of our own counted as a death; connections went back into use at once; positions and reports were believed however far ahead, NaN included.

--- a/balance/api.go
+++ b/balance/api.go
@@ -194,6 +194,7 @@
 	Cancelled
 	NotSent // never ran
 	Miss    // never ran
+	Garbled // what came back can't be read; it says nothing of the member but that it lives
 )
 
 // Outcome ends an attempt; each Send gets exactly one.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,6 +7,7 @@
 // the primary; what errs is blacklisted for a while. docs/design.md says what was added and when it acts.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -37,7 +38,7 @@
 	badMemory    = 10.0  // attempts
 
 	firstLimit, leastLimit         = 8, 4           // attempts out at a new member; kept however slow all are
-	highShare, lowShare            = 0.45, 0.35     // of the aim: slower answers, fewer attempts out
+	highShare, lowShare            = 0.35, 0.25     // of the aim: slower answers, fewer attempts out
 	longSpill, longRoom, longSlack = 1e-6, 0.1, 0.2 // weights: of others for these, of theirs for others
 	shareMemory, overMargin        = 100.0, 1.2     // requests tenants are compared by; above that is over
 	badFrom, badSlope, badMost     = 0.1, 2.0, 0.9  // bad ends: thinned from there, how steeply, at most
@@ -151,9 +152,7 @@
 			r.quota += t.PerSec
 		}
 	}
-	if r.bound == 0 {
-		r.bound = pinWindow
-	}
+	r.bound = cmp.Or(r.bound, pinWindow)
 	return r, nil
 }
 
@@ -636,11 +635,13 @@
 	return len(m.out) > 0 && r.now-m.quietFrom > max(quietFloor, 2*m.out[0].cls.took, m.out[0].cls.Aim/4)
 }
 
-func (r *Router) probe(m *member) {
+// probe says whether one is out.
+func (r *Router) probe(m *member) bool {
 	if !m.probeOut && r.s.Probes {
 		m.probeOut, m.probedAt = true, r.now
 		r.do(Probe{m.Server})
 	}
+	return m.probeOut
 }
 
 func (r *Router) learn(m *member, role Role, pos time.Duration, rep Report) {
@@ -727,8 +728,10 @@
 		if q.cls.Need == Write && q.Session != "" && !r.s.TokensCarried {
 			r.remember(q.Session, e.Position)
 		}
-	case NoConnection, Reset:
-		r.down(m, false)
+	case NoConnection, Reset: // one connection may break for reasons of its own: a dead process answers no probe
+		if m.suspect = true; !r.probe(m) {
+			r.down(m, false)
+		}
 	case Failed:
 		q.failed = append(q.failed, m)
 	case TimedOut:
@@ -737,7 +740,7 @@
 			r.down(m, true)
 		}
 	}
-	if e.Result == OK || e.Result == Failed || e.Result == Full || e.Result == Miss {
+	if e.Result == OK || e.Result == Failed || e.Result == Garbled || e.Result == Full || e.Result == Miss {
 		r.lives(m)
 	}
 	if q.ranAt == 0 && !neverRan(e.Result) {
@@ -801,9 +804,7 @@
 
 // remember keeps a session's last write. A full memory is emptied and leaves a floor above all forgotten.
 func (r *Router) remember(key string, commit time.Duration) {
-	if commit == 0 {
-		commit = r.now
-	}
+	commit = cmp.Or(commit, r.now)
 	r.sessions[key], r.newest = max(commit, r.sessions[key]), max(commit, r.newest)
 	if len(r.sessions) > sessionLimit {
 		clear(r.sessions)
@@ -825,16 +826,16 @@
 		return
 	}
 	m.probeOut = false
-	if e.Result != OK {
-		m.dead = true
-		r.down(m, false)
-	} else {
+	if e.Result == OK || e.Result == Garbled {
 		r.lives(m)
 		r.learn(m, Unknown, 0, e.Report)
 		m.suspect = false
 		if m.timeouts == 0 {
 			m.downUntil = 0
 		}
+	} else if e.Result != NotSent { // that is this router's own lack of a connection
+		m.dead = true
+		r.down(m, false)
 	}
 	r.release(m.group)
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -759,6 +759,39 @@
 	}
 }
 
+func TestABrokenConnectionIsNotYetADeath(t *testing.T) {
+	// One connection was reset or one answer spoilt, and all that its host was doing was cancelled and done again.
+	for _, c := range []struct {
+		broke        Result
+		probe        Result
+		asked, alive bool
+	}{{Reset, OK, true, true}, {Reset, Garbled, true, true}, {Reset, NotSent, true, true},
+		{NoConnection, NoConnection, true, false}, {Garbled, 0, false, true}} {
+		g := newRig(t, nil)
+		g.r.members["b"].State = Left
+		id, _ := g.ask("any", 0)
+		other, _ := g.ask("any", 0)
+		asked := false
+		for _, a := range g.answer(id, "a", 0, c.broke, Replica) {
+			switch a := a.(type) {
+			case Cancel:
+				t.Errorf("%v: %s is cancelled, want only %s to suffer", c.broke, a.ID, id)
+			case Probe:
+				asked = asked || a.Server == "a"
+			}
+		}
+		if g.r.members["a"].out[0].ID != other || asked != c.asked {
+			t.Errorf("%v: out %v, probed %v", c.broke, g.r.members["a"].out, asked)
+		}
+		if asked {
+			g.do(ProbeResult{Server: "a", Result: c.probe})
+		}
+		if got := g.r.alive(g.r.members["a"]); got != c.alive {
+			t.Errorf("%v, then a probe that ends with %v: in use %v", c.broke, c.probe, got)
+		}
+	}
+}
+
 func TestAProbeDoesNotEndATimeOutsBlacklisting(t *testing.T) {
 	// Members that crawl or swallow requests answer probes: they were back in the draw at once, at every router.
 	for _, c := range []struct {
--- a/cmd/yokemast/harness_test.go
+++ b/cmd/yokemast/harness_test.go
@@ -41,8 +41,9 @@
 	script   func(n int, query string) []byte // n counts from 0; nil: close the connection; empty: stay silent
 	mu       sync.Mutex
 	queries  []string
-	ended    chan struct{} // gets one for each connection that has ended
-	brief    bool          // closes after each answer
+	ended    chan struct{}             // gets one for each connection that has ended
+	brief    bool                      // closes after each answer
+	trail    func(query string) []byte // sent a moment after each answer
 }
 
 func newHost(t *testing.T, id, role string, script func(n int, query string) []byte) *host {
@@ -95,6 +96,10 @@
 			}
 		}
 		c.Write(answer)
+		if h.trail != nil {
+			time.AfterFunc(2*time.Millisecond, func() { c.Write(h.trail(query)) })
+			time.Sleep(4 * time.Millisecond) // what was written behind the query waits as long
+		}
 		if h.brief {
 			return
 		}
--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -45,6 +45,20 @@
 	hangUp := func(*host) []byte { return nil }
 	silent := func(*host) []byte { return []byte{} }
 	torn := func(h *host) []byte { return h.row(read("k", comment("view", "")))[:80] }
+	// spoilt answers the first query with what edit makes of its answer.
+	spoilt := func(edit func(h *host, answer []byte) []byte) func(*host) func(int, string) []byte {
+		return first(func(h *host) []byte { return edit(h, h.row(read("k", comment("view", "")))) })
+	}
+	message := func(kind byte, body string) []byte { return pg.Append(nil, kind, []byte(body)) }
+	swap := func(from, to string) func(*host, []byte) []byte {
+		return func(_ *host, answer []byte) []byte {
+			return []byte(strings.Replace(string(answer), from, to, 1))
+		}
+	}
+	inFront := func(b []byte) func(*host, []byte) []byte {
+		return func(_ *host, answer []byte) []byte { return append(b[:len(b):len(b)], answer...) }
+	}
+	dataRow := string(message(pg.DataRow, "\x00\x01\x00\x00\x00\x01k"))
 	soon := func(q string) string { return strings.Replace(q, "d=15000", "d=2000", 1) }
 	w, r, own := write("k", "9f03", comment("order", "")), read("k", comment("view", "")), read("k", comment("own", ""))
 	for _, c := range []struct {
@@ -68,6 +82,21 @@
 		{"a write that may have run never goes again: torn answer", soon(w), first(torn), "58000", 1},
 		{"a read goes again after an error", own, first(refuse("XX000")), "row k", 2},
 		{"a read goes again after a reset", own, first(hangUp), "row k", 2},
+		{"noise is no answer", r, spoilt(inFront([]byte("GET / HTTP/1.1\r\n"))), "row k", 2},
+		{"nor is one of 3 GB", r, spoilt(inFront([]byte{'D', 0xc0, 0, 0, 0, 0, 1})), "row k", 2},
+		{"nor one with a type of no use here", r, spoilt(inFront(message('W', "x"))), "row k", 2},
+		{"nor one with its row twice", r, spoilt(swap(dataRow, dataRow+dataRow)), "row k", 2},
+		{"nor one with its row first", r, spoilt(inFront([]byte(dataRow))), "row k", 2},
+		{"nor one without a row", r, spoilt(swap(dataRow, "")), "row k", 2},
+		{"nor one with a column longer than its row", r, spoilt(swap("\x00\x01\x00\x00\x00\x01k", "\x00\x01\x00\x00\x00\x09k")), "row k", 2},
+		{"nor one with another's tag", r, spoilt(swap("SELECT 1", "SELECT 2")), "row k", 2},
+		{"nor an error without a code", r, spoilt(inFront(message(pg.ErrorResponse, "Mno\x00\x00"))), "row k", 2},
+		{"a write with a spoilt answer never goes again", w, spoilt(inFront([]byte("noise"))), "58000", 1},
+		{"a load report that can't be read spoils nothing", w, func(h *host) func(int, string) []byte {
+			return func(_ int, q string) []byte {
+				return append(message(pg.ParameterStatus, "server_load\x00x0=\xff\x00\x00"), h.row(q)...)
+			}
+		}, "row k", 1},
 		{"a read that fails everywhere is given up", own, always("XX000"), "53300 come back", 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -159,6 +188,23 @@
 	}
 }
 
+func TestNoAnswerGoesToTheNextRequest(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		h := newHost(t, "s-1", "leader", nil)
+		if late {
+			h.trail = func(query string) []byte { return h.row(query) } // the same again, when nothing waits for it
+		} else {
+			h.script = func(_ int, query string) []byte { return append(h.row(query), h.row(query)...) }
+		}
+		c := start(t, nil, h).client()
+		for _, key := range []string{"a", "b", "c"} {
+			if got := c.ask(write(key, "9f", comment("order", ""))); got != "row "+key {
+				t.Errorf("late %v: %s is answered %q", late, key, got)
+			}
+		}
+	}
+}
+
 func TestBadInput(t *testing.T) {
 	h := newHost(t, "s-1", "leader", nil)
 	g := start(t, nil, h)
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -20,7 +20,7 @@
 type Set struct {
 	Taken, Served, Refused, Failed, Rejected, Gone Count // requests; rejected: never handed to the module
 	Sent, Canceled, Probes                         Count // attempts and probes
-	Outcomes                                       [9]Count
+	Outcomes                                       [10]Count
 	Clients, ClientsOpen, ClientsOver              Count // connections: accepted, open, turned away
 	ClientsDropped, ClientsEvicted, ClientsSlow    Count // closed at once; made to give way; cut off as too slow
 	BadMessages, BadStatements                     Count // of clients
@@ -30,8 +30,8 @@
 	Panics, Timers                                 Count
 }
 
-var outcomeNames = [9]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
-	"not_sent", "miss"}
+var outcomeNames = [10]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
+	"not_sent", "miss", "garbled"}
 
 // Fields gives every counter with its name, for the log.
 func (s *Set) Fields() []zap.Field {
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -6,9 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +27,11 @@
 	"yokemast/internal/wire/settings"
 )
 
+// restFor is how long a connection rests after an answer before it is used again. A host that closes it right then, or
+// sends an answer a second time just behind the first, does so by then: the next request on it would end as one that may
+// have run, or be served with what was made for another.
+const restFor = 30 * time.Millisecond
+
 // Reporter is told how attempts and probes ended.
 type Reporter interface {
 	Outcome(exchange.Outcome)
@@ -35,6 +42,8 @@
 type Command interface {
 	// AppendQuery appends the query, which says how long the gateway will wait.
 	AppendQuery(out []byte, wait time.Duration) []byte
+	// Tag is the command tag of the answer when it ran.
+	Tag() string
 }
 
 // Config is what a Backend needs to know.
@@ -192,16 +201,20 @@
 			b.to.Probed(p)
 		}()
 		until := start + b.cfg.ConnectTimeout
-		c, err := b.take(b.ctx, server, until)
-		if err != nil {
-			p.Result = connectResult(err)
-			return nil
-		}
-		r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), until)
-		b.put(server, c)
-		p.Result = r.result
-		if r.result == balance.OK {
-			p.Report = report(string(r.value.Data))
+		for again := true; again; {
+			c, used, err := b.take(b.ctx, server, until)
+			if err != nil {
+				p.Result = connectResult(err)
+				return nil
+			}
+			r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), "SHOW", until)
+			b.put(server, c)
+			p.Result = r.result
+			if r.result == balance.OK {
+				p.Report = report(string(r.value.Data), b.cfg.Clock.Now())
+			}
+			// A pooled connection may end without any fault of its host's: only a new one tells.
+			again = used && (r.result == balance.Reset || r.result == balance.NoConnection)
 		}
 		return nil
 	})
@@ -225,40 +238,43 @@
 	return balance.NoConnection
 }
 
-// take gives a connection to the host: the one used last, or a new one.
-func (b *Backend) take(ctx context.Context, server string, until time.Duration) (*conn, error) {
+// take gives a connection to the host: of those that have rested the one used last, or a new one. It says whether it
+// was used before.
+func (b *Backend) take(ctx context.Context, server string, until time.Duration) (c *conn, used bool, err error) {
 	b.mu.Lock()
 	h := b.hosts[server]
 	if h == nil {
 		b.mu.Unlock()
-		return nil, errUnknown
+		return nil, false, errUnknown
 	}
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
+	now := b.cfg.Clock.Now()
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		if now-c.idleSince < restFor {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
 		// A host may have closed it meanwhile: what is written to it then would count as a reset that may have run.
-		if b.cfg.Clock.Now()-c.idleSince <= b.cfg.IdleTimeout && c.alive() {
+		if now-c.idleSince <= b.cfg.IdleTimeout && c.alive() {
 			b.mu.Unlock()
-			return c, nil
+			return c, true, nil
 		}
 		b.closeLocked(c)
 	}
 	if b.conns >= b.cfg.MaxConns && !b.evictLocked() {
 		b.mu.Unlock()
 		b.cfg.Counters.HostsFull.Add(1)
-		return nil, errNoRoom
+		return nil, false, errNoRoom
 	}
 	b.conns++
 	address := h.address
 	b.mu.Unlock()
-	c, err := b.dial(ctx, address, until)
-	if err != nil {
+	if c, err = b.dial(ctx, address, until); err != nil {
 		b.mu.Lock()
 		b.conns--
 		b.mu.Unlock()
-		return nil, err
 	}
-	return c, nil
+	return c, false, err
 }
 
 // evictLocked closes the connection that has idled longest, of all hosts.
@@ -365,13 +381,14 @@
 
 func (t *attempt) run() {
 	result := func(r balance.Result) { t.end(exchange.Outcome{Outcome: balance.Outcome{Result: r}}) }
-	c, err := t.b.take(t.ctx, t.Server, t.Until)
+	c, _, err := t.b.take(t.ctx, t.Server, t.Until)
 	if err != nil {
 		result(connectResult(err))
 		return
 	}
 	now := t.b.cfg.Clock.Now()
-	query := t.Command.(Command).AppendQuery(nil, t.Until-now)
+	command := t.Command.(Command)
+	query := command.AppendQuery(nil, t.Until-now)
 	t.mu.Lock()
 	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until
 	if t.ended || late {
@@ -382,7 +399,7 @@
 	}
 	t.conn = c
 	t.mu.Unlock()
-	r := c.roundTrip(query, t.Until)
+	r := c.roundTrip(query, command.Tag(), t.Until)
 	t.mu.Lock()
 	t.conn = nil
 	if t.ended {
@@ -398,16 +415,23 @@
 	t.end(o)
 }
 
-// report reads a load report: names and values.
-func report(s string) balance.Report {
+// report reads a load report: names and values. One that can't be read in any part says nothing.
+func report(s string, now time.Duration) balance.Report {
 	values := map[string]float64{}
 	for field := range strings.SplitSeq(s, ",") {
-		name, value, _ := strings.Cut(field, "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil {
-			values[strings.TrimSpace(name)] = v
+		name, value, ok := strings.Cut(field, "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if _, twice := values[name]; !ok || twice || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			return balance.Report{}
 		}
+		values[name] = v
+	}
+	if x0, x1 := values["x0"], values["x1"]; x0 <= 0 || x0 > (now+aheadMost).Seconds() || x1 != 0 && x1 != 1 {
+		return balance.Report{}
 	}
-	return settings.Report(values, 0)
+	r := settings.Report(values, 0)
+	r.Position = believable(r.Position, now)
+	return r
 }
 
 func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -22,6 +22,8 @@
 func (outcomes) Probed(balance.ProbeResult)                     {}
 func (outcomes) AppendQuery(out []byte, _ time.Duration) []byte { return pg.AppendQuery(out, "x") }
 
+func (outcomes) Tag() string { return "" }
+
 func TestAttemptsThatNeverStart(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -69,11 +71,19 @@
 func TestReport(t *testing.T) {
 	for in, want := range map[string]balance.Report{
 		"":                          {},
+		"x0=NaN,x1=1":               {},
+		"x0=1e300,x1=0":             {},
+		"x0=+Inf":                   {},
+		"x0=-5,x1=1":                {},
+		"x0=1767225600,x1=0.5":      {},
+		"x0=1767225600,x0=1":        {},
+		"x0=1767225600,x1":          {},
+		"x0=1767225601,x1=1":        {}, // ahead of the clock
 		"inflight=7,util=0.61":      {},
 		"x0=1767225600.123,x1=1":    {Has: true, Primary: true, Position: 1767225600122 * time.Millisecond},
-		"x0=1767225600.12,x1=0,y=z": {Has: true, Position: 1767225600119 * time.Millisecond},
+		"x0=1767225600.12,x1=0,y=3": {Has: true, Position: 1767225600119 * time.Millisecond},
 	} {
-		got := report(in)
+		got := report(in, 1767225600500*time.Millisecond)
 		if want.Has && want.Position-got.Position == time.Millisecond {
 			got.Position = want.Position // a binary fraction may lie one below: that never flatters
 		}
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,7 +18,9 @@
 
 const (
 	readBuffer = 4 << 10
-	maxAnswer  = pg.MaxValue + 4<<10 // the longest message taken from a host
+	maxWelcome = 8 << 10 // the longest message taken at the start of a session
+	// aheadMost is how far a position may lie ahead of this clock: commits are rounded up, and clocks are read apart.
+	aheadMost = 50 * time.Millisecond
 )
 
 // conn is one connection to a host, with one query on it at a time.
@@ -54,7 +59,7 @@
 		return err
 	}
 	for {
-		kind, body, err := pg.Read(c.in, maxAnswer)
+		kind, body, err := pg.Read(c.in, maxWelcome)
 		switch {
 		case err != nil:
 			return err
@@ -79,37 +84,82 @@
 	report   balance.Report
 }
 
-// roundTrip writes a query and reads all that comes back for it.
-func (c *conn) roundTrip(query []byte, until time.Duration) (r reply) {
+// errSpoilt says that what a host sent is no answer to what it was asked.
+var errSpoilt = errors.New("backend: the answer can't be read")
+
+// longest is the longest body of a message that an answer may hold; 0: it may hold none of that type. What says that it
+// is longer would be read for as long as the attempt may take.
+func longest(kind byte) int {
+	switch kind {
+	case pg.DataRow:
+		return pg.MaxValue + 16
+	case pg.RowDescription, pg.CommandComplete:
+		return 512
+	case pg.ErrorResponse, pg.NoticeResponse, pg.ParameterStatus:
+		return 8 << 10
+	case pg.ReadyForQuery:
+		return 1
+	}
+	return 0
+}
+
+// receive reads a message of an answer.
+func (c *conn) receive() (kind byte, body []byte, err error) {
+	kind, length, err := pg.Head(c.in)
+	switch {
+	case err != nil:
+		return kind, nil, err
+	case length > longest(kind) || longest(kind) == 0:
+		return kind, nil, fmt.Errorf("%w: type %q, %d bytes", errSpoilt, kind, length)
+	case kind == pg.DataRow:
+		if err := pg.RowLength(c.in, length); err != nil {
+			return kind, nil, err
+		}
+	}
+	body, err = pg.Body(c.in, length, length)
+	return kind, body, err
+}
+
+// roundTrip writes a query and reads all that comes back for it. Only one row, whole and in its place, is an answer: a
+// host may send noise, an answer twice or one with parts missing, and a client must never be served with that.
+func (c *conn) roundTrip(query []byte, tag string, until time.Duration) (r reply) {
 	c.clean = false
 	if c.until(until) != nil {
-		r.result = balance.NoConnection
-		return r
+		return reply{result: balance.NoConnection}
 	}
 	if _, err := c.Write(query); err != nil {
 		// Broken, or stuck, before the last byte: the host never starts what it has not got whole.
-		r.result = balance.NoConnection
-		return r
+		return reply{result: balance.NoConnection}
 	}
 	var refusal *pg.Error
-	row, complete := false, false
+	order := "" // of the messages that make up the answer
 	for {
-		kind, body, err := pg.Read(c.in, maxAnswer)
+		kind, body, err := c.receive()
 		if err == nil {
 			switch kind {
 			case pg.RowDescription:
+				order += "T"
 				r.value.Format, err = pg.RowFormat(body)
 			case pg.DataRow:
+				order += "D"
 				r.value.Data, err = pg.RowData(body)
-				row = true
 			case pg.CommandComplete:
-				complete = true
+				order += "C"
+				if string(body) != tag+"\x00" {
+					err = errSpoilt
+				}
 			case pg.ErrorResponse:
-				refusal = pg.ReadError(body)
+				order += "E"
+				if refusal = pg.ReadError(body); len(refusal.Code) != 5 {
+					err = errSpoilt
+				}
 			case pg.ParameterStatus:
-				err = r.note(body)
+				r.note(body, c.clock.Now())
 			case pg.ReadyForQuery:
-				c.clean = c.in.Buffered() == 0
+				c.clean = len(body) == 1 && body[0] == 'I' && c.in.Buffered() == 0
+			}
+			if err == nil && !strings.HasPrefix("TDC", order) && order != "E" {
+				err = errSpoilt
 			}
 		}
 		// A fatal error ends the session: no ReadyForQuery need follow, so waiting for it could take all the time.
@@ -117,18 +167,22 @@
 			continue
 		}
 		switch {
-		case refusal != nil:
+		case err == nil && refusal != nil:
 			r.result = resultOf(refusal.Code)
-		case row && complete:
+			return r
+		case err == nil && order == "TDC" && len(body) == 1:
 			r.result = balance.OK
-		case err == nil:
-			r.result = balance.Failed // no row, no error: it may have run
+			return r
+		}
+		// What comes with half an answer, or with one that can't be read, is not believed either.
+		c.clean = false
+		switch {
 		case timedOut(err):
-			r.result = balance.TimedOut
-		default:
-			r.result = balance.Reset
+			return reply{result: balance.TimedOut}
+		case err == nil, errors.Is(err, errSpoilt), errors.Is(err, pg.ErrFraming), errors.As(err, new(pg.TooLong)):
+			return reply{result: balance.Garbled}
 		}
-		return r
+		return reply{result: balance.Reset}
 	}
 }
 
@@ -142,11 +196,11 @@
 	return balance.Failed
 }
 
-// note takes what a host says of itself with an answer.
-func (r *reply) note(body []byte) error {
+// note takes what a host says of itself with an answer. What can't be read there says nothing; the answer stands.
+func (r *reply) note(body []byte, now time.Duration) {
 	name, value, err := pg.Parameter(body)
 	if err != nil {
-		return err
+		return
 	}
 	switch name {
 	case "node_role":
@@ -158,10 +212,18 @@
 		}
 	case "replay_position":
 		if ms, err := strconv.ParseInt(value, 10, 64); err == nil && ms > 0 && ms < 1<<42 {
-			r.position = time.Duration(ms) * time.Millisecond
+			r.position = believable(time.Duration(ms)*time.Millisecond, now)
 		}
 	case "server_load":
-		r.report = report(value)
+		r.report = report(value, now)
+	}
+}
+
+// believable is a position that may be: none lies ahead, all machines read one clock. A position is kept as the highest
+// that was ever told, so that one from the future would pass stale data as fresh for good.
+func believable(position, now time.Duration) time.Duration {
+	if position < 0 || position > now+aheadMost {
+		return 0
 	}
-	return nil
+	return min(position, now)
 }
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -139,24 +140,45 @@
 
 // RowFormat reads the format of the one column that a RowDescription names.
 func RowFormat(body []byte) (int16, error) {
-	if len(body) < 2+1+18 || binary.BigEndian.Uint16(body) != 1 {
+	const fixed = 2 + 1 + 18 // the count, the end of the name, what follows it
+	if len(body) < fixed || binary.BigEndian.Uint16(body) != 1 || bytes.IndexByte(body[2:], 0) != len(body)-fixed {
 		return 0, fmt.Errorf("%w: not a row of one column", ErrFraming)
 	}
-	return int16(binary.BigEndian.Uint16(body[len(body)-2:])), nil
+	format := int16(binary.BigEndian.Uint16(body[len(body)-2:]))
+	if format != 0 && format != 1 {
+		return 0, fmt.Errorf("%w: a column of format %d", ErrFraming, format)
+	}
+	return format, nil
+}
+
+// rowHead is what comes before the value in a DataRow of one column.
+const rowHead = 6
+
+// RowLength checks what a DataRow with a body of that length starts with, before its value is waited for.
+func RowLength(r *bufio.Reader, length int) error {
+	if length < rowHead {
+		return fmt.Errorf("%w: a row of %d bytes", ErrFraming, length)
+	}
+	head, err := r.Peek(rowHead)
+	if err != nil {
+		return err
+	}
+	n := int32(binary.BigEndian.Uint32(head[2:]))
+	if binary.BigEndian.Uint16(head) != 1 || int64(n) != int64(length-rowHead) && (n != -1 || length != rowHead) {
+		return fmt.Errorf("%w: a column of %d bytes in a row of %d", ErrFraming, n, length)
+	}
+	return nil
 }
 
 // RowData reads the one column of a DataRow; nil is null.
 func RowData(body []byte) ([]byte, error) {
-	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
-		return nil, fmt.Errorf("%w: not a row of one column", ErrFraming)
+	if err := RowLength(bufio.NewReader(bytes.NewReader(body)), len(body)); err != nil {
+		return nil, err
 	}
-	switch n := int32(binary.BigEndian.Uint32(body[2:])); {
-	case n == -1 && len(body) == 6:
+	if len(body) == rowHead && int32(binary.BigEndian.Uint32(body[2:])) == -1 {
 		return nil, nil
-	case int64(n) != int64(len(body)-6):
-		return nil, fmt.Errorf("%w: a column of %d bytes in a row of %d", ErrFraming, n, len(body))
 	}
-	return body[6:], nil
+	return body[rowHead:], nil
 }
 
 // Parameter reads a ParameterStatus.
