Keep a replica out that errs three times in a row, whatever its probes say

A probe that logged them showed all from one replica, in bursts of up to 29 every 0.5 s: it answers probes well, which ended the blacklisting that its errors had brought (onOutcome calls down with no time-out, onProbe clears downUntil), and as it fails at once it never fills. Ruled out: other hosts (one error each at most) and codes other than XX000.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,11 +31,11 @@
 	longMemory   = 20 * time.Second // of answers behind longPart
 	slack        = ms               // positions are whole milliseconds: doubt counts as stale
 
-	sessionLimit = 20000 // remembered writes
-	fallbackPart = 0.6   // of the primary's limit that reads a replica could serve may fill
-	coldMargin   = 0.6   // of the overload factor may be used, the rest is for retries
-	leastWeight  = 1e-9  // weights of nothing, all alike, still make a draw
-	badMemory    = 10.0  // attempts
+	sessionLimit         = 20000   // remembered writes
+	fallbackPart         = 0.6     // of the primary's limit that reads a replica could serve may fill
+	coldMargin           = 0.6     // of the overload factor may be used, the rest is for retries
+	leastWeight          = 1e-9    // weights of nothing, all alike, still make a draw
+	badMemory, failsMost = 10.0, 3 // attempts; errors in a row, which a good probe does not end
 
 	firstLimit, leastLimit         = 8, 4           // attempts out at a new member; kept however slow all are
 	highShare, lowShare            = 0.35, 0.25     // of the aim: slower answers, fewer attempts out
@@ -68,7 +68,7 @@
 	quietFrom         time.Duration // start of the present silence with work out
 	downUntil         time.Duration // blacklisted
 	dead              bool          // a probe failed and nothing was heard since
-	timeouts          int           // since its last answer
+	timeouts, fails   int           // since its last answer
 	probedAt          time.Duration
 	probeOut, suspect bool    // suspect: was blacklisted and has shown no life since
 	share             float64 // smoothed answer time as a share of the aim
@@ -215,7 +215,7 @@
 			if m.role = Unknown; m.group.primary == m {
 				m.group.primary = nil
 			}
-			m.downUntil, m.suspect, m.limit, m.share = 0, false, firstLimit, 0 // a new process
+			m.downUntil, m.suspect, m.fails, m.limit, m.share = 0, false, 0, firstLimit, 0 // a new process
 		}
 		r.setState(m, l.State)
 		m.Member = l
@@ -635,8 +635,7 @@
 	return len(m.out) > 0 && r.now-m.quietFrom > max(quietFloor, 2*m.out[0].cls.took, m.out[0].cls.Aim/4)
 }
 
-// probe says whether one is out.
-func (r *Router) probe(m *member) bool {
+func (r *Router) probe(m *member) bool { // says whether one is out
 	if !m.probeOut && r.s.Probes {
 		m.probeOut, m.probedAt = true, r.now
 		r.do(Probe{m.Server})
@@ -713,10 +712,10 @@
 	case OK:
 		for _, f := range q.failed {
 			if f != m && f != r.believed(g) && r.spare(f) {
-				r.down(f, false) // what failed there runs here: that member's error
+				r.down(f, f.fails >= failsMost) // what failed there runs here: that member's error
 			}
 		}
-		m.downUntil, m.suspect, m.timeouts = 0, false, 0
+		m.downUntil, m.suspect, m.timeouts, m.fails = 0, false, 0, 0
 		q.cls.took += (e.Took - q.cls.took) / 16
 		if m != r.believed(g) {
 			part := min(1, float64(q.cls.took)/float64(longMemory))
@@ -728,12 +727,13 @@
 		if q.cls.Need == Write && q.Session != "" && !r.s.TokensCarried {
 			r.remember(q.Session, e.Position)
 		}
-	case NoConnection, Reset: // one connection may break for reasons of its own: a dead process answers no probe
+	case NoConnection, Reset: // one may break for reasons of its own: a dead process answers no probe
 		if m.suspect = true; !r.probe(m) {
 			r.down(m, false)
 		}
 	case Failed:
 		q.failed = append(q.failed, m)
+		m.fails++
 	case TimedOut:
 		// A time-out is this member's fault only if it has answered nothing at all meanwhile.
 		if q.limit > 0 && m.quietFrom <= q.sentAt && m != r.believed(g) && r.spare(m) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -792,6 +792,31 @@
 	}
 }
 
+func TestAProbeDoesNotEndTheBlacklistingOfWhatOnlyErrs(t *testing.T) {
+	// A replica that failed all it was sent, at once, answered its probes and was back in the draw every half second.
+	for n, back := range map[int]bool{failsMost - 1: true, failsMost: false} {
+		g := newRig(t, nil)
+		m := g.r.members["a"]
+		for range n {
+			g.r.members["b"].State = Left
+			id, _ := g.ask("any", 0)
+			g.r.members["b"].State = Active
+			to := sends(g.answer(id, "a", 0, Failed, Replica))
+			if len(to) != 1 || to[0] == "a" {
+				t.Fatalf("sent on to %v", to)
+			}
+			g.answer(id, to[0], 1, OK, Unknown)
+			g.do(ProbeResult{Server: "a", Result: OK})
+			if n == failsMost && g.r.alive(m) && m.fails == n {
+				t.Errorf("in use again after %d errors in a row", n)
+			}
+		}
+		if got := g.r.alive(m); got != back {
+			t.Errorf("%d errors in a row, then a good probe: in use %v, want %v", n, got, back)
+		}
+	}
+}
+
 func TestAProbeDoesNotEndATimeOutsBlacklisting(t *testing.T) {
 	// Members that crawl or swallow requests answer probes: they were back in the draw at once, at every router.
 	for _, c := range []struct {
