Fail a probe only when three connections in a row break under it

A probe of the module's state printed that all ten members were 'cold' (warmth 0.26 to 0.6) and again and again, though the list told of no start: a single reset connection ended a probe, onProbe took it for a death and the next answer for a start, so admit let a quarter of the traffic through for 16 s. At fault: Probe in backend.go, which gave up at the first broken connection. A process that is dead refuses connections, so three tries cost nothing there; time-outs and refusals still count at once. Ruled out: limits (4 and more, nothing out), parking, positions.

--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"os"
@@ -32,6 +33,16 @@
 // have run, or be served with what was made for another.
 const restFor = 30 * time.Millisecond
 
+// probeTries is how many connections in a row may break under a probe before it has failed. A failed probe counts as the
+// host's death, and it is spared as a cold one when it answers next; a dead process refuses connections, while a single
+// one may be reset by a host that is well.
+const probeTries = 3
+
+// broke says that a connection came up and was ended by the host before its session began.
+func broke(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
+}
+
 // Reporter is told how attempts and probes ended.
 type Reporter interface {
 	Outcome(exchange.Outcome)
@@ -201,20 +212,22 @@
 			b.to.Probed(p)
 		}()
 		until := start + b.cfg.ConnectTimeout
-		for again := true; again; {
-			c, used, err := b.take(b.ctx, server, until)
+		for range probeTries {
+			c, err := b.take(b.ctx, server, until)
 			if err != nil {
-				p.Result = connectResult(err)
+				if p.Result = connectResult(err); broke(err) {
+					continue
+				}
 				return nil
 			}
 			r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), "SHOW", until)
 			b.put(server, c)
-			p.Result = r.result
-			if r.result == balance.OK {
+			if p.Result = r.result; r.result == balance.OK {
 				p.Report = report(string(r.value.Data), b.cfg.Clock.Now())
 			}
-			// A pooled connection may end without any fault of its host's: only a new one tells.
-			again = used && (r.result == balance.Reset || r.result == balance.NoConnection)
+			if r.result != balance.Reset && r.result != balance.NoConnection {
+				return nil
+			}
 		}
 		return nil
 	})
@@ -238,14 +251,13 @@
 	return balance.NoConnection
 }
 
-// take gives a connection to the host: of those that have rested the one used last, or a new one. It says whether it
-// was used before.
-func (b *Backend) take(ctx context.Context, server string, until time.Duration) (c *conn, used bool, err error) {
+// take gives a connection to the host: of those that have rested the one used last, or a new one.
+func (b *Backend) take(ctx context.Context, server string, until time.Duration) (*conn, error) {
 	b.mu.Lock()
 	h := b.hosts[server]
 	if h == nil {
 		b.mu.Unlock()
-		return nil, false, errUnknown
+		return nil, errUnknown
 	}
 	now := b.cfg.Clock.Now()
 	for i := len(h.idle) - 1; i >= 0; i-- {
@@ -257,24 +269,25 @@
 		// A host may have closed it meanwhile: what is written to it then would count as a reset that may have run.
 		if now-c.idleSince <= b.cfg.IdleTimeout && c.alive() {
 			b.mu.Unlock()
-			return c, true, nil
+			return c, nil
 		}
 		b.closeLocked(c)
 	}
 	if b.conns >= b.cfg.MaxConns && !b.evictLocked() {
 		b.mu.Unlock()
 		b.cfg.Counters.HostsFull.Add(1)
-		return nil, false, errNoRoom
+		return nil, errNoRoom
 	}
 	b.conns++
 	address := h.address
 	b.mu.Unlock()
-	if c, err = b.dial(ctx, address, until); err != nil {
+	c, err := b.dial(ctx, address, until)
+	if err != nil {
 		b.mu.Lock()
 		b.conns--
 		b.mu.Unlock()
 	}
-	return c, false, err
+	return c, err
 }
 
 // evictLocked closes the connection that has idled longest, of all hosts.
@@ -381,7 +394,7 @@
 
 func (t *attempt) run() {
 	result := func(r balance.Result) { t.end(exchange.Outcome{Outcome: balance.Outcome{Result: r}}) }
-	c, _, err := t.b.take(t.ctx, t.Server, t.Until)
+	c, err := t.b.take(t.ctx, t.Server, t.Until)
 	if err != nil {
 		result(connectResult(err))
 		return
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"testing"
@@ -68,6 +69,51 @@
 	}
 }
 
+type probes chan balance.ProbeResult
+
+func (p probes) Probed(e balance.ProbeResult) { p <- e }
+func (probes) Outcome(exchange.Outcome)       {}
+
+func TestProbeIsNotFailedByConnectionsThatBreak(t *testing.T) {
+	for resets, want := range map[int]balance.Result{0: balance.OK, probeTries - 1: balance.OK,
+		probeTries: balance.NoConnection} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for n := 0; ; n++ {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				in := bufio.NewReader(c)
+				_, _ = pg.ReadStartup(in)
+				if n < resets {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					c.Close()
+					continue
+				}
+				_, _ = c.Write(pg.AppendWelcome(nil, pg.StartSession))
+				_, _, _ = pg.Read(in, 1000)
+				_, _ = c.Write(pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte("x0=1,x1=0")}, "SHOW")))
+			}
+		}()
+		ctx, stop := context.WithCancel(context.Background())
+		group, to := &errgroup.Group{}, make(probes, 1)
+		b := New(ctx, group, Config{Clock: exchange.NewClock(), Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 1,
+			ConnectTimeout: time.Minute, IdleTimeout: time.Minute}, to)
+		b.Members([]exchange.Member{{Member: balance.Member{Server: "s"}, Address: l.Addr().String()}})
+		b.Probe("s")
+		if got := <-to; got.Result != want {
+			t.Errorf("%d resets: result %v, want %v", resets, got.Result, want)
+		}
+		stop()
+		_ = group.Wait()
+		l.Close()
+	}
+}
+
 func TestReport(t *testing.T) {
 	for in, want := range map[string]balance.Report{
 		"":                          {},
