End idle clients after 250 ms while the clients' share of descriptors is nearly full

Twice a second, 125 to 128 of 204 client places were held by clients that had asked once and gone silent. That is the third of the descriptors which clients with requests can have, so 60 new requests a second got in where 335 came, while the hosts stood idle. A place came free only after 2 s.

Change: one look at all sessions says who is silent, who is idle and whether places run short: clients that have asked hold three quarters of that third, or three quarters of the places are taken. Then 250 ms without anything open are enough to be ended, longest idle first; otherwise it stays at 2 s. The counter clients_pressed says how often that was the reason.

--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -402,6 +402,33 @@
 	}
 }
 
+func TestIdleClientsAreEndedSoonerUnderPressure(t *testing.T) {
+	// Of 128 descriptors clients with requests can hold 42; three quarters of that is pressure.
+	some := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":128`, 1) }
+	for n, want := range map[int]string{36: `"clients_pressed":[1-9]`, 20: `"clients_pressed":0`} {
+		t.Run(fmt.Sprint(n, " clients"), func(t *testing.T) {
+			t.Parallel()
+			g := start(t, some, newHost(t, "s-1", "leader", nil))
+			var all []*client
+			for range n {
+				all = append(all, g.client())
+				all[len(all)-1].ask("")
+			}
+			if _, err := all[0].in.ReadByte(); err != io.EOF {
+				t.Errorf("the one that was idle for longest reads %v", err)
+			}
+			if got := all[n-1].ask(""); got != "empty" {
+				t.Errorf("the one that was idle last is answered %q", got)
+			}
+			_ = g.cmd.Process.Signal(syscall.SIGUSR1)
+			g.waitLog(`"clients_pressed":`)
+			if !regexp.MustCompile(want).MatchString(g.log.String()) {
+				t.Errorf("no %s in the log: %s", want, g.log)
+			}
+		})
+	}
+}
+
 func TestLongMessageIsAnsweredBeforeItHasCome(t *testing.T) {
 	c := start(t, nil, newHost(t, "s-1", "leader", nil)).client()
 	c.Write([]byte{'Q', 3, 0x93, 0x87, 0})
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -45,6 +45,7 @@
 	spareSockets          = 44                     // for the listener, discovery, the log, and clients on their way out
 	clientPart            = 0.6                    // of the other sockets
 	keepPart              = 12                     // of the sockets, for clients with nothing open for long
+	sharePart             = 3                      // of the sockets, that clients with requests can hold at most
 	clientsPerMB          = 8                      // each may have an answer of 64 KiB on its way
 	hostsPerMB            = 5                      // each may have one coming, and one read whole
 	statementPart         = 0.15                   // of the memory, for large statements held at a time
@@ -85,6 +86,7 @@
 		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
 		MaxConns:       min(sockets-clients, c.MemoryMB*hostsPerMB), User: user, Database: database}, x)
 	front := frontend.New(frontend.Config{Clock: clock, Log: log, Counters: counts, MaxConns: clients, KeepIdle: c.Sockets / keepPart,
+		Share:    c.Sockets / sharePart,
 		MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance)}, x)
 	if len(c.Known.Members) > 0 {
 		x.Members(true, c.Known.Members)
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,9 +29,13 @@
 	writeTimeout  = 5 * time.Second // for a client to take an answer
 	// overflow is how many connections over the limit may be on their way out: told that there is no room, made to
 	// give way, or cut off for what they sent.
-	overflow    = 24
-	lingerFor   = 500 * time.Millisecond // for a client to read why it is cut off
-	mayClose    = 2 * time.Second        // a connection with nothing open may be closed after as long
+	overflow  = 24
+	lingerFor = 500 * time.Millisecond // for a client to read why it is cut off
+	// mayClose is how long a connection may have nothing open before it can be closed; soonClose is the same while the
+	// clients' share of the descriptors is nearly full: until one of theirs is closed, others can't even come to ask.
+	mayClose    = 2 * time.Second
+	soonClose   = 250 * time.Millisecond
+	nearly      = 0.75                   // of the clients' share, or of the places: from there on it is nearly full
 	silentFor   = 100 * time.Millisecond // a client that says nothing for longer gives way to one that may
 	largeBody   = 2 << 10                // bodies over this count against MaxBytes
 	acceptPause = 5 * time.Millisecond
@@ -49,6 +55,7 @@
 	Counters *counters.Set
 	MaxConns int           // clients at a time
 	KeepIdle int           // of them that may stay for long with nothing open
+	Share    int           // connections that clients with requests can hold among them; 0: no such limit
 	MaxBytes int64         // of large statements held at a time
 	ComeBack time.Duration // when a client that found no room may try again; 0: no advice
 }
@@ -133,7 +140,7 @@
 func (s *Server) add(c *session) (room, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	room = len(s.sessions)-s.leaving < s.cfg.MaxConns || s.makeRoom(true)
+	room = len(s.sessions)-s.leaving < s.cfg.MaxConns || s.makeRoom()
 	if len(s.sessions) >= s.cfg.MaxConns+overflow {
 		return false, false
 	}
@@ -163,42 +170,81 @@
 		case <-tick.C:
 		}
 		s.mu.Lock()
-		for spared := len(s.sessions) - s.leaving - s.cfg.KeepIdle; spared > 0 && s.makeRoom(false); spared-- {
-		}
+		s.endIdle()
 		s.mu.Unlock()
 	}
 }
 
-// makeRoom ends the session that can best be spared: of clients that have said nothing yet the one silent for longest,
-// as those who mean it write at once, else the one that has had nothing open for longest. Clients that ask once and hold
-// their connection, or connect and say nothing, would otherwise keep all others out. The silent ones count only where
-// the house is full: they are cut off soon in any case.
-func (s *Server) makeRoom(full bool) bool {
-	now := s.cfg.Clock.Now()
-	var silent, idle *session
-	var silentSince, idleSince time.Duration
+// idler is a session with nothing open, and since when.
+type idler struct {
+	c     *session
+	since time.Duration
+}
+
+// idlers gives the sessions that may be ended: the silent, which have said nothing yet, and the idle, which have asked
+// and have nothing open, each with the one at it for longest first. pressed says that clients' connections are so many
+// that newcomers may find no place.
+func (s *Server) idlers() (silent, idle []idler, pressed bool) {
+	now, held, asked := s.cfg.Clock.Now(), 0, 0
 	for c := range s.sessions {
+		if c.leaving {
+			continue
+		}
+		held++
 		since, said, ok := c.spare()
+		if said {
+			asked++
+		}
 		switch {
-		case c.leaving || !ok:
-		case !said && full && now-since >= silentFor && (silent == nil || since < silentSince):
-			silent, silentSince = c, since
-		case said && now-since >= mayClose && (idle == nil || since < idleSince):
-			idle, idleSince = c, since
+		case !ok:
+		case said:
+			idle = append(idle, idler{c, since})
+		case now-since >= silentFor:
+			silent = append(silent, idler{c, since})
 		}
 	}
-	c := silent
-	if c == nil {
-		c = idle
+	pressed = s.cfg.Share > 0 && float64(asked) >= nearly*float64(s.cfg.Share) ||
+		float64(held) >= nearly*float64(s.cfg.MaxConns)
+	limit := mayClose
+	if pressed {
+		limit = soonClose
 	}
-	if c == nil {
-		return false
+	idle = slices.DeleteFunc(idle, func(i idler) bool { return now-i.since < limit })
+	for _, list := range [][]idler{silent, idle} {
+		slices.SortFunc(list, func(a, b idler) int { return cmp.Compare(a.since, b.since) })
 	}
+	return silent, idle, pressed
+}
+
+// endIdle ends sessions that have had nothing open for long, down to those that may stay.
+func (s *Server) endIdle() {
+	_, idle, pressed := s.idlers()
+	spared := len(s.sessions) - s.leaving - s.cfg.KeepIdle
+	for _, i := range idle[:max(0, min(spared, len(idle)))] {
+		if pressed {
+			s.cfg.Counters.ClientsPressed.Add(1)
+		}
+		s.end(i.c)
+	}
+}
+
+// makeRoom ends the session that can best be spared in a full house: of clients that have said nothing yet the one silent
+// for longest, as those who mean it write at once, else the one that has had nothing open for longest. Clients that ask
+// once and hold their connection, or connect and say nothing, would otherwise keep all others out.
+func (s *Server) makeRoom() bool {
+	silent, idle, _ := s.idlers()
+	if list := append(silent, idle...); len(list) > 0 {
+		s.end(list[0].c)
+		return true
+	}
+	return false
+}
+
+func (s *Server) end(c *session) {
 	s.cfg.Counters.ClientsEvicted.Add(1)
 	c.leaving = true
 	s.leaving++
 	c.drain()
-	return true
 }
 
 // leave says that a session is on its way out and counts no longer; false: too many are.
