Let requests belong to cells: hosts of their own and a fair part of the shared ones

Need: all requests of a group share every limit, queue and host of it, so one flooding client harms all.

Change: the module takes the cells (weight, reserve, servers to read from) and each request names its own. Draws, fallbacks and retries keep to the cell's servers, then the primary. At a shared member a cell always gets its reserve of its fair part, also where others hold a shrunken limit, and leaves free what others have not used of theirs; what frees up goes first to the cell with least out for its weight. Answer times and bad ends are learnt per cell. A request over its budget is refused at once with its own come-back time. A session that wrote must see all up to a given time (a move's). Without cells the order of decisions is the same but for one thing: what stays parked keeps its place instead of being put in anew.

--- a/balance/api.go
+++ b/balance/api.go
@@ -157,13 +157,27 @@
 // ListLost says that a call for the list failed or the subscription ended; the old list stands.
 type ListLost struct{}
 
+// Cell is a part of the clients, with what it may use of the hosts. Cells that may use the same member share it by
+// weight: each can always have Reserve of its fair part of what the router keeps out there.
+type Cell struct {
+	ID      int             // 1 and up; requests of cell 0 or an unknown one use everything
+	Weight  float64         // above 0
+	Reserve float64         // 0 to 1
+	Servers map[string]bool // those it may read from; nil: all, with no reserve there. Any cell may use the primary
+}
+
+// Cells hands the router all cells there are. What is out or waits keeps its cell as it was.
+type Cells struct{ List []Cell }
+
 // Request is a client's request; the router owes it one final answer by Deadline.
 type Request struct {
 	ID, Class, Tenant, Session string
-	Group                      int
+	Group, Cell                int
 	Deadline                   time.Duration
 	Retry                      bool
 	WriteAge                   time.Duration // since the session's last write, with carried tokens; 0: none
+	Since                      time.Duration // a session that wrote must see all up to here too; 0: no such time
+	Over                       time.Duration // above 0: more than its share; refused, to come back after as long
 }
 
 // Role of a member in its group.
@@ -224,9 +238,20 @@
 // Gone says that a request's client left; nothing more is owed.
 type Gone struct{ ID string }
 
-// Event is one of Members, ListLost, Request, Outcome, ProbeResult, Timer, Gone.
+// Event is one of Members, ListLost, Cells, Request, Outcome, ProbeResult, Timer, Gone.
 type Event any
 
+// Seen is what a router believes of a member.
+type Seen struct {
+	Server         string
+	Group          int
+	Limit          float64 // attempts that the router keeps out there at most
+	Out            int     // those out
+	Warmth         float64 // the least part of its capacity that it has, 0 to 1
+	Usable         bool    // open for reads and not set aside
+	Primary, Known bool    // believed to be the primary; a position of it is known
+}
+
 // Send starts an attempt; attempts of a request count from 0.
 type Send struct {
 	ID, Server string
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,6 +55,18 @@
 	share, used float64 // requests a second; of this router's lately, as a part
 }
 
+// cell has what one flooded cell must not spoil for the others: how long answers take and how many end badly.
+type cell struct {
+	Cell
+	classes map[string]*class
+	bad     [2]float64 // part of attempts that ended badly: at replicas, at primaries
+}
+
+type sharers struct { // the cells that may use a member, and their weight
+	cells  []*cell
+	weight float64
+}
+
 type member struct {
 	Member
 	group             *group
@@ -65,6 +77,7 @@
 	pos               time.Duration // known log position; only ever grows
 	revived           time.Duration // first heard of after its death was seen: a start not told yet
 	out               []*request    // attempts out, oldest first
+	of                map[*cell]int // how many of them each cell has
 	quietFrom         time.Duration // start of the present silence with work out
 	downUntil         time.Duration // blacklisted
 	dead              bool          // a probe failed and nothing was heard since
@@ -76,6 +89,7 @@
 }
 
 type group struct {
+	id                      int
 	members                 []*member
 	primary                 *member // last that answered as primary
 	parked                  []*request
@@ -90,6 +104,7 @@
 	Request
 	seq                     int64
 	cls                     *class
+	cell                    *cell
 	group                   *group
 	arrived                 time.Duration
 	wrote                   time.Duration // the session's last write; 0: none
@@ -110,8 +125,10 @@
 	s                  Settings
 	rng                *rand.Rand
 	now, beatDue       time.Duration
-	classes            map[string]*class
-	bound              time.Duration // the least bound of a bounded class: the pace of position probes
+	cells              map[int]*cell      // the one for requests of none is cell 0
+	all                sharers            // of a primary
+	shared             map[string]sharers // of a replica
+	bound              time.Duration      // the least bound of a bounded class: the pace of position probes
 	members            map[string]*member
 	groups             map[int]*group
 	waiting            []*group
@@ -119,10 +136,9 @@
 	seqs               map[int64]*request
 	tenants            map[string]*tenant
 	seq                int64
-	longPart           float64    // of the work that replicas may do, the part that is long reads
-	quota, asked       float64    // all shares; requests of tenants lately, as a part of the memory
-	bad                [2]float64 // part of attempts that ended badly: at replicas, at primaries
-	usable             []*member  // of the last draw
+	longPart           float64   // of the work that replicas may do, the part that is long reads
+	quota, asked       float64   // all shares; requests of tenants lately, as a part of the memory
+	usable             []*member // of the last draw
 	weights            []float64
 	sessions           map[string]time.Duration // last write known of each session, with remembered tokens
 	newest, floor      time.Duration            // of those writes; none forgotten is later than the floor
@@ -137,11 +153,11 @@
 		return nil, err
 	}
 	r := &Router{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		classes: map[string]*class{}, members: map[string]*member{}, groups: map[int]*group{},
+		cells: map[int]*cell{}, members: map[string]*member{}, groups: map[int]*group{},
 		reqs: map[string]*request{}, seqs: map[int64]*request{}, seq: firstSeq,
 		tenants: map[string]*tenant{}, sessions: map[string]time.Duration{}}
+	r.onCells(Cells{})
 	for _, c := range s.Classes {
-		r.classes[c.Name] = &class{c, c.Aim / 4}
 		if c.Need == Bounded && (r.bound == 0 || c.Bound < r.bound) {
 			r.bound = c.Bound
 		}
@@ -170,6 +186,8 @@
 		r.onMembers(e)
 	case ListLost:
 		r.do(After{time.Second + time.Duration(r.rng.Int64N(int64(time.Second))), tagWatch})
+	case Cells:
+		r.onCells(e)
 	case Request:
 		r.onRequest(e)
 	case Outcome:
@@ -206,7 +224,7 @@
 				continue
 			}
 			g := r.group(l.Group)
-			m = &member{group: g, limit: firstLimit, probedAt: r.now - time.Hour}
+			m = &member{group: g, of: map[*cell]int{}, limit: firstLimit, probedAt: r.now - time.Hour}
 			r.members[l.Server] = m
 			i, _ := slices.BinarySearchFunc(g.members, l.Server,
 				func(o *member, server string) int { return strings.Compare(o.Server, server) })
@@ -237,9 +255,62 @@
 	}
 }
 
+func (r *Router) onCells(e Cells) {
+	old := r.cells
+	r.cells, r.all, r.shared = map[int]*cell{}, sharers{}, map[string]sharers{}
+	for _, c := range append([]Cell{{}}, e.List...) {
+		n := old[c.ID]
+		if n == nil {
+			n = &cell{classes: map[string]*class{}}
+			for _, cls := range r.s.Classes {
+				n.classes[cls.Name] = &class{cls, cls.Aim / 4}
+			}
+		}
+		n.Cell, r.cells[c.ID] = c, n
+		r.all = r.all.with(n)
+		for server := range c.Servers {
+			r.shared[server] = r.shared[server].with(n)
+		}
+	}
+}
+
+func (s sharers) with(c *cell) sharers { return sharers{append(s.cells, c), s.weight + c.Weight} }
+
+// may says whether q's cell reads from m.
+func (q *request) may(m *member) bool { return q.cell.Servers == nil || q.cell.Servers[m.Server] }
+
+// fair says whether q's cell may have one more out at m, whose fair part is by weight among those that may use m. Its
+// reserve of that it gets even where others hold the limit, as limits shrink under a flood; beyond it leaves free
+// what the others have not used of theirs.
+func (r *Router) fair(q *request, m *member, limit float64) bool {
+	by := r.shared[m.Server]
+	if m == m.group.primary {
+		by = r.all
+	}
+	part, free := limit/max(by.weight, q.cell.Weight, leastWeight), limit-float64(len(m.out))
+	if float64(m.of[q.cell]+1) <= q.cell.Reserve*q.cell.Weight*part {
+		return true
+	}
+	for _, o := range by.cells {
+		if o != q.cell && free > 0 {
+			free -= max(0, o.Reserve*o.Weight*part-float64(m.of[o]))
+		}
+	}
+	return free > 0
+}
+
+// Look shows what the router believes of its members.
+func (r *Router) Look(now time.Duration, see func(Seen)) {
+	r.now = now
+	for _, m := range r.members {
+		see(Seen{m.Server, m.group.id, m.limit, len(m.out), r.warmth(m), r.open(m, false) && r.alive(m),
+			m == r.believed(m.group), m.pos > 0})
+	}
+}
+
 func (r *Router) group(n int) *group {
 	if r.groups[n] == nil {
-		r.groups[n] = &group{}
+		r.groups[n] = &group{id: n}
 	}
 	return r.groups[n]
 }
@@ -265,8 +336,12 @@
 	return false
 }
 
-func (r *Router) room(m *member, part float64) bool {
-	return float64(len(m.out)) < max(1, m.limit*part)
+func (r *Router) room(q *request, m *member, part float64) bool {
+	limit := max(1, m.limit*part)
+	if len(r.cells) > 1 {
+		return r.fair(q, m, limit)
+	}
+	return float64(len(m.out)) < limit
 }
 
 // warmth is the least part of its capacity that m has, by the start that was told or that this router saw.
@@ -297,14 +372,18 @@
 }
 
 func (r *Router) onRequest(e Request) {
-	c, g := r.classes[e.Class], r.group(e.Group)
+	cell, g := r.cells[e.Cell], r.group(e.Group)
+	if cell == nil {
+		cell = r.cells[0]
+	}
+	c := cell.classes[e.Class]
 	if r.reqs[e.ID] != nil {
 		return // doubled
 	} else if c == nil {
 		r.do(Refuse{ID: e.ID})
 		return
 	}
-	q := &request{Request: e, seq: r.seq, cls: c, group: g, arrived: r.now, worth: c.Worth,
+	q := &request{Request: e, seq: r.seq, cls: c, cell: cell, group: g, arrived: r.now, worth: c.Worth,
 		luck: r.rng.Float64()}
 	if t := r.tenants[e.Tenant]; t != nil {
 		// What the fleet uses shows at no router; who asks for more of its share than others shows at each.
@@ -322,9 +401,11 @@
 	r.seq++
 	r.reqs[e.ID], r.seqs[q.seq] = q, q
 	if c.Need == Session {
-		q.wrote = r.wrote(e)
+		if q.wrote = r.wrote(e); q.wrote > 0 {
+			q.wrote = max(q.wrote, e.Since)
+		}
 	}
-	if c.Need != Write && c.Need != Latest && !passes(q, r.bad[0]) {
+	if e.Over > 0 || c.Need != Write && c.Need != Latest && !passes(q, cell.bad[0]) {
 		r.giveUp(q)
 		return
 	}
@@ -366,7 +447,7 @@
 	if q.at == nil && q.ranAt == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
 		a := Refuse{ID: q.ID}
 		if r.s.RetryAfter {
-			a.RetryAfter = min(500*time.Millisecond, r.s.MaxRetryAfter)
+			a.RetryAfter = min(cmp.Or(q.Over, 500*time.Millisecond), r.s.MaxRetryAfter)
 		}
 		r.do(a)
 	} else {
@@ -412,7 +493,7 @@
 
 func before(a, b *request) bool {
 	x, y := a.worth/float64(a.cls.took+1), b.worth/float64(b.cls.took+1)
-	return x > y || x == y && a.cls == b.cls && a.seq > b.seq
+	return x > y || x == y && a.cls.Name == b.cls.Name && a.seq > b.seq
 }
 
 // hopeless says that q can hardly be answered in time. Half the aim is enough, or a slow class stayed shut.
@@ -441,6 +522,7 @@
 		m.quietFrom = r.now
 	}
 	m.out = append(m.out, q)
+	m.of[q.cell]++
 	q.at, q.sentAt, q.parked, q.withdrawn = m, r.now, false, false
 	q.tried, q.attempts = append(q.tried, m), q.attempts+1
 	r.do(Send{q.ID, m.Server, q.limit})
@@ -462,7 +544,7 @@
 		return nil
 	}
 	// What replicas cannot serve drowns the primary when they all lag.
-	if passes(q, r.bad[1]) {
+	if passes(q, q.cell.bad[1]) {
 		return r.primaryFor(q, fallbackPart, fallbackPart)
 	}
 	return nil
@@ -495,7 +577,7 @@
 	var next *member
 	n := 0
 	for _, m := range r.usable { // of the draw just made
-		if !r.s.Probes || r.fresh(q, m) || !r.room(m, 1) {
+		if !r.s.Probes || r.fresh(q, m) || !r.room(q, m, 1) {
 			continue
 		}
 		if m.probeOut && r.now-m.probedAt < beat {
@@ -530,7 +612,7 @@
 			all += m.Weight
 		}
 		switch {
-		case m == primary || !r.open(m, false):
+		case m == primary || !q.may(m) || !r.open(m, false):
 		case r.alive(m) && !(m.suspect && r.s.Probes):
 			usable = append(usable, m)
 		case (m.timeouts == 0 || r.alive(m)) && r.now-m.probedAt >= downPause:
@@ -543,7 +625,7 @@
 	for i, m := range usable {
 		w := m.Weight * math.Sqrt(r.warmth(m))
 		switch {
-		case slices.Contains(q.tried, m) || !r.fresh(q, m) || !r.room(m, 1):
+		case slices.Contains(q.tried, m) || !r.fresh(q, m) || !r.room(q, m, 1):
 			w = 0
 		case long && float64(i) >= held:
 			w *= math.Pow(longSpill, float64(i)) // the next one, not all
@@ -599,7 +681,7 @@
 			r.probe(p) // feed nothing to a silent member before it has shown life
 			return nil
 		}
-		if !r.room(p, part) || r.now < q.notBefore {
+		if !r.room(q, p, part) || r.now < q.notBefore {
 			return nil
 		}
 		if !r.admit(p, 1, share) {
@@ -619,7 +701,7 @@
 		m := g.members[g.next%len(g.members)]
 		g.next++
 		// A miss weighs on a cold member like work that is served, so only probes look for the primary there.
-		if m != p && r.open(m, true) && r.alive(m) && !slices.Contains(q.tried, m) && r.room(m, 1) &&
+		if m != p && r.open(m, true) && r.alive(m) && !slices.Contains(q.tried, m) && r.room(q, m, 1) &&
 			!r.quiet(m) && r.warmth(m) == 1 {
 			g.scout = q
 			return m
@@ -706,6 +788,9 @@
 		return // late or doubled
 	}
 	m.out = slices.DeleteFunc(m.out, func(o *request) bool { return o == q })
+	if m.of[q.cell]--; m.of[q.cell] == 0 {
+		delete(m.of, q.cell)
+	}
 	q.at = nil
 	g := q.group
 	switch e.Result {
@@ -748,9 +833,9 @@
 	}
 	r.adapt(m, q, e)
 	if e.Result == OK || e.Result == Full || e.Result == TimedOut {
-		b := &r.bad[0]
+		b := &q.cell.bad[0]
 		if m == g.primary {
-			b = &r.bad[1]
+			b = &q.cell.bad[1]
 		}
 		*b *= 1 - 1/badMemory
 		if e.Result != OK || e.Took > q.cls.Aim {
@@ -895,13 +980,22 @@
 		return
 	}
 	list, stuck := g.parked, map[*class]int{} // a long queue is not tried to its end
-	g.parked = nil
-	for _, q := range list {
-		if q.done || !q.parked {
-			continue
+	order := list
+	if len(r.cells) > 1 { // the cell with least out for its weight goes first
+		used := map[*cell]float64{}
+		for _, m := range g.members {
+			for c, n := range m.of {
+				used[c] += float64(n) / max(c.Weight, leastWeight)
+			}
 		}
-		if stuck[q.cls] >= 3 && !r.hopeless(q) {
-			g.parked = append(g.parked, q)
+		order = slices.Clone(list)
+		slices.SortStableFunc(order, func(a, b *request) int {
+			return cmp.Compare(used[a.cell], used[b.cell])
+		})
+	}
+	g.parked = nil
+	for _, q := range order {
+		if q.done || !q.parked || stuck[q.cls] >= 3 && !r.hopeless(q) {
 			continue
 		}
 		q.parked = false
@@ -909,4 +1003,5 @@
 			stuck[q.cls]++
 		}
 	}
+	g.parked = slices.DeleteFunc(list, func(q *request) bool { return q.done || !q.parked })
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -82,7 +82,7 @@
 	g.n++
 	id := fmt.Sprint("q", g.n)
 	life := 2 * time.Second
-	if c := g.r.classes[class]; c != nil {
+	if c := g.r.cells[0].classes[class]; c != nil {
 		life = c.Deadline
 	}
 	return id, g.do(Request{ID: id, Class: class, Session: "s", Deadline: g.now + life, WriteAge: age})
@@ -234,8 +234,8 @@
 		for seed := range 30 {
 			g := seeded(t, seed)
 			g.do(Members{Whole: true, List: []Member{list()[seed%3], list()[(seed+1)%3], list()[(seed+2)%3]}})
-			g.r.classes["any"].Aim = 2 * time.Second
-			g.r.classes["any"].took, g.r.longPart = c.took, c.part
+			g.r.cells[0].classes["any"].Aim = 2 * time.Second
+			g.r.cells[0].classes["any"].took, g.r.longPart = c.took, c.part
 			id, acts := g.ask("any", 0)
 			to := sends(acts)[0]
 			seen[to] = true
@@ -534,10 +534,10 @@
 	for range 60 {
 		g.now += cutPause
 		g.r.now = g.now
-		g.r.adapt(m, &request{cls: g.r.classes["any"]}, Outcome{Result: OK, Took: 900 * ms})
+		g.r.adapt(m, &request{cls: g.r.cells[0].classes["any"]}, Outcome{Result: OK, Took: 900 * ms})
 	}
 	// Four run side by side on a host; with two out, half of it idled while reads waited until they were too late.
-	if m.limit != leastLimit || !g.r.room(&member{limit: m.limit, out: make([]*request, 3)}, 1) {
+	if m.limit != leastLimit || !g.r.room(nil, &member{limit: m.limit, out: make([]*request, 3)}, 1) {
 		t.Errorf("limit %v after a long slow spell, want %d and room for a fourth", m.limit, leastLimit)
 	}
 }
@@ -676,7 +676,7 @@
 
 func TestAClassOnceSlowIsTriedAgain(t *testing.T) {
 	g := newRig(t, nil)
-	g.r.classes["any"].took = 10 * time.Second
+	g.r.cells[0].classes["any"].took = 10 * time.Second
 	if _, acts := g.ask("any", 0); len(sends(acts)) != 1 {
 		t.Error("a class with slow answers behind it is turned away for good")
 	}
--- /dev/null
+++ b/balance/cells_test.go
@@ -0,0 +1,220 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// celled is a rig of a primary and four replicas with two cells that share one of them.
+func celled(t *testing.T, change func(*Settings)) *rig {
+	g := newRig(t, change)
+	g.do(Members{Whole: true, List: []Member{{Server: "p", Primary: true, Weight: 1}, {Server: "a", Weight: 1},
+		{Server: "b", Weight: 1}, {Server: "c", Weight: 1}, {Server: "d", Weight: 1}}})
+	for _, s := range []string{"a", "b", "c", "d"} {
+		g.know(s, Replica, 0)
+	}
+	g.know("p", Primary, 0)
+	g.do(Cells{List: []Cell{
+		{ID: 1, Weight: 1, Reserve: 0.5, Servers: map[string]bool{"a": true, "b": true}},
+		{ID: 2, Weight: 1, Reserve: 0.5, Servers: map[string]bool{"b": true, "c": true}}}})
+	return g
+}
+
+// of asks for cell n.
+func (g *rig) of(n int, class string, change func(*Request)) (string, []Action) {
+	g.n++
+	q := Request{ID: fmt.Sprint("q", g.n), Class: class, Session: "s", Cell: n, Deadline: g.now + 4*time.Second}
+	if change != nil {
+		change(&q)
+	}
+	return q.ID, g.do(q)
+}
+
+func TestReadsStayInTheirCell(t *testing.T) {
+	g := celled(t, nil)
+	seen := map[int]map[string]bool{1: {}, 2: {}, 0: {}, 9: {}}
+	for range 200 {
+		for cell := range seen {
+			id, acts := g.of(cell, "browse", nil)
+			to := sends(acts)[0]
+			seen[cell][to] = true
+			g.answer(id, to, 0, OK, Replica)
+		}
+	}
+	for cell, n := range map[int]int{1: 2, 2: 2, 0: 4, 9: 4} {
+		if len(seen[cell]) != n || cell == 1 && (seen[1]["c"] || seen[1]["d"]) || cell == 2 && (seen[2]["a"] || seen[2]["d"]) {
+			t.Errorf("reads of cell %d went to %v", cell, seen[cell])
+		}
+	}
+}
+
+func TestEveryCellWritesToThePrimary(t *testing.T) {
+	g := celled(t, nil)
+	for cell := range 3 {
+		_, acts := g.of(cell, "save", nil)
+		want(t, "a write", sends(acts), []string{"p"})
+	}
+}
+
+func TestAReadGoesOnInsideItsCellThenToThePrimary(t *testing.T) {
+	g := celled(t, nil)
+	id, acts := g.of(1, "browse", nil)
+	first := sends(acts)[0]
+	other := map[string]string{"a": "b", "b": "a"}[first]
+	want(t, "after an error", sends(g.answer(id, first, 0, NotSent, Unknown)), []string{other})
+	want(t, "after two", sends(g.answer(id, other, 1, NotSent, Unknown)), []string{"p"})
+}
+
+func TestAFloodLeavesTheReserveOfOthers(t *testing.T) {
+	g := celled(t, nil)
+	var flood int
+	for range 50 {
+		_, acts := g.of(1, "save", nil)
+		flood += len(sends(acts))
+	}
+	// Of 8 attempts at the primary the flood's fair part is 4; of the other's 4, half is kept free for it.
+	if flood != 6 {
+		t.Errorf("a flood of writes has %d out at the primary", flood)
+	}
+	for i := range 2 {
+		if _, acts := g.of(2, "save", nil); len(sends(acts)) != 1 {
+			t.Errorf("write %d of the other cell finds no room", i)
+		}
+	}
+	// The limit is cut under the flood: the reserve of what is left is still there.
+	m := g.r.members["p"]
+	m.limit, m.of[g.r.cells[2]] = 6, 0
+	if _, acts := g.of(2, "save", nil); len(sends(acts)) != 1 {
+		t.Error("with the limit held by others, the reserve is gone")
+	}
+}
+
+func TestTheCellWithLeastOutGoesFirst(t *testing.T) {
+	g := celled(t, nil)
+	var flood []string
+	for range 20 {
+		id, _ := g.of(1, "save", nil)
+		flood = append(flood, id)
+	}
+	for range 2 {
+		g.of(2, "save", nil)
+	}
+	late, acts := g.of(2, "save", nil)
+	if len(sends(acts)) != 0 {
+		t.Fatal("there is room left")
+	}
+	g.of(1, "save", nil) // the newest of all
+	out := slices.IndexFunc(flood, func(id string) bool { return g.r.reqs[id].at != nil })
+	firstSent(t, g.answer(flood[out], "p", 0, OK, Primary), late, "the write of the cell with least out")
+}
+
+func TestOverIsRefusedAtOnceWithItsComeBack(t *testing.T) {
+	g := celled(t, nil)
+	for over, after := range map[time.Duration]time.Duration{70 * ms: 70 * ms, time.Hour: time.Second} {
+		_, acts := g.of(1, "save", func(q *Request) { q.Over = over })
+		if r, ok := acts[0].(Refuse); !ok || r.RetryAfter != after || len(acts) != 1 {
+			t.Errorf("over by %v: %v", over, acts)
+		}
+	}
+}
+
+func TestSinceRaisesWhatASessionMustSee(t *testing.T) {
+	g := celled(t, nil)
+	g.know("a", Replica, 0)
+	g.now += 400 * ms
+	g.know("b", Replica, 0)
+	moved := g.now - 5*ms
+	for range 50 { // the write is old enough for every replica; the move is not for a
+		id, acts := g.of(1, "own", func(q *Request) { q.WriteAge, q.Since = 500*ms, moved })
+		if to := sends(acts)[0]; to != "p" {
+			t.Fatalf("5 ms after the move a read goes to %s", to)
+		}
+		g.answer(id, "p", 0, OK, Primary)
+	}
+	g.now += pinWindow
+	for range 50 {
+		id, acts := g.of(1, "own", func(q *Request) { q.WriteAge, q.Since = 800*ms, moved })
+		if to := sends(acts)[0]; to != "b" {
+			t.Fatalf("later a read goes to %s", to)
+		}
+		g.answer(id, "b", 0, OK, Unknown)
+	}
+	_, acts := g.of(1, "own", func(q *Request) { q.Since = moved }) // it never wrote
+	if to := sends(acts)[0]; to == "p" {
+		t.Error("a session that never wrote is sent to the primary")
+	}
+}
+
+func TestBadEndsOfOneCellThinNoOther(t *testing.T) {
+	g := celled(t, nil)
+	g.r.cells[1].bad = [2]float64{1, 1}
+	refused := map[int]int{}
+	for range 100 {
+		for _, cell := range []int{1, 2} {
+			id, acts := g.of(cell, "any", nil)
+			refused[cell] += len(finals(acts))
+			if to := sends(acts); len(to) == 1 {
+				g.answer(id, to[0], 0, OK, Replica)
+			}
+		}
+	}
+	if refused[1] < 30 || refused[2] != 0 {
+		t.Errorf("refused: %v", refused)
+	}
+}
+
+func TestNewCellsKeepWhatIsOutAndLearnt(t *testing.T) {
+	g := celled(t, nil)
+	id, acts := g.of(1, "browse", nil)
+	to := sends(acts)[0]
+	g.r.cells[1].bad[0] = 0.3
+	g.do(Cells{List: []Cell{{ID: 1, Weight: 3, Servers: map[string]bool{"d": true}}}})
+	if g.r.cells[1].bad[0] != 0.3 || g.r.cells[1].Weight != 3 || len(g.r.cells) != 2 {
+		t.Errorf("the cell is now %+v", g.r.cells[1])
+	}
+	g.answer(id, to, 0, OK, Replica)
+	if m := g.r.members[to]; len(m.of) != 0 || len(m.out) != 0 {
+		t.Errorf("left behind: %v", m.of)
+	}
+	_, acts = g.of(1, "browse", nil)
+	want(t, "the next read", sends(acts), []string{"d"})
+}
+
+func BenchmarkHandleInCells(b *testing.B) {
+	for _, cells := range []int{0, 3, 64} {
+		b.Run(fmt.Sprint(cells, " cells"), func(b *testing.B) {
+			r, _ := New(settings(), 7)
+			now := origin
+			var list []Member
+			for i := range 20 {
+				list = append(list, Member{Server: fmt.Sprint("s", i), Primary: i == 0, Weight: 1})
+			}
+			acts := r.Handle(now, Members{Whole: true, List: list}, nil)
+			var c Cells
+			for i := range cells {
+				own := map[string]bool{}
+				for k := range 4 {
+					own[fmt.Sprint("s", 1+(i*3+k)%19)] = true
+				}
+				c.List = append(c.List, Cell{ID: i + 1, Weight: 1, Reserve: 0.5, Servers: own})
+			}
+			r.Handle(now, c, nil)
+			for i := range 20 {
+				r.learn(r.members[fmt.Sprint("s", i)], Replica, now+time.Hour, Report{})
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += ms
+				acts = r.Handle(now, Request{ID: "q", Class: "browse", Cell: i % (cells + 1), Deadline: now + time.Second}, acts[:0])
+				for _, a := range acts {
+					if s, ok := a.(Send); ok {
+						r.Handle(now, Outcome{ID: "q", Server: s.Server, Result: OK, Took: ms, Final: true}, nil)
+						break
+					}
+				}
+			}
+		})
+	}
+}
