Add the cells: who a request belongs to, its hosts, its budget, and moves, without I/O

Need: tenants shall be confined to subsets of the hosts, one bad tenant shall harm few, and a tenant shall be movable between cells while it is served.

Change: package internal/control/cells, pure. Replicas are drawn by weighted rendezvous with a bound on what two cells share; a cell borrows the next in its order for a host it can't read from. A move goes planned, warming, fenced, settled or aborted; between groups no write goes to the new place before those in flight have ended, and one that never ends aborts the move. Moves survive a new configuration.

Properties with rapid: stability, overlap, agreement of gateways, moves under commands in any order.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -279,9 +279,9 @@
 // may says whether q's cell reads from m.
 func (q *request) may(m *member) bool { return q.cell.Servers == nil || q.cell.Servers[m.Server] }
 
-// fair says whether q's cell may have one more out at m, whose fair part is by weight among those that may use m. Its
-// reserve of that it gets even where others hold the limit, as limits shrink under a flood; beyond it leaves free
-// what the others have not used of theirs.
+// fair says whether q's cell may have one more out at m, whose fair part is by weight among those that may use
+// m. Its reserve of that it gets even where others hold the limit, as limits shrink under a flood; beyond it
+// leaves free what the others have not used of theirs.
 func (r *Router) fair(q *request, m *member, limit float64) bool {
 	by := r.shared[m.Server]
 	if m == m.group.primary {
--- /dev/null
+++ b/internal/control/cells/cells_test.go
@@ -0,0 +1,593 @@
+package cells
+
+import (
+	"errors"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"yokemast/balance"
+)
+
+const (
+	ms    = time.Millisecond
+	start = 1000 * time.Second
+)
+
+func member(server string, group int) balance.Member {
+	return balance.Member{Server: server, Group: group, Weight: 1}
+}
+
+// twoGroups has a primary and four replicas in each of groups 1 and 2.
+func twoGroups() (list []balance.Member) {
+	for g := 1; g <= 2; g++ {
+		for i := range 5 {
+			m := member(fmt.Sprintf("g%d-%d", g, i), g)
+			m.Primary = i == 0
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func seen(list []balance.Member, change func(*balance.Seen)) (out []balance.Seen) {
+	for _, m := range list {
+		x := balance.Seen{Server: m.Server, Group: m.Group, Limit: 8, Warmth: 1, Usable: true, Primary: m.Primary, Known: true}
+		if change != nil {
+			change(&x)
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func config() Config {
+	c := DefaultConfig()
+	c.Claims = true
+	c.Cells = []Cell{{Name: "coast", Weight: 1}, {Name: "hills", Weight: 1}, {Name: "city", Weight: 2}}
+	c.Tenants = []Tenant{{Name: "apollo", Cell: "coast", Prefixes: []string{"ap/"}},
+		{Name: "apollo-x", Cell: "hills", Prefixes: []string{"ap/x/"}}, {Name: "medi", Cell: "city"}}
+	c.Moves.Ramp = time.Second
+	return c
+}
+
+// rig drives one state by hand.
+type rig struct {
+	t    *testing.T
+	s    *State
+	now  time.Duration
+	acts []Action
+	n    int
+}
+
+func newRig(t *testing.T, change func(*Config)) *rig {
+	t.Helper()
+	c := config()
+	if change != nil {
+		change(&c)
+	}
+	s, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &rig{t: t, s: s, now: start}
+	g.s.Hosts(g.now, true, twoGroups())
+	g.s.Look(g.now, seen(twoGroups(), nil))
+	return g
+}
+
+func (g *rig) look(change func(*balance.Seen)) {
+	g.acts = append(g.acts, g.s.Look(g.now, seen(twoGroups(), change))...)
+}
+
+func (g *rig) ask(tenant string, write bool) Verdict {
+	g.n++
+	return g.s.Admit(g.now, Ask{ID: fmt.Sprint("q", g.n), Claim: tenant, Key: "k", Group: 1, Write: write, Deadline: g.now + 3*time.Second})
+}
+
+func (g *rig) pass(d time.Duration) {
+	for end := g.now + d; g.now < end; {
+		g.now += 50 * ms
+		g.acts = append(g.acts, g.s.Tick(g.now)...)
+	}
+}
+
+func (g *rig) move(o Order) {
+	g.t.Helper()
+	acts, err := g.s.Move(g.now, o)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.acts = append(g.acts, acts...)
+}
+
+// told gives the stages and releases that were told since the last call.
+func (g *rig) told() (out []string) {
+	for _, a := range g.acts {
+		switch a := a.(type) {
+		case Changed:
+			out = append(out, a.Move.Stage.String())
+		case Release:
+			out = append(out, "release "+a.ID)
+		case GiveUp:
+			out = append(out, "give up "+a.ID)
+		}
+	}
+	g.acts = nil
+	return out
+}
+
+func (g *rig) want(what string, wanted ...string) {
+	g.t.Helper()
+	if diff := cmp.Diff(wanted, g.told()); diff != "" {
+		g.t.Errorf("%s: %s", what, diff)
+	}
+}
+
+func TestWhoARequestBelongsTo(t *testing.T) {
+	users := map[string][]string{"apollo-app": {"apollo", "apollo-x"}}
+	for _, c := range []struct {
+		name, user, claim, key string
+		users                  map[string][]string
+		claims                 bool
+		want                   string
+	}{
+		{"a claim", "u", "medi", "ap/1", nil, true, "medi"},
+		{"claims are not taken", "u", "medi", "ap/1", nil, false, "apollo"},
+		{"a prefix", "u", "", "ap/1", nil, true, "apollo"},
+		{"the longest prefix", "u", "", "ap/x/1", nil, true, "apollo-x"},
+		{"a key that is a prefix", "u", "", "ap/", nil, true, "apollo"},
+		{"a key shorter than every prefix", "u", "", "a", nil, true, "#"},
+		{"no key", "u", "", "", nil, true, "#"},
+		{"a tenant unknown to the file", "u", "nobody", "ap/1", nil, true, "#"},
+		{"a mapped user claims its own", "apollo-app", "apollo-x", "k", users, true, "apollo-x"},
+		{"a mapped user claims another's", "apollo-app", "medi", "k", users, true, "not yours"},
+		{"a mapped user claims one unknown to the file", "apollo-app", "nobody", "k", users, true, "not yours"},
+		{"a mapped user without a claim", "apollo-app", "", "k", users, true, "apollo"},
+		{"a mapped user with a key of its own", "apollo-app", "", "ap/x/1", users, true, "apollo-x"},
+		{"another user claims a mapped tenant", "u", "apollo", "k", users, true, "not yours"},
+		{"another user with a mapped tenant's key", "u", "", "ap/1", users, true, "not yours"},
+		{"another user claims one that nobody is mapped to", "u", "medi", "k", users, true, "medi"},
+	} {
+		g := newRig(t, func(x *Config) { x.Users, x.Claims = c.users, c.claims })
+		got := "not yours"
+		if owner, err := g.s.dir.find(c.user, c.claim, c.key); err == nil {
+			got = owner.name
+		} else if !errors.Is(err, ErrNotYours) {
+			t.Error(err)
+		}
+		if c.want == "#" && strings.HasPrefix(got, "#") {
+			continue
+		}
+		if got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+	g := newRig(t, func(x *Config) { x.Users = users })
+	if v := g.s.Admit(g.now, Ask{User: "u", Claim: "apollo"}); v.Kind != Denied || g.s.Denied != 1 {
+		t.Errorf("verdict %+v", v)
+	}
+}
+
+func TestBadConfigurationsNameTheEntry(t *testing.T) {
+	for want, change := range map[string]func(*Config){
+		"cells: none":              func(c *Config) { c.Cells = nil },
+		"size":                     func(c *Config) { c.Size = 0 },
+		"overlap":                  func(c *Config) { c.Overlap = 3 },
+		"reserve":                  func(c *Config) { c.Reserve = 1.5 },
+		"buckets":                  func(c *Config) { c.Buckets = 0 },
+		"queue":                    func(c *Config) { c.Queue = 0 },
+		"floor":                    func(c *Config) { c.Floor = 0 },
+		`cell "coast": no name`:    func(c *Config) { c.Cells = append(c.Cells, c.Cells[0]) },
+		`cell "city": weight`:      func(c *Config) { c.Cells[2].Weight = 0 },
+		`cell "city": burst`:       func(c *Config) { c.Cells[2].Burst = 1 },
+		`cell "city": a negative`:  func(c *Config) { c.Cells[2].Rate = -1 },
+		`host "h" is pinned twice`: func(c *Config) { c.Cells[2].Pins = []string{"h", "h"} },
+		`tenant "medi": no cell`:   func(c *Config) { c.Tenants[2].Cell = "x" },
+		`tenant "medi": no name`:   func(c *Config) { c.Tenants = append(c.Tenants, c.Tenants[2]) },
+		`tenant "#1": begins`:      func(c *Config) { c.Tenants[2].Name = "#1" },
+		`tenant "medi": prefix`:    func(c *Config) { c.Tenants[2].Prefixes = []string{"ap/"} },
+		`tenant "medi": burst`:     func(c *Config) { c.Tenants[2].Burst = 2 },
+		`user "u": no tenant`:      func(c *Config) { c.Users = map[string][]string{"u": {"x"}} },
+	} {
+		c := config()
+		change(&c)
+		if _, err := New(c); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+		g := newRig(t, nil)
+		before := g.s.Report()
+		if _, err := g.s.Configure(g.now, c); err == nil {
+			t.Errorf("%s: taken while running", want)
+		}
+		if diff := cmp.Diff(before, g.s.Report(), cmp.AllowUnexported(Move{})); diff != "" {
+			t.Errorf("%s: a bad configuration has an effect: %s", want, diff)
+		}
+	}
+}
+
+func TestPinsComeFirst(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.Cells[0].Pins = []string{"g1-3", "g2-4", "unlisted"} })
+	for _, r := range g.s.Report().Cells {
+		if r.Cell == "coast" && (!slices.Contains(r.Hosts["1"], "g1-3") || !slices.Contains(r.Hosts["2"], "g2-4")) {
+			t.Errorf("coast has %v", r.Hosts)
+		}
+	}
+}
+
+func TestACellBorrowsAndGivesBack(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.Cells = c.Cells[:1]; c.Tenants = c.Tenants[:1] })
+	home := slices.Clone(g.s.Report().Cells[0].Hosts["1"])
+	own := slices.DeleteFunc(slices.Clone(home), func(s string) bool { return s == "g1-0" })[0]
+	servers := func() []string {
+		var out []string
+		for s := range g.s.Cells().List[0].Servers {
+			if strings.HasPrefix(s, "g1") {
+				out = append(out, s)
+			}
+		}
+		slices.Sort(out)
+		return out
+	}
+	if len(servers()) != 2 || slices.Contains(servers(), "g1-0") {
+		t.Errorf("it reads from %v", servers())
+	}
+	before := servers()
+	aside := seen(twoGroups(), func(x *balance.Seen) { x.Usable = x.Server != own })
+	g.s.Look(g.now, aside)
+	if diff := cmp.Diff(before, servers()); diff != "" {
+		t.Errorf("a host set aside just now is replaced: %s", diff)
+	}
+	g.now += borrowAfter
+	g.s.Look(g.now, aside)
+	if got := servers(); slices.Contains(got, own) || len(got) != 2 || len(g.s.Report().Cells[0].Borrowed) == 0 {
+		t.Errorf("without %s it reads from %v", own, got)
+	}
+	g.s.Look(g.now, seen(twoGroups(), nil))
+	if diff := cmp.Diff(before, servers()); diff != "" {
+		t.Errorf("nothing is given back: %s", diff)
+	}
+	// Its last replica leaves, then every host but the primary: reads fall back on the primary by the module.
+	g.s.Hosts(g.now, true, twoGroups()[:1])
+	if got := servers(); len(got) != 0 {
+		t.Errorf("with a primary alone it reads from %v", got)
+	}
+	g.s.Hosts(g.now, true, twoGroups()[:2])
+	if diff := cmp.Diff([]string{"g1-1"}, servers()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestBudgets(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Config)
+		asks   []string // tenants, in this order at once
+		want   string   // g: go, o: over
+		reason string
+	}{
+		{"a cell's stated concurrency", func(c *Config) { c.Cells[0].Concurrency = 2 },
+			[]string{"apollo", "apollo", "apollo", "medi"}, "ggog", "the cell holds"},
+		{"a tenant's stated concurrency", func(c *Config) { c.Tenants[0].Concurrency = 1 },
+			[]string{"apollo", "apollo", "apollo-x"}, "gog", "the tenant holds"},
+		{"a cell's rate", func(c *Config) { c.Cells[0].Rate, c.Cells[0].Burst = 10, 2 },
+			[]string{"apollo", "apollo", "apollo"}, "ggo", "the cell's rate"},
+		{"a tenant's rate", func(c *Config) { c.Tenants[0].Rate, c.Tenants[0].Burst = 10, 1 },
+			[]string{"apollo", "apollo", "medi"}, "gog", "the tenant's rate"},
+		{"a rate over two gateways", func(c *Config) { c.Tenants[0].Rate, c.Tenants[0].Burst, c.Gateways = 10, 2, 2 },
+			[]string{"apollo", "apollo"}, "go", "the tenant's rate"},
+		{"a tenant alone may fill its cell", func(c *Config) { c.Cells[0].Concurrency = 4 },
+			[]string{"apollo", "apollo", "apollo", "apollo", "apollo"}, "ggggo", "the cell holds"},
+		{"two share it", func(c *Config) { c.Cells[0].Concurrency = 4; c.Tenants[2].Cell = "coast" },
+			[]string{"medi", "apollo", "apollo", "apollo", "medi", "medi"}, "gggogo", "holds"},
+		{"what hosts bear counts where nothing is stated", func(c *Config) { c.Queue, c.Floor = 1, 1 },
+			slices.Repeat([]string{"apollo"}, 40), strings.Repeat("g", 28) + strings.Repeat("o", 12), "the cell holds"},
+	} {
+		g := newRig(t, func(x *Config) {
+			c.change(x)
+			if c.name == "what hosts bear counts where nothing is stated" {
+				// Two replicas of its own in each group, eight attempts each, and a quarter of both primaries: 36 less
+				// what it shares with others.
+				x.Overlap = 2
+			}
+		})
+		got, reason := "", ""
+		var after time.Duration
+		for _, tenant := range c.asks {
+			v := g.ask(tenant, false)
+			if v.Kind == Over {
+				reason, after = v.Reason, v.After
+			}
+			got += string("goh"[v.Kind])
+		}
+		if c.name == "what hosts bear counts where nothing is stated" {
+			for _, x := range g.s.cells {
+				if x.Name == "coast" && strings.Count(got, "g") != int(x.capacity) {
+					t.Errorf("%d go where the hosts bear %v", strings.Count(got, "g"), x.capacity)
+				}
+			}
+		} else if got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+		if !strings.Contains(reason, c.reason) || after < comeBackLeast || after > comeBackMost {
+			t.Errorf("%s: %q, to come back after %v", c.name, reason, after)
+		}
+	}
+}
+
+func TestIdleTenantsKeepNothing(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.Tenants[0].Rate = 10 })
+	g.s.Done(g.now, g.ask("apollo", true).Ticket)
+	owner := g.s.dir.named("apollo")
+	if owner.limiter == nil || owner.held != 0 || owner.writes != 0 || owner.cell.held != 0 || owner.cell.active != 0 {
+		t.Errorf("after a request: %+v", owner)
+	}
+	g.pass(5 * time.Second)
+	if owner.limiter != nil || len(g.s.limited) != 0 {
+		t.Error("an idle tenant keeps its limiter")
+	}
+}
+
+func TestAMillionKeysTakeNoMemory(t *testing.T) {
+	g := newRig(t, nil)
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range 1_000_000 {
+		key := fmt.Sprint("patient-", i)
+		v := g.s.Admit(g.now, Ask{ID: key, Claim: key, Key: key, Group: 1, Deadline: g.now + time.Second})
+		if v.Kind != Go {
+			t.Fatal(v)
+		}
+		g.s.Done(g.now, v.Ticket)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 1<<20 {
+		t.Errorf("the heap grew by %d bytes", grown)
+	}
+}
+
+func TestAMoveInsideItsGroup(t *testing.T) {
+	g := newRig(t, nil)
+	from, to := g.s.byName("coast"), g.s.byName("hills")
+	g.move(Order{Tenant: "apollo", To: "hills"})
+	g.want("asked for", "planned", "warming")
+	if _, err := g.s.Move(g.now, Order{Tenant: "apollo", To: "city"}); !errors.Is(err, ErrMoving) {
+		t.Errorf("a second move: %v", err)
+	}
+	g.pass(500 * ms)
+	over := 0
+	for range 100 {
+		v := g.ask("apollo", false)
+		if v.Cell == to.id {
+			over++
+		}
+		g.s.Done(g.now, v.Ticket)
+	}
+	if over < 45 || over > 55 {
+		t.Errorf("%d of 100 reads go over at half time", over)
+	}
+	if v := g.ask("apollo", true); v.Kind != Go || v.Cell != from.id {
+		t.Errorf("a write: %+v", v)
+	}
+	g.pass(time.Second)
+	g.want("in time", "fenced", "settled")
+	if v := g.ask("apollo", true); v.Kind != Go || v.Cell != to.id || v.Since != 0 {
+		t.Errorf("a write after it: %+v", v)
+	}
+	if from.active != 0 || to.active != 1 {
+		t.Errorf("active tenants: %d and %d", from.active, to.active)
+	}
+}
+
+func TestReadsGoOverAsHostsWarm(t *testing.T) {
+	g := newRig(t, nil)
+	g.move(Order{Tenant: "apollo", To: "hills"})
+	cold := func(w float64) { g.look(func(x *balance.Seen) { x.Warmth = w }) }
+	cold(0.25)
+	g.pass(10 * time.Second)
+	g.want("with cold hosts", "planned", "warming")
+	over := 0
+	for range 100 {
+		if v := g.ask("apollo", false); v.Cell == g.s.byName("hills").id {
+			over++
+		}
+	}
+	if over > 25 {
+		t.Errorf("%d of 100 reads go to hosts that have a quarter of their capacity", over)
+	}
+	cold(1)
+	g.pass(100 * ms)
+	g.want("once warm", "fenced", "settled")
+	g.move(Order{Tenant: "apollo", To: "coast"})
+	cold(0.9)
+	g.pass(2 * time.Minute)
+	g.want("never warm", "planned", "warming", "aborted")
+	if v := g.ask("apollo", false); v.Cell != g.s.byName("hills").id {
+		t.Error("after the abort it is served elsewhere than before")
+	}
+}
+
+func TestAWriteInFlightWhileItsTenantMoves(t *testing.T) {
+	across := Order{Tenant: "apollo", FromGroup: 1, ToGroup: 2}
+	for name, c := range map[string]struct {
+		end   time.Duration // of the write; 0: it hangs
+		abort bool
+		want  []string
+		group int // of the next write
+	}{
+		"it ends":                     {time.Second, false, []string{"settled", "release q2"}, 2},
+		"it hangs past the fence":     {0, false, []string{"give up q2", "aborted"}, 1},
+		"the move is aborted by hand": {0, true, []string{"aborted", "release q2"}, 1},
+	} {
+		g := newRig(t, nil)
+		first := g.ask("apollo", true)
+		g.move(across)
+		g.want(name, "planned", "warming", "fenced")
+		second := g.ask("apollo", true)
+		if first.Kind != Go || first.Group != 1 || second.Kind != Hold {
+			t.Fatalf("%s: %+v, %+v", name, first, second)
+		}
+		if v := g.ask("apollo", false); v.Kind != Go || v.Group != 1 {
+			t.Errorf("%s: a read during the fence: %+v", name, v)
+		}
+		switch {
+		case c.abort:
+			acts, err := g.s.Abort(g.now, "apollo", "by hand")
+			if g.acts = append(g.acts, acts...); err != nil {
+				t.Error(err)
+			}
+		case c.end > 0:
+			g.pass(c.end)
+			g.s.Done(g.now, first.Ticket)
+			g.pass(100 * ms)
+		default:
+			g.pass(6 * time.Second)
+		}
+		g.want(name, c.want...)
+		if v := g.s.Resume(g.now, Ask{ID: "q2", Group: 1, Write: true, Deadline: g.now + time.Second}, second.Ticket); v.Kind != Go ||
+			v.Group != c.group || (v.Since > 0) != (c.group == 2) {
+			t.Errorf("%s: released: %+v", name, v)
+		}
+	}
+}
+
+func TestTheNewPrimaryDiesDuringTheFence(t *testing.T) {
+	g := newRig(t, nil)
+	write := g.ask("apollo", true)
+	g.move(Order{Tenant: "apollo", FromGroup: 1, ToGroup: 2})
+	headless := func(x *balance.Seen) { x.Primary = x.Primary && x.Group == 1 }
+	g.look(headless)
+	g.s.Done(g.now, write.Ticket)
+	g.pass(time.Second)
+	g.want("without a primary", "planned", "warming", "fenced")
+	if why := g.s.Report().Moves[0].Reason; !strings.Contains(why, "no primary") {
+		t.Errorf("it waits for %q", why)
+	}
+	g.look(nil)
+	g.pass(100 * ms)
+	g.want("with the next one", "settled")
+
+	g = newRig(t, nil)
+	g.look(headless)
+	g.move(Order{Tenant: "apollo", FromGroup: 1, ToGroup: 2})
+	g.pass(10 * time.Second)
+	g.want("it never comes", "planned", "warming", "fenced", "aborted")
+	if v := g.ask("apollo", true); v.Kind != Go || v.Group != 1 {
+		t.Errorf("the next write: %+v", v)
+	}
+}
+
+func TestAFenceHoldsOnlySoMany(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.Moves.Hold = 2 })
+	g.ask("apollo", true)
+	g.move(Order{Tenant: "apollo", FromGroup: 1, ToGroup: 2})
+	got := ""
+	for range 4 {
+		got += string("goh"[g.ask("apollo", true).Kind])
+	}
+	if got != "hhoo" || g.s.Shed != 2 {
+		t.Errorf("writes at the fence: %s, %d shed", got, g.s.Shed)
+	}
+}
+
+func TestMovesWaitTheirTurnAndForConfirmation(t *testing.T) {
+	g := newRig(t, func(c *Config) { c.Moves.AtOnce = 1 })
+	g.move(Order{Tenant: "apollo", FromGroup: 1, ToGroup: 2, Confirm: true})
+	g.move(Order{Tenant: "medi", To: "coast"})
+	g.pass(8 * time.Second)
+	g.want("one at once", "planned", "warming", "fenced", "planned")
+	acts, err := g.s.Confirm(g.now, "apollo")
+	if g.acts = append(g.acts, acts...); err != nil {
+		t.Error(err)
+	}
+	g.pass(2 * time.Second)
+	g.want("then the other", "settled", "warming", "fenced", "settled")
+	for want, o := range map[error]Order{ErrNoTenant: {Tenant: "x"}, ErrNoCell: {Tenant: "medi", To: "x"},
+		ErrThere: {Tenant: "medi", To: "coast"}, ErrNoGroup: {Tenant: "medi", FromGroup: 1, ToGroup: 9}} {
+		if _, err := g.s.Move(g.now, o); !errors.Is(err, want) {
+			t.Errorf("%+v: %v", o, err)
+		}
+	}
+	if _, err := g.s.Abort(g.now, "apollo", "late"); !errors.Is(err, ErrNotMoving) {
+		t.Errorf("abort of a settled move: %v", err)
+	}
+}
+
+func TestMovesSurviveANewConfiguration(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Config)
+		want   []string
+		cell   string // of the tenant in the end
+	}{
+		"nothing of it changes":     {func(c *Config) { c.Cells = append(c.Cells, Cell{Name: "new", Weight: 1}) }, []string{"fenced", "settled"}, "hills"},
+		"its cell leaves":           {func(c *Config) { c.Cells = slices.Delete(c.Cells, 1, 2); c.Tenants = c.Tenants[:1] }, []string{"aborted"}, "coast"},
+		"its tenant leaves":         {func(c *Config) { c.Tenants = c.Tenants[1:] }, []string{"aborted"}, ""},
+		"the file names a new cell": {func(c *Config) { c.Tenants[0].Cell = "city" }, []string{"aborted"}, "city"},
+	} {
+		g := newRig(t, nil)
+		g.move(Order{Tenant: "apollo", To: "hills"})
+		held := g.ask("apollo", true)
+		g.told()
+		next := config()
+		c.change(&next)
+		acts, err := g.s.Configure(g.now, next)
+		if g.acts = append(g.acts, acts...); err != nil {
+			t.Fatal(err)
+		}
+		g.pass(2 * time.Second)
+		g.want(name, c.want...)
+		g.s.Done(g.now, held.Ticket)
+		if owner := g.s.dir.named("apollo"); c.cell != "" && (owner.cell.Name != c.cell || owner.held != 0 || owner.cell.active != 0) {
+			t.Errorf("%s: it is in %s and holds %d", name, owner.cell.Name, owner.held)
+		}
+		// What a move has settled stands for as long as the file says what it did before.
+		if _, err := g.s.Configure(g.now, next); err != nil {
+			t.Fatal(err)
+		}
+		if owner := g.s.dir.named("apollo"); c.cell != "" && owner.cell.Name != c.cell {
+			t.Errorf("%s: the next SIGHUP puts it into %s", name, owner.cell.Name)
+		}
+	}
+}
+
+func TestPlanTellsWhatWouldChange(t *testing.T) {
+	g := newRig(t, nil)
+	before := g.s.Report()
+	for _, r := range before.Cells {
+		leaves := r.Hosts["1"][0]
+		f, err := g.s.Plan(nil, []string{leaves})
+		if err != nil {
+			t.Fatal(err)
+		}
+		i := slices.IndexFunc(f.Changes, func(c Change) bool { return c.Cell == r.Cell })
+		if i < 0 || !slices.Equal(f.Changes[i].Lost, []string{leaves}) || len(f.Changes[i].Won) != 1 {
+			t.Errorf("%s without %s: %+v", r.Cell, leaves, f.Changes)
+		}
+		rest := slices.DeleteFunc(twoGroups(), func(m balance.Member) bool { return m.Server == leaves })
+		other := newRig(t, nil)
+		other.s.Hosts(g.now, true, rest)
+		for _, x := range other.s.Report().Cells {
+			if x.Cell == r.Cell && !slices.Contains(x.Hosts["1"], f.Changes[i].Won[0]) {
+				t.Errorf("the plan says %v, it becomes %v", f.Changes[i], x.Hosts["1"])
+			}
+		}
+	}
+	if diff := cmp.Diff(before, g.s.Report(), cmp.AllowUnexported(Move{})); diff != "" {
+		t.Errorf("planning changes something: %s", diff)
+	}
+	for _, bad := range [][]string{nil, {"nobody"}} {
+		if _, err := g.s.Plan(nil, bad); err == nil {
+			t.Errorf("planned for %v", bad)
+		}
+	}
+	if _, err := g.s.Plan(twoGroups()[:1], nil); err == nil {
+		t.Error("a listed host comes")
+	}
+}
--- /dev/null
+++ b/internal/control/cells/property_test.go
@@ -0,0 +1,277 @@
+package cells
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"yokemast/balance"
+)
+
+// Each property draws its cases from a seed; a failure prints it, and `go test -run NAME -rapid.seed=SEED` replays it.
+
+func drawCells(t *rapid.T) []*cell {
+	var out []*cell
+	for i := range rapid.IntRange(1, 12).Draw(t, "cells") {
+		out = append(out, &cell{Cell: Cell{Name: fmt.Sprint("cell-", i), Weight: 1}})
+	}
+	return out
+}
+
+func drawHosts(t *rapid.T) []balance.Member {
+	var out []balance.Member
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 99), 2, 24, rapid.ID[int]).Draw(t, "hosts") {
+		m := member(fmt.Sprintf("s-%02d", i), 1)
+		m.Weight = rapid.SampledFrom([]float64{0.5, 1, 4}).Draw(t, "weight")
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b balance.Member) int { return cmpName(a, b) })
+	return out
+}
+
+func cmpName(a, b balance.Member) int {
+	switch {
+	case a.Server < b.Server:
+		return -1
+	case a.Server > b.Server:
+		return 1
+	}
+	return 0
+}
+
+func homes(ranked []ranking) (out [][]string) {
+	for _, r := range ranked {
+		out = append(out, slices.Sorted(slices.Values(r.hosts[:r.home])))
+	}
+	return out
+}
+
+func TestPropertyAHostThatLeavesChangesOneSlotOfThoseThatHeldIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cells, hosts := drawCells(t), drawHosts(t)
+		size := rapid.IntRange(1, 5).Draw(t, "size")
+		gone := rapid.IntRange(0, len(hosts)-1).Draw(t, "gone")
+		all, _ := place(hosts, cells, size, size) // an overlap of the size binds nothing
+		rest, _ := place(slices.Delete(slices.Clone(hosts), gone, gone+1), cells, size, size)
+		for i, before := range homes(all) {
+			after := homes(rest)[i]
+			lost, won := without(before, after), without(after, before)
+			held := slices.Contains(before, hosts[gone].Server)
+			if !held && len(lost)+len(won) > 0 || held && (len(lost) != 1 || lost[0] != hosts[gone].Server || len(won) > 1) {
+				t.Fatalf("without %s a cell goes from %v to %v", hosts[gone].Server, before, after)
+			}
+		}
+	})
+}
+
+func TestPropertyOverlapIsBoundedWhereNothingWasRelaxed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cells, hosts := drawCells(t), drawHosts(t)
+		size := rapid.IntRange(1, 5).Draw(t, "size")
+		overlap := rapid.IntRange(0, size).Draw(t, "overlap")
+		ranked, relaxed := place(hosts, cells, size, overlap)
+		for i, c := range cells {
+			c.ranked = map[int]ranking{1: ranked[i]}
+			if got := ranked[i].home; got != min(size, len(hosts)) || len(ranked[i].hosts) != len(hosts) {
+				t.Fatalf("%s has %d slots of %d, and an order of %d hosts", c.Name, got, size, len(ranked[i].hosts))
+			}
+		}
+		most := 0
+		for _, p := range overlaps(cells) {
+			most = max(most, p.Hosts)
+		}
+		if relaxed == 0 && most > overlap {
+			t.Fatalf("two cells share %d hosts, %d are allowed", most, overlap)
+		}
+		if enough := len(hosts) >= size*len(cells); enough && relaxed > 0 {
+			t.Fatalf("%d slots relaxed with hosts for all", relaxed)
+		}
+	})
+}
+
+func TestPropertyGatewaysAgreeWhateverTheyHeardBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := drawHosts(t)
+		a, err := New(config())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := New(config())
+		a.Hosts(0, true, hosts)
+		for _, i := range rapid.Permutation(indexes(len(hosts))).Draw(t, "order") {
+			b.Hosts(0, false, hosts[i:i+1])
+			if rapid.Bool().Draw(t, "another comes and goes") {
+				x := member("x", 1)
+				b.Hosts(0, false, []balance.Member{x})
+				x.State = balance.Left
+				b.Hosts(0, false, []balance.Member{x})
+			}
+		}
+		for i := range a.cells {
+			if x, y := homes([]ranking{a.cells[i].ranked[1]}), homes([]ranking{b.cells[i].ranked[1]}); !slices.Equal(x[0], y[0]) {
+				t.Fatalf("%s has %v at one gateway and %v at another", a.cells[i].Name, x, y)
+			}
+		}
+	})
+}
+
+func indexes(n int) (out []int) {
+	for i := range n {
+		out = append(out, i)
+	}
+	return out
+}
+
+// TestPropertyMoves drives one state by commands in any order and checks after each: a tenant never has writes in flight
+// in two groups, what waits at a fence is told exactly once, and what is held is what was taken and not done.
+func TestPropertyMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := config()
+		cfg.Moves = MoveLimits{AtOnce: 2, Ramp: time.Second, Warm: 3 * time.Second, Fence: 2 * time.Second, Hold: 3}
+		s, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := start
+		type flight struct {
+			tenant string
+			group  int
+			write  bool
+			ticket Ticket
+		}
+		flying, waiting, last := map[string]flight{}, map[string]flight{}, map[string]Stage{}
+		do := func(acts []Action) {
+			for _, a := range acts {
+				switch a := a.(type) {
+				case Changed:
+					if was, going := last[a.Move.Tenant]; going && was < Settled && a.Move.Stage <= was {
+						t.Fatalf("a move goes from %s to %s", was, a.Move.Stage)
+					}
+					last[a.Move.Tenant] = a.Move.Stage
+				case Release:
+					w, ok := waiting[a.ID]
+					if !ok {
+						t.Fatalf("%s is released and did not wait", a.ID)
+					}
+					delete(waiting, a.ID)
+					v := s.Resume(now, Ask{ID: a.ID, Claim: w.tenant, Group: 1, Write: true, Deadline: now + time.Second}, w.ticket)
+					if v.Kind == Go {
+						flying[a.ID] = flight{w.tenant, v.Group, true, v.Ticket}
+					} else if v.Kind == Hold {
+						waiting[a.ID] = flight{w.tenant, v.Group, true, v.Ticket}
+					}
+				case GiveUp:
+					w, ok := waiting[a.ID]
+					if !ok {
+						t.Fatalf("%s is given up and did not wait", a.ID)
+					}
+					delete(waiting, a.ID)
+					s.Done(now, w.ticket)
+				}
+			}
+		}
+		do(s.Hosts(now, true, twoGroups()))
+		do(s.Look(now, seen(twoGroups(), nil)))
+		tenants := []string{"apollo", "apollo-x", "medi"}
+		n := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) {
+				n++
+				a := Ask{ID: fmt.Sprint("q", n), Claim: rapid.SampledFrom(tenants).Draw(t, "tenant"), Group: 1,
+					Write: rapid.Bool().Draw(t, "write"), Deadline: now + time.Second}
+				switch v := s.Admit(now, a); v.Kind {
+				case Go:
+					flying[a.ID] = flight{a.Claim, v.Group, a.Write, v.Ticket}
+				case Hold:
+					waiting[a.ID] = flight{a.Claim, v.Group, a.Write, v.Ticket}
+				}
+			},
+			"answer": func(t *rapid.T) {
+				for _, id := range sorted(flying) {
+					if rapid.Bool().Draw(t, "answered") {
+						s.Done(now, flying[id].ticket)
+						delete(flying, id)
+					}
+				}
+			},
+			"move": func(t *rapid.T) {
+				groups := rapid.SampledFrom([][2]int{{0, 0}, {1, 2}, {2, 1}}).Draw(t, "groups")
+				acts, _ := s.Move(now, Order{Tenant: rapid.SampledFrom(tenants).Draw(t, "tenant"),
+					To:        rapid.SampledFrom([]string{"", "coast", "hills", "city"}).Draw(t, "to"),
+					FromGroup: groups[0], ToGroup: groups[1], Confirm: rapid.Bool().Draw(t, "confirm")})
+				do(acts)
+			},
+			"abort": func(t *rapid.T) {
+				acts, _ := s.Abort(now, rapid.SampledFrom(tenants).Draw(t, "tenant"), "by hand")
+				do(acts)
+			},
+			"confirm": func(t *rapid.T) {
+				acts, _ := s.Confirm(now, rapid.SampledFrom(tenants).Draw(t, "tenant"))
+				do(acts)
+			},
+			"time": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * ms
+				do(s.Tick(now))
+			},
+			"hosts": func(t *rapid.T) {
+				warmth, headless := rapid.SampledFrom([]float64{0.25, 1}).Draw(t, "warmth"), rapid.Bool().Draw(t, "headless")
+				do(s.Look(now, seen(twoGroups(), func(x *balance.Seen) {
+					x.Warmth, x.Primary = warmth, x.Primary && !(headless && x.Group == 2)
+				})))
+			},
+			"configure": func(t *rapid.T) {
+				acts, err := s.Configure(now, cfg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				do(acts)
+			},
+			"": func(t *rapid.T) {
+				groups := map[string]map[int]bool{}
+				held := map[string]int{}
+				for _, f := range flying {
+					held[f.tenant]++
+					if f.write {
+						if groups[f.tenant] == nil {
+							groups[f.tenant] = map[int]bool{}
+						}
+						groups[f.tenant][f.group] = true
+					}
+				}
+				for _, w := range waiting {
+					held[w.tenant]++
+				}
+				for tenant, in := range groups {
+					if len(in) > 1 {
+						t.Fatalf("%s has writes in flight in two groups", tenant)
+					}
+				}
+				total := 0
+				for _, name := range tenants {
+					if got := int(s.dir.named(name).held); got != held[name] {
+						t.Fatalf("%s holds %d, %d were taken and not done", name, got, held[name])
+					}
+					total += held[name]
+				}
+				inCells := 0
+				for _, c := range s.cells {
+					inCells += c.held
+				}
+				if inCells != total {
+					t.Fatalf("the cells hold %d, their tenants %d", inCells, total)
+				}
+			},
+		})
+	})
+}
+
+func sorted[V any](m map[string]V) (out []string) {
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
