--- a/cmd/yokemast/harness_test.go
+++ b/cmd/yokemast/harness_test.go
@@ -1,14 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,7 +16,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"yokemast/internal/wire/pg"
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/discovery"
+	"yokemast/internal/testbed/hosts"
 )
 
 // The tests start the real program: this test's own binary, which runs main where it is told to.
@@ -34,121 +32,17 @@
 
 const patience = 20 * time.Second // nothing here takes nearly as long: what is waited for is lost if it runs out
 
-// host is a database host. It answers each query as script says; nil means with the query's key as the row.
-type host struct {
-	net.Listener
-	id, role string
-	script   func(n int, query string) []byte // n counts from 0; nil: close the connection; empty: stay silent
-	mu       sync.Mutex
-	queries  []string
-	ended    chan struct{}             // gets one for each connection that has ended
-	brief    bool                      // closes after each answer
-	trail    func(query string) []byte // sent a moment after each answer
-}
-
-func newHost(t *testing.T, id, role string, script func(n int, query string) []byte) *host {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newHost starts a scripted host that ends with the test.
+func newHost(t *testing.T, id, role string, script func(n int, query string) []byte) *hosts.Host {
+	t.Helper()
+	h, err := hosts.New(id, role, script)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &host{Listener: l, id: id, role: role, script: script, ended: make(chan struct{}, 1000)}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go h.serve(c)
-		}
-	}()
+	t.Cleanup(func() { h.Close() })
 	return h
 }
 
-func (h *host) serve(c net.Conn) {
-	defer func() {
-		c.Close()
-		h.ended <- struct{}{}
-	}()
-	in := bufio.NewReader(c)
-	if _, _, err := pg.ReadStartup(in); err != nil {
-		return
-	}
-	c.Write(pg.AppendWelcome(nil, pg.StartSession))
-	for {
-		_, body, err := pg.Read(in, 1<<20)
-		if err != nil {
-			return
-		}
-		query := strings.TrimSuffix(string(body), "\x00")
-		if query == "SHOW server_load" {
-			c.Write(pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte(h.load())}, "SHOW")))
-			continue
-		}
-		h.mu.Lock()
-		n := len(h.queries)
-		h.queries = append(h.queries, query)
-		h.mu.Unlock()
-		answer := h.row(query)
-		if h.script != nil {
-			if answer = h.script(n, query); answer == nil {
-				return
-			}
-		}
-		c.Write(answer)
-		if h.trail != nil {
-			time.AfterFunc(2*time.Millisecond, func() { c.Write(h.trail(query)) })
-			time.Sleep(4 * time.Millisecond) // what was written behind the query waits as long
-		}
-		if h.brief {
-			return
-		}
-	}
-}
-
-func (h *host) load() string {
-	primary := 0
-	if h.role == "leader" {
-		primary = 1
-	}
-	return fmt.Sprintf("x0=%.3f,x1=%d", float64(time.Now().UnixMilli())/1000, primary)
-}
-
-func (h *host) asked() []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return append([]string(nil), h.queries...)
-}
-
-func (h *host) notes() []byte {
-	out := pg.Append(nil, pg.ParameterStatus, []byte("node_role\x00"+h.role+"\x00"))
-	position := fmt.Sprintf("replay_position\x00%d\x00", time.Now().UnixMilli())
-	return pg.Append(out, pg.ParameterStatus, []byte(position))
-}
-
-// row is the answer of a query served with its own key as the value.
-func (h *host) row(query string) []byte {
-	s, err := pg.ParseStatement([]byte(query))
-	if err != nil {
-		return h.refuse("08P01")
-	}
-	return pg.AppendReady(append(h.notes(), pg.AppendRow(nil, pg.Value{Data: []byte(s.Key), Format: 1}, s.Tag())...))
-}
-
-func (h *host) refuse(code string) []byte {
-	return pg.AppendReady(append(h.notes(), pg.AppendError(nil, &pg.Error{Code: code, Message: "no"})...))
-}
-
-func (h *host) entry(phase string) map[string]any {
-	return map[string]any{"id": h.id, "host_port": h.Addr().String(), "cell": 1, "phase": phase, "size": 1.0,
-		"up_since_ms": 0, "role": h.role}
-}
-
-func list(revision int, complete bool, entries ...map[string]any) string {
-	b, _ := json.Marshal(map[string]any{"revision": revision, "complete": complete, "members": entries})
-	return string(b)
-}
-
 // gateway is a running program.
 type gateway struct {
 	t       *testing.T
@@ -156,8 +50,7 @@
 	address string
 	path    string // of the configuration
 	log     *logged
-	lists   chan string   // what discovery answers next
-	left    chan struct{} // gets one for each call to discovery that the gateway ended
+	agent   *discovery.Server
 }
 
 const settingsJSON = `{"balancers":1,"step":5000000,"membershipMode":"push","clients":{},
@@ -229,31 +122,23 @@
 }
 
 // start runs a gateway that knows the hosts and waits until it is ready.
-func start(t *testing.T, edit func(string) string, hosts ...*host) *gateway {
+func start(t *testing.T, edit func(string) string, all ...*hosts.Host) *gateway {
 	t.Helper()
-	g := &gateway{t: t, log: &logged{}, lists: make(chan string, 10), left: make(chan struct{}, 1000)}
-	var entries []map[string]any
-	for _, h := range hosts {
-		entries = append(entries, h.entry("SERVING"))
-	}
-	known := list(41, true, entries...)
-	stop := make(chan struct{})
-	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("wait_ms") == "0" {
-			fmt.Fprint(w, list(41, false))
-			return
-		}
-		select {
-		case l := <-g.lists:
-			fmt.Fprint(w, l)
-		case <-r.Context().Done():
-			g.left <- struct{}{}
-		case <-stop:
-		}
-	}))
-	g.path = config(t, known, agent.Listener.Addr().String(), edit)
-	g.cmd = program(context.Background(), "serve", "--config", g.path)
-	g.cmd.Env = append(g.cmd.Env, "ROUTER_DISCOVERY="+agent.Listener.Addr().String())
+	return startWith(t, edit, nil, all...)
+}
+
+// startWith does the same with more arguments of the command line.
+func startWith(t *testing.T, edit func(string) string, args []string, all ...*hosts.Host) *gateway {
+	t.Helper()
+	g := &gateway{t: t, log: &logged{}}
+	var entries []discovery.Entry
+	for _, h := range all {
+		entries = append(entries, h.Entry("SERVING"))
+	}
+	g.agent = discovery.New(entries...)
+	g.path = config(t, g.agent.Known(), g.agent.Listener.Addr().String(), edit)
+	g.cmd = program(context.Background(), append([]string{"serve", "--config", g.path}, args...)...)
+	g.cmd.Env = append(g.cmd.Env, "ROUTER_DISCOVERY="+g.agent.Listener.Addr().String())
 	g.cmd.Stderr = g.log
 	b, _ := os.ReadFile(g.path)
 	g.address = gjson.GetBytes(b, "listen").Str
@@ -268,8 +153,7 @@
 				t.Errorf("%s in the log: %s", bad, g.log)
 			}
 		}
-		close(stop)
-		agent.Close()
+		g.agent.Close()
 	})
 	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
 		if c, err := net.Dial("tcp", g.address); err == nil {
@@ -282,89 +166,36 @@
 	}
 	c := g.client()
 	defer c.Close()
-	if got := c.ask(""); got != "empty" {
+	if got := c.Ask(""); got != "empty" {
 		t.Fatalf("the empty query is answered %q", got)
 	}
 	return g
 }
 
-// client is a client's connection, with its startup done.
-type client struct {
-	net.Conn
-	t  *testing.T
-	in *bufio.Reader
-}
-
-func (g *gateway) dial() *client {
+func (g *gateway) dial() *clients.Client {
 	g.t.Helper()
-	n, err := net.Dial("tcp", g.address)
+	c, err := clients.Dial(g.address, patience)
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	n.SetDeadline(time.Now().Add(patience))
-	g.t.Cleanup(func() { n.Close() })
-	return &client{n, g.t, bufio.NewReader(n)}
+	g.t.Cleanup(func() { c.Close() })
+	return c
 }
 
-func (g *gateway) client() *client {
+// client is a client's connection, with its startup done.
+func (g *gateway) client() *clients.Client {
 	g.t.Helper()
-	c := g.dial()
-	c.Write(pg.AppendStartup(nil, "backend", "store"))
-	if got := c.answer(); got != "ready" {
-		g.t.Fatalf("the startup is answered %q", got)
+	c, err := clients.Start(g.address, "backend", patience)
+	if err != nil {
+		g.t.Fatal(err)
 	}
+	g.t.Cleanup(func() { c.Close() })
 	return c
 }
 
-// answer reads up to ReadyForQuery or the end and puts it in a word or two.
-func (c *client) answer() string {
-	said := "ready"
-	for {
-		kind, body, err := pg.Read(c.in, 1<<20)
-		switch {
-		case err != nil && said == "ready":
-			return "closed"
-		case err != nil:
-			return said + ", closed"
-		}
-		switch kind {
-		case pg.DataRow:
-			v, err := pg.RowData(body)
-			said = fmt.Sprintf("row %s", v)
-			if err != nil {
-				said = err.Error()
-			}
-		case pg.EmptyQueryResponse:
-			said = "empty"
-		case pg.ErrorResponse:
-			e := pg.ReadError(body)
-			said = e.Code
-			if e.Detail != "" {
-				said += " come back"
-			}
-		case pg.ReadyForQuery:
-			return said
-		}
-	}
-}
-
-func (c *client) send(query string) { c.Write(pg.AppendQuery(nil, query)) }
-
-func (c *client) ask(query string) string {
-	c.t.Helper()
-	c.send(query)
-	return c.answer()
-}
-
-var ids = make(chan int, 1)
-
-func init() { ids <- 0 }
-
 // comment makes a comment with a new id.
 func comment(class string, more string) string {
-	n := <-ids
-	ids <- n + 1
-	return fmt.Sprintf("/* id=%016x,c=%s,d=15000,cluster=1%s */", n, class, more)
+	return fmt.Sprintf("/* id=%s,c=%s,d=15000,cluster=1%s */", clients.NewID(), class, more)
 }
 
 func read(key, comment string) string {
--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -17,52 +17,59 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/tidwall/gjson"
 
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/discovery"
+	"yokemast/internal/testbed/hosts"
 	"yokemast/internal/wire/pg"
 )
 
 // always answers every query alike; then answers the first one so and all others with their row.
-func always(code string) func(*host) func(int, string) []byte {
-	return func(h *host) func(int, string) []byte {
-		return func(int, string) []byte { return h.refuse(code) }
+func always(code string) func(*hosts.Host) func(int, string) []byte {
+	return func(h *hosts.Host) func(int, string) []byte {
+		return func(int, string) []byte { return h.Refuse(code) }
 	}
 }
 
-func first(answer func(*host) []byte) func(*host) func(int, string) []byte {
-	return func(h *host) func(int, string) []byte {
+func first(answer func(*hosts.Host) []byte) func(*hosts.Host) func(int, string) []byte {
+	return func(h *hosts.Host) func(int, string) []byte {
 		return func(n int, query string) []byte {
 			if n == 0 {
 				return answer(h)
 			}
-			return h.row(query)
+			return h.Row(query)
 		}
 	}
 }
 
 func TestOutcomes(t *testing.T) {
-	refuse := func(code string) func(*host) []byte { return func(h *host) []byte { return h.refuse(code) } }
-	fatal := func(h *host) []byte { return pg.AppendError(nil, &pg.Error{Code: "XX000", Message: "no", Fatal: true}) }
-	hangUp := func(*host) []byte { return nil }
-	silent := func(*host) []byte { return []byte{} }
-	torn := func(h *host) []byte { return h.row(read("k", comment("view", "")))[:80] }
+	refuse := func(code string) func(*hosts.Host) []byte {
+		return func(h *hosts.Host) []byte { return h.Refuse(code) }
+	}
+	fatal := func(h *hosts.Host) []byte {
+		return pg.AppendError(nil, &pg.Error{Code: "XX000", Message: "no", Fatal: true})
+	}
+	hangUp := func(*hosts.Host) []byte { return nil }
+	silent := func(*hosts.Host) []byte { return []byte{} }
+	torn := func(h *hosts.Host) []byte { return h.Row(read("k", comment("view", "")))[:80] }
 	// spoilt answers the first query with what edit makes of its answer.
-	spoilt := func(edit func(h *host, answer []byte) []byte) func(*host) func(int, string) []byte {
-		return first(func(h *host) []byte { return edit(h, h.row(read("k", comment("view", "")))) })
+	spoilt := func(edit func(h *hosts.Host, answer []byte) []byte) func(*hosts.Host) func(int, string) []byte {
+		return first(func(h *hosts.Host) []byte { return edit(h, h.Row(read("k", comment("view", "")))) })
 	}
 	message := func(kind byte, body string) []byte { return pg.Append(nil, kind, []byte(body)) }
-	swap := func(from, to string) func(*host, []byte) []byte {
-		return func(_ *host, answer []byte) []byte {
+	swap := func(from, to string) func(*hosts.Host, []byte) []byte {
+		return func(_ *hosts.Host, answer []byte) []byte {
 			return []byte(strings.Replace(string(answer), from, to, 1))
 		}
 	}
-	inFront := func(b []byte) func(*host, []byte) []byte {
-		return func(_ *host, answer []byte) []byte { return append(b[:len(b):len(b)], answer...) }
+	inFront := func(b []byte) func(*hosts.Host, []byte) []byte {
+		return func(_ *hosts.Host, answer []byte) []byte { return append(b[:len(b):len(b)], answer...) }
 	}
 	dataRow := string(message(pg.DataRow, "\x00\x01\x00\x00\x00\x01k"))
 	soon := func(q string) string { return strings.Replace(q, "d=15000", "d=2000", 1) }
 	w, r, own := write("k", "9f03", comment("order", "")), read("k", comment("view", "")), read("k", comment("own", ""))
 	for _, c := range []struct {
 		name, query string
-		script      func(*host) func(int, string) []byte
+		script      func(*hosts.Host) func(int, string) []byte
 		want        string
 		sends       int
 	}{
@@ -91,9 +98,9 @@
 		{"nor one with another's tag", r, spoilt(swap("SELECT 1", "SELECT 2")), "row k", 2},
 		{"nor an error without a code", r, spoilt(inFront(message(pg.ErrorResponse, "Mno\x00\x00"))), "row k", 2},
 		{"a write with a spoilt answer never goes again", w, spoilt(inFront([]byte("noise"))), "58000", 1},
-		{"a load report that can't be read spoils nothing", w, func(h *host) func(int, string) []byte {
+		{"a load report that can't be read spoils nothing", w, func(h *hosts.Host) func(int, string) []byte {
 			return func(_ int, q string) []byte {
-				return append(message(pg.ParameterStatus, "server_load\x00x0=\xff\x00\x00"), h.row(q)...)
+				return append(message(pg.ParameterStatus, "server_load\x00x0=\xff\x00\x00"), h.Row(q)...)
 			}
 		}, "row k", 1},
 		{"a read that fails everywhere is given up", own, always("XX000"), "53300 come back", 2},
@@ -102,13 +109,13 @@
 			t.Parallel()
 			h := newHost(t, "s-1", "leader", nil)
 			if c.script != nil {
-				h.script = c.script(h)
+				h.Script = c.script(h)
 			}
-			if got := start(t, nil, h).client().ask(c.query); got != c.want {
+			if got := start(t, nil, h).client().Ask(c.query); got != c.want {
 				t.Errorf("answered %q, want %q", got, c.want)
 			}
 			d := regexp.MustCompile(`d=\d+`)
-			asked := h.asked()
+			asked := h.Asked()
 			if len(asked) != c.sends {
 				t.Fatalf("sent %d times, want %d: %.200q", len(asked), c.sends, asked)
 			}
@@ -124,12 +131,12 @@
 	replica := newHost(t, "s-2", "follower", func(int, string) []byte { return nil })
 	g := start(t, nil, primary, replica)
 	c := g.client()
-	for i := 0; len(replica.asked()) == 0 && i < 200; i++ {
-		if got := c.ask(read("k", comment("view", ""))); got != "row k" {
+	for i := 0; len(replica.Asked()) == 0 && i < 200; i++ {
+		if got := c.Ask(read("k", comment("view", ""))); got != "row k" {
 			t.Fatalf("answered %q", got)
 		}
 	}
-	if len(replica.asked()) == 0 {
+	if len(replica.Asked()) == 0 {
 		t.Error("no read was tried on the replica")
 	}
 }
@@ -138,24 +145,24 @@
 	// The silent replica's time-out is a part of the aim, so the read comes to the primary in good time.
 	primary := newHost(t, "s-1", "leader", nil)
 	replica := newHost(t, "s-2", "follower", func(int, string) []byte { return []byte{} })
-	primary.script = func(_ int, query string) []byte {
-		if n := len(replica.asked()); n > 0 {
+	primary.Script = func(_ int, query string) []byte {
+		if n := len(replica.Asked()); n > 0 {
 			for range n {
 				select {
-				case <-replica.ended:
+				case <-replica.Ended:
 				case <-time.After(patience):
 					t.Error("the replica's connection is still open")
 				}
 			}
 		}
-		return primary.row(query)
+		return primary.Row(query)
 	}
 	edit := func(c string) string { return strings.ReplaceAll(c, `"onTime":10000000000`, `"onTime":1000000000`) }
 	c := start(t, edit, primary, replica).client()
-	for i := 0; len(replica.asked()) == 0 && i < 200; i++ {
-		c.ask(read("k", comment("view", "")))
+	for i := 0; len(replica.Asked()) == 0 && i < 200; i++ {
+		c.Ask(read("k", comment("view", "")))
 	}
-	if len(replica.asked()) == 0 {
+	if len(replica.Asked()) == 0 {
 		t.Error("no read was tried on the replica")
 	}
 }
@@ -163,13 +170,13 @@
 func TestClientThatLeavesEndsItsAttempt(t *testing.T) {
 	h := newHost(t, "s-1", "leader", func(int, string) []byte { return []byte{} })
 	c := start(t, nil, h).client()
-	c.send(read("k", comment("own", "")))
-	for end := time.Now().Add(patience); len(h.asked()) == 0 && time.Now().Before(end); {
+	c.Send(read("k", comment("own", "")))
+	for end := time.Now().Add(patience); len(h.Asked()) == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	c.Close()
 	select {
-	case <-h.ended:
+	case <-h.Ended:
 	case <-time.After(patience):
 		t.Error("the attempt is still out")
 	}
@@ -177,13 +184,13 @@
 
 func TestConnectionThatTheHostClosedIsNotUsed(t *testing.T) {
 	h := newHost(t, "s-1", "leader", nil)
-	h.brief = true
+	h.Brief = true
 	c := start(t, nil, h).client()
 	for range 5 { // a write on a closed connection would end as a reset, and fail
-		if got := c.ask(write("k", "9f", comment("order", ""))); got != "row k" {
+		if got := c.Ask(write("k", "9f", comment("order", ""))); got != "row k" {
 			t.Fatalf("answered %q", got)
 		}
-		<-h.ended
+		<-h.Ended
 	}
 }
 
@@ -191,13 +198,13 @@
 	for _, late := range []bool{false, true} {
 		h := newHost(t, "s-1", "leader", nil)
 		if late {
-			h.trail = func(query string) []byte { return h.row(query) } // the same again, when nothing waits for it
+			h.Trail = func(query string) []byte { return h.Row(query) } // the same again, when nothing waits for it
 		} else {
-			h.script = func(_ int, query string) []byte { return append(h.row(query), h.row(query)...) }
+			h.Script = func(_ int, query string) []byte { return append(h.Row(query), h.Row(query)...) }
 		}
 		c := start(t, nil, h).client()
 		for _, key := range []string{"a", "b", "c"} {
-			if got := c.ask(write(key, "9f", comment("order", ""))); got != "row "+key {
+			if got := c.Ask(write(key, "9f", comment("order", ""))); got != "row "+key {
 				t.Errorf("late %v: %s is answered %q", late, key, got)
 			}
 		}
@@ -252,19 +259,19 @@
 			conn.Write(c.bytes)
 			var got []string
 			for range c.want {
-				got = append(got, conn.answer())
+				got = append(got, conn.Answer())
 			}
 			if diff := cmp.Diff(c.want, got); diff != "" {
 				t.Error(diff)
 			}
 			if !strings.HasSuffix(c.want[len(c.want)-1], "closed") {
-				if got := conn.ask(""); got != "empty" {
+				if got := conn.Ask(""); got != "empty" {
 					t.Errorf("the connection goes on with %q", got)
 				}
 			}
 		})
 	}
-	if asked := h.asked(); len(asked) != 0 {
+	if asked := h.Asked(); len(asked) != 0 {
 		t.Errorf("a host was sent %.300q", asked)
 	}
 }
@@ -292,7 +299,7 @@
 			conn := g.dial()
 			conn.Write(c.bytes)
 			for _, want := range c.want {
-				if got := conn.answer(); got != want {
+				if got := conn.Answer(); got != want {
 					t.Errorf("got %q, want %q", got, want)
 				}
 			}
@@ -300,11 +307,11 @@
 	}
 	conn := g.dial()
 	conn.Write([]byte{0, 0, 0, 8, 4, 210, 22, 47})
-	if b, err := conn.in.ReadByte(); b != 'N' || err != nil {
+	if b, err := conn.In.ReadByte(); b != 'N' || err != nil {
 		t.Fatalf("SSLRequest is answered %q (%v)", b, err)
 	}
 	conn.Write(session)
-	if got := conn.answer(); got != "ready" {
+	if got := conn.Answer(); got != "ready" {
 		t.Errorf("after SSLRequest: %q", got)
 	}
 }
@@ -312,34 +319,34 @@
 func TestDoubledIDIsAnswered(t *testing.T) {
 	release := make(chan struct{})
 	h := newHost(t, "s-1", "leader", nil)
-	h.script = func(_ int, query string) []byte { <-release; return h.row(query) }
+	h.Script = func(_ int, query string) []byte { <-release; return h.Row(query) }
 	g := start(t, nil, h)
 	a, b, query := g.client(), g.client(), write("k", "9f", comment("order", ""))
-	a.send(query)
-	for len(h.asked()) == 0 {
+	a.Send(query)
+	for len(h.Asked()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if got := b.ask(query); got != "42710" {
+	if got := b.Ask(query); got != "42710" {
 		t.Errorf("the second is answered %q", got)
 	}
 	close(release)
-	if got := a.answer(); got != "row k" || len(h.asked()) != 1 {
-		t.Errorf("the first is answered %q after %d sends", got, len(h.asked()))
+	if got := a.Answer(); got != "row k" || len(h.Asked()) != 1 {
+		t.Errorf("the first is answered %q after %d sends", got, len(h.Asked()))
 	}
 }
 
 func TestTooManyClients(t *testing.T) {
 	h := newHost(t, "s-1", "leader", nil)
 	g := start(t, func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }, h)
-	var all []*client
+	var all []*clients.Client
 	over := 0
 	for range 20 {
 		c := g.dial()
 		c.Write(append(pg.AppendStartup(nil, "backend", "store"), pg.AppendQuery(nil, "")...))
-		if got := c.answer(); got != "ready" {
+		if got := c.Answer(); got != "ready" {
 			t.Fatalf("the startup is answered %q", got)
 		}
-		switch got := c.answer(); got {
+		switch got := c.Answer(); got {
 		case "empty":
 			all = append(all, c)
 		case "53300 come back, closed":
@@ -351,17 +358,17 @@
 	if over == 0 || len(all) == 0 {
 		t.Errorf("%d served, %d turned away", len(all), over)
 	}
-	if got := all[0].ask(read("k", comment("view", ""))); got != "row k" {
+	if got := all[0].Ask(read("k", comment("view", ""))); got != "row k" {
 		t.Errorf("one that was there first is answered %q", got)
 	}
 }
 
 func TestClientsMakeRoom(t *testing.T) {
 	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
-	for name, hold := range map[string]func(*client){
-		"silent from the start":    func(*client) {},
-		"silent after the startup": func(c *client) { c.Write(pg.AppendStartup(nil, "backend", "store")) },
-		"asked once and held theirs": func(c *client) {
+	for name, hold := range map[string]func(*clients.Client){
+		"silent from the start":    func(*clients.Client) {},
+		"silent after the startup": func(c *clients.Client) { c.Write(pg.AppendStartup(nil, "backend", "store")) },
+		"asked once and held theirs": func(c *clients.Client) {
 			c.Write(append(pg.AppendStartup(nil, "backend", "store"), pg.AppendQuery(nil, "")...))
 		},
 	} {
@@ -375,7 +382,7 @@
 				c := g.dial()
 				c.Write(append(pg.AppendStartup(nil, "backend", "store"),
 					pg.AppendQuery(nil, read("k", comment("view", "")))...))
-				if c.answer() == "ready" && c.answer() == "row k" {
+				if c.Answer() == "ready" && c.Answer() == "row k" {
 					break
 				}
 				if time.Now().After(end) {
@@ -389,15 +396,15 @@
 func TestIdleClientsAreEndedWhereTheyAreMany(t *testing.T) {
 	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
 	g := start(t, few, newHost(t, "s-1", "leader", nil))
-	var all []*client
+	var all []*clients.Client
 	for range 8 { // fewer than there is room for
 		all = append(all, g.client())
-		all[len(all)-1].ask("")
+		all[len(all)-1].Ask("")
 	}
-	if _, err := all[0].in.ReadByte(); err != io.EOF {
+	if _, err := all[0].In.ReadByte(); err != io.EOF {
 		t.Errorf("the one that was idle for longest reads %v", err)
 	}
-	if got := all[7].ask(""); got != "empty" {
+	if got := all[7].Ask(""); got != "empty" {
 		t.Errorf("the one that was idle last is answered %q", got)
 	}
 }
@@ -409,15 +416,15 @@
 		t.Run(fmt.Sprint(n, " clients"), func(t *testing.T) {
 			t.Parallel()
 			g := start(t, some, newHost(t, "s-1", "leader", nil))
-			var all []*client
+			var all []*clients.Client
 			for range n {
 				all = append(all, g.client())
-				all[len(all)-1].ask("")
+				all[len(all)-1].Ask("")
 			}
-			if _, err := all[0].in.ReadByte(); err != io.EOF {
+			if _, err := all[0].In.ReadByte(); err != io.EOF {
 				t.Errorf("the one that was idle for longest reads %v", err)
 			}
-			if got := all[n-1].ask(""); got != "empty" {
+			if got := all[n-1].Ask(""); got != "empty" {
 				t.Errorf("the one that was idle last is answered %q", got)
 			}
 			_ = g.cmd.Process.Signal(syscall.SIGUSR1)
@@ -432,10 +439,10 @@
 func TestLongMessageIsAnsweredBeforeItHasCome(t *testing.T) {
 	c := start(t, nil, newHost(t, "s-1", "leader", nil)).client()
 	c.Write([]byte{'Q', 3, 0x93, 0x87, 0})
-	if kind, _, err := pg.Read(c.in, 1000); kind != pg.ErrorResponse {
+	if kind, _, err := pg.Read(c.In, 1000); kind != pg.ErrorResponse {
 		t.Errorf("got %c (%v)", kind, err)
 	}
-	if got := c.answer(); got != "08P01, closed" { // the rest never comes
+	if got := c.Answer(); got != "08P01, closed" { // the rest never comes
 		t.Errorf("then %q", got)
 	}
 }
@@ -444,11 +451,11 @@
 	a, b := newHost(t, "s-1", "leader", nil), newHost(t, "s-2", "leader", nil)
 	g := start(t, nil, a)
 	c := g.client()
-	until := func(h *host) {
+	until := func(h *hosts.Host) {
 		t.Helper()
-		before := len(h.asked())
-		for end := time.Now().Add(patience); len(h.asked()) == before; {
-			if got := c.ask(write("k", "9f", comment("order", ""))); got != "row k" || time.Now().After(end) {
+		before := len(h.Asked())
+		for end := time.Now().Add(patience); len(h.Asked()) == before; {
+			if got := c.Ask(write("k", "9f", comment("order", ""))); got != "row k" || time.Now().After(end) {
 				t.Fatalf("answered %q", got)
 			}
 		}
@@ -456,48 +463,48 @@
 	until(a)
 	for _, bad := range []string{`{`, `[]`, `{"revision":"x"}`, `{"revision":42,"complete":true,"members":[{}]}`,
 		`{"revision":42,"complete":true,"members":[{"id":"s-9","phase":"NEW","host_port":"127.0.0.1:1"}]}`} {
-		g.lists <- bad
+		g.agent.Say(bad)
 	}
 	// Changes only: the host that is not named stays. Then a whole list, without it.
-	g.lists <- list(42, false, b.entry("DRAINING"))
+	g.agent.Say(discovery.List(42, false, b.Entry("DRAINING")))
 	until(a)
-	g.lists <- list(43, true, b.entry("SERVING"))
+	g.agent.Say(discovery.List(43, true, b.Entry("SERVING")))
 	until(b)
-	g.lists <- list(44, false, b.entry("DELETED"), a.entry("SERVING"))
+	g.agent.Say(discovery.List(44, false, b.Entry("DELETED"), a.Entry("SERVING")))
 	until(a)
 }
 
 func TestSIGTERMFinishesWhatWasTaken(t *testing.T) {
 	release := make(chan struct{})
 	h := newHost(t, "s-1", "leader", nil)
-	h.script = func(_ int, query string) []byte { <-release; return h.row(query) }
+	h.Script = func(_ int, query string) []byte { <-release; return h.Row(query) }
 	g := start(t, nil, h)
 	idle, busy, midway := g.client(), g.client(), g.client()
 	whole := pg.AppendQuery(nil, write("m", "9f", comment("order", "")))
 	midway.Write(append(pg.AppendQuery(nil, ""), whole[:40]...))
-	if got := midway.answer(); got != "empty" {
+	if got := midway.Answer(); got != "empty" {
 		t.Fatalf("the empty query is answered %q", got)
 	}
-	busy.send(write("k", "9f", comment("order", "")))
-	for len(h.asked()) == 0 {
+	busy.Send(write("k", "9f", comment("order", "")))
+	for len(h.Asked()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	_ = g.cmd.Process.Signal(syscall.SIGUSR1)
 	_ = g.cmd.Process.Signal(syscall.SIGTERM)
 	g.waitLog(`"msg":"ending"`)
-	if got := idle.ask(""); got != "empty" {
+	if got := idle.Ask(""); got != "empty" {
 		t.Errorf("a client that goes on using its connection gets %q", got)
 	}
 	close(release)
 	midway.Write(whole[40:])
-	if got := midway.answer(); got != "row m" {
+	if got := midway.Answer(); got != "row m" {
 		t.Errorf("what had begun to come gets %q", got)
 	}
-	if got := busy.answer(); got != "row k" {
+	if got := busy.Answer(); got != "row k" {
 		t.Errorf("what was taken gets %q", got)
 	}
-	for _, c := range []*client{idle, busy, midway} {
-		if got := c.answer(); got != "closed" {
+	for _, c := range []*clients.Client{idle, busy, midway} {
+		if got := c.Answer(); got != "closed" {
 			t.Errorf("a connection goes on with %q", got)
 		}
 	}
@@ -514,7 +521,7 @@
 func TestSIGHUPMovesToAnotherDiscovery(t *testing.T) {
 	a, b := newHost(t, "s-1", "leader", nil), newHost(t, "s-2", "leader", nil)
 	release, calls := make(chan struct{}), make(chan string, 100)
-	a.script = func(_ int, query string) []byte { <-release; return a.row(query) }
+	a.Script = func(_ int, query string) []byte { <-release; return a.Row(query) }
 	g := start(t, nil, a)
 	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.RawQuery
@@ -522,7 +529,7 @@
 			<-r.Context().Done()
 			return
 		}
-		fmt.Fprint(w, list(7, true, a.entry("DRAINING"), b.entry("SERVING"))) // a lower revision than the old agent's
+		fmt.Fprint(w, discovery.List(7, true, a.Entry("DRAINING"), b.Entry("SERVING"))) // a lower revision than the old agent's
 	}))
 	defer func() { next.CloseClientConnections(); next.Close() }()
 	hup := func(config string, logged string) {
@@ -534,18 +541,18 @@
 		g.waitLog(logged)
 	}
 	taken := g.client()
-	taken.send(write("k", "9f", comment("order", "")))
-	for len(a.asked()) == 0 {
+	taken.Send(write("k", "9f", comment("order", "")))
+	for len(a.Asked()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	old, _ := os.ReadFile(g.path)
 	hup(strings.Replace(string(old), `"cores":1.0`, `"cores":0`, 1), "limits.cores")
-	if len(g.left) > 0 || len(calls) > 0 {
+	if len(g.agent.Left) > 0 || len(calls) > 0 {
 		t.Error("a bad configuration has an effect")
 	}
 	hup(strings.Replace(string(old), gjson.GetBytes(old, "discovery").Str, next.Listener.Addr().String(), 1), "read anew")
 	select {
-	case <-g.left: // at once: the old agent's call would have gone on for seconds
+	case <-g.agent.Left: // at once: the old agent's call would have gone on for seconds
 	case <-time.After(patience):
 		t.Error("the call to the old discovery goes on")
 	}
@@ -556,14 +563,14 @@
 		t.Errorf("the new discovery is asked %q", got)
 	}
 	c := g.client()
-	for end := time.Now().Add(patience); len(b.asked()) == 0; { // the old primary is used until the hand-over
-		c.send(read("k", comment("view", "")))
-		if got := c.answer(); got != "row k" || time.Now().After(end) {
+	for end := time.Now().Add(patience); len(b.Asked()) == 0; { // the old primary is used until the hand-over
+		c.Send(read("k", comment("view", "")))
+		if got := c.Answer(); got != "row k" || time.Now().After(end) {
 			t.Fatalf("answered %q", got)
 		}
 	}
 	close(release)
-	if got := taken.answer(); got != "row k" {
+	if got := taken.Answer(); got != "row k" {
 		t.Errorf("what was open gets %q", got)
 	}
 }
@@ -586,7 +593,7 @@
 		"not JSON":                            {`{"name"`, `{name`},
 	} {
 		for _, command := range []string{"serve", "check"} {
-			path := config(t, list(41, true), "127.0.0.1:1", func(c string) string {
+			path := config(t, discovery.List(41, true), "127.0.0.1:1", func(c string) string {
 				return strings.Replace(c, edit[0], edit[1], 1)
 			})
 			out, err := program(ctx, command, "--config", path).CombinedOutput()
@@ -596,7 +603,7 @@
 			}
 		}
 	}
-	if out, err := program(ctx, "check", "--config", config(t, list(41, true), "127.0.0.1:1", nil)).CombinedOutput(); err != nil {
+	if out, err := program(ctx, "check", "--config", config(t, discovery.List(41, true), "127.0.0.1:1", nil)).CombinedOutput(); err != nil {
 		t.Errorf("a good one: %v, %s", err, out)
 	}
 }
--- /dev/null
+++ b/internal/testbed/discovery/discovery.go
@@ -0,0 +1,137 @@
+// Package discovery has a stand-in for the agent that tells a gateway the list of hosts: it keeps a list and its revision,
+// serves it whole and by watches, and can be made to answer anything.
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Entry is one host as the list has it.
+type Entry = map[string]any
+
+// Server is the agent.
+type Server struct {
+	*httptest.Server
+	Left chan struct{} // gets one for each call that the gateway ended, while there is room
+
+	mu       sync.Mutex
+	revision int
+	entries  map[string]Entry
+	order    []string
+	changed  map[string]int // the revision that an entry changed with
+	wake     chan struct{}
+	raw      chan string
+	stop     chan struct{}
+}
+
+// New starts an agent on loopback with a first list, of revision 41.
+func New(entries ...Entry) *Server {
+	s := &Server{Left: make(chan struct{}, 1000), revision: 41, entries: map[string]Entry{}, changed: map[string]int{},
+		wake: make(chan struct{}), raw: make(chan string, 10), stop: make(chan struct{})}
+	s.put(entries)
+	s.Server = httptest.NewServer(s)
+	return s
+}
+
+// Close ends the agent and the calls that wait.
+func (s *Server) Close() {
+	close(s.stop)
+	s.Server.Close()
+}
+
+func (s *Server) put(entries []Entry) {
+	for _, e := range entries {
+		id := e["id"].(string)
+		if s.entries[id] == nil {
+			s.order = append(s.order, id)
+		}
+		s.entries[id], s.changed[id] = e, s.revision
+	}
+}
+
+// Set changes entries, or adds them, and tells those that watch.
+func (s *Server) Set(entries ...Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(entries)
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// Say answers the next watch, or the one that waits, with this text.
+func (s *Server) Say(text string) { s.raw <- text }
+
+// List writes a list in discovery's form.
+func List(revision int, complete bool, entries ...Entry) string {
+	if entries == nil {
+		entries = []Entry{}
+	}
+	b, err := json.Marshal(map[string]any{"revision": revision, "complete": complete, "members": entries})
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// Known is the list as it stands, whole.
+func (s *Server) Known() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list(true, 0)
+}
+
+func (s *Server) list(complete bool, after int) string {
+	out := []Entry{}
+	for _, id := range s.order {
+		if complete && s.entries[id]["phase"] != "DELETED" || !complete && s.changed[id] > after {
+			out = append(out, s.entries[id])
+		}
+	}
+	return List(s.revision, complete, out...)
+}
+
+// ServeHTTP answers a call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.Atoi(q.Get("after"))
+	if err != nil {
+		fmt.Fprint(w, s.Known())
+		return
+	}
+	ms, _ := strconv.Atoi(q.Get("wait_ms"))
+	timeout := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		newer, list, wake := s.revision > after, s.list(false, after), s.wake
+		s.mu.Unlock()
+		if newer || ms == 0 {
+			fmt.Fprint(w, list)
+			return
+		}
+		select {
+		case text := <-s.raw:
+			fmt.Fprint(w, text)
+			return
+		case <-wake:
+		case <-timeout.C:
+			fmt.Fprint(w, list)
+			return
+		case <-r.Context().Done():
+			select {
+			case s.Left <- struct{}{}:
+			default:
+			}
+			return
+		case <-s.stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/testbed/hosts/host.go
@@ -0,0 +1,222 @@
+// Package hosts has stand-ins for database hosts that speak PostgreSQL's protocol on loopback: scripted ones that answer as a
+// test says, and clusters of a primary and replicas that hold data, fall behind, hang, crash and start cold.
+package hosts
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"yokemast/internal/testbed/rules"
+	"yokemast/internal/wire/pg"
+)
+
+// Roles, as a host tells them of itself.
+const (
+	Leader   = "leader"
+	Follower = "follower"
+)
+
+// Host is one database host. The fields are set before the first connection comes, but for Script.
+type Host struct {
+	net.Listener
+	ID      string
+	Address string // where it listens; of a cluster's host, where it shall
+	Group   int
+	// Script answers a query; n counts from 0. nil closes the connection, empty stays silent. Without a script a host of a
+	// cluster serves its data, any other the query's own key as the row.
+	Script func(n int, query string) []byte
+	Brief  bool                      // closes after each answer
+	Trail  func(query string) []byte // sent a moment after each answer
+	Ended  chan struct{}             // gets one for each connection that has ended, while there is room
+	Log    func(format string, args ...any)
+	Ledger *rules.Ledger // is told what comes; nil: nobody is
+
+	// Of a host in a cluster: what it can do.
+	Slots    int           // requests that it runs at a time; 0: any number
+	Room     int           // requests that wait for a slot; more are turned away
+	Work     time.Duration // that a request takes when the host is warm
+	ColdFrom float64       // part of its capacity that it has when it starts cold
+	ColdTime time.Duration
+
+	mu       sync.Mutex
+	role     string // of a host that is in no cluster
+	queries  []string
+	conns    map[net.Conn]bool
+	cluster  *Cluster
+	lag      time.Duration
+	started  time.Time // cold since; zero: warm
+	hung     Hang
+	released chan struct{} // closed when a hang ends
+	slots    chan struct{}
+	waiting  int
+	life     int // counts starts: what a dead process held is gone
+}
+
+// New makes a scripted host that listens on loopback.
+func New(id, role string, script func(n int, query string) []byte) (*Host, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{Listener: l, ID: id, Group: 1, role: role, Script: script}
+	h.begin()
+	return h, nil
+}
+
+func (h *Host) begin() {
+	h.Ended, h.conns, h.Address = make(chan struct{}, 1000), map[net.Conn]bool{}, h.Listener.Addr().String()
+	go h.accept(h.Listener)
+}
+
+func (h *Host) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		h.mu.Lock()
+		h.conns[c] = true
+		h.mu.Unlock()
+		go func() {
+			h.serve(c)
+			c.Close()
+			h.mu.Lock()
+			delete(h.conns, c)
+			h.mu.Unlock()
+			select {
+			case h.Ended <- struct{}{}:
+			default:
+			}
+		}()
+	}
+}
+
+// Role is the host's role now.
+func (h *Host) Role() string {
+	if h.cluster != nil && h.cluster.Primary() == h {
+		return Leader
+	} else if h.cluster != nil {
+		return Follower
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.role
+}
+
+// SetRole gives a scripted host another role.
+func (h *Host) SetRole(role string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.role = role
+}
+
+// Asked gives all queries so far but probes.
+func (h *Host) Asked() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.queries...)
+}
+
+func (h *Host) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	if _, _, err := pg.ReadStartup(in); err != nil {
+		return
+	}
+	if _, err := c.Write(pg.AppendWelcome(nil, pg.StartSession)); err != nil {
+		return
+	}
+	for {
+		_, body, err := pg.Read(in, 1<<20)
+		if err != nil {
+			return
+		}
+		query := strings.TrimSuffix(string(body), "\x00")
+		if query == "SHOW server_load" {
+			if h.hang(nil) {
+				return
+			}
+			_, _ = c.Write(pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte(h.load())}, "SHOW")))
+			continue
+		}
+		h.mu.Lock()
+		n, script := len(h.queries), h.Script
+		h.queries = append(h.queries, query)
+		h.mu.Unlock()
+		var answer []byte
+		switch {
+		case script != nil:
+			answer = script(n, query)
+		case h.cluster != nil:
+			answer = h.run(c, in, query)
+		default:
+			answer = h.Row(query)
+		}
+		if answer == nil {
+			return
+		}
+		_, _ = c.Write(answer)
+		if h.Trail != nil {
+			time.AfterFunc(2*time.Millisecond, func() { _, _ = c.Write(h.Trail(query)) })
+			time.Sleep(4 * time.Millisecond) // what was written behind the query waits as long
+		}
+		if h.Brief {
+			return
+		}
+	}
+}
+
+// position is up to when the host has applied every commit.
+func (h *Host) position() time.Time {
+	if h.cluster != nil {
+		return h.cluster.position(h)
+	}
+	return time.Now()
+}
+
+func (h *Host) load() string {
+	primary := 0
+	if h.Role() == Leader {
+		primary = 1
+	}
+	return fmt.Sprintf("x0=%.3f,x1=%d", float64(h.position().UnixMilli())/1000, primary)
+}
+
+// notes are what a host says of itself with an answer.
+func (h *Host) notes(position time.Time) []byte {
+	out := pg.Append(nil, pg.ParameterStatus, []byte("node_role\x00"+h.Role()+"\x00"))
+	return pg.Append(out, pg.ParameterStatus, fmt.Appendf(nil, "replay_position\x00%d\x00", position.UnixMilli()))
+}
+
+// Row is the answer of a query served with its own key as the value.
+func (h *Host) Row(query string) []byte {
+	s, err := pg.ParseStatement([]byte(query))
+	if err != nil {
+		return h.Refuse("08P01")
+	}
+	return h.answer(pg.Value{Data: []byte(s.Key), Format: 1}, s.Tag(), h.position())
+}
+
+func (h *Host) answer(v pg.Value, tag string, position time.Time) []byte {
+	return pg.AppendReady(append(h.notes(position), pg.AppendRow(nil, v, tag)...))
+}
+
+// Refuse is the answer with an error of that code.
+func (h *Host) Refuse(code string) []byte {
+	return pg.AppendReady(append(h.notes(h.position()), pg.AppendError(nil, &pg.Error{Code: code, Message: "no"})...))
+}
+
+// Entry is the host as discovery lists it, in a phase.
+func (h *Host) Entry(phase string) map[string]any {
+	h.mu.Lock()
+	started := int64(0)
+	if !h.started.IsZero() {
+		started = h.started.UnixMilli()
+	}
+	h.mu.Unlock()
+	return map[string]any{"id": h.ID, "host_port": h.Address, "cell": h.Group, "phase": phase, "size": 1.0,
+		"up_since_ms": started, "role": h.Role()}
+}
--- /dev/null
+++ b/internal/testbed/rules/rules.go
@@ -0,0 +1,233 @@
+// Package rules checks the operating rules from outside a gateway: stand-in hosts and clients tell it what they see, and it
+// says which rule was broken, by whom and when. It is for tests and for trying things out.
+package rules
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Limits are the figures of the rules.
+type Limits struct {
+	Grace      time.Duration // nothing new to a host later than this after it was told to drain or go; 0: not checked
+	Slack      time.Duration // that every limit is longer on sockets
+	Overload   float64       // times its capacity that a cold host may be sent; 0: not checked
+	OverloadIn time.Duration // over any such time
+}
+
+// Kind is how a request was answered.
+type Kind int
+
+// Kinds of answers.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+)
+
+type request struct {
+	write, repeatable bool
+	asked, by         time.Time
+	answers           int
+	ran               int             // how often it was begun at a host
+	out               map[string]bool // hosts where an attempt is out on an open connection
+}
+
+// Ledger is safe for concurrent use. Its zero value checks nothing but what needs no figures.
+type Ledger struct {
+	Limits Limits
+
+	mu       sync.Mutex
+	requests map[string]*request
+	told     map[string]time.Time // hosts that drain or are gone
+	cold     map[string]*cold
+	broken   []string
+	counts   Counts
+}
+
+type cold struct {
+	capacity func(time.Time) float64 // work a second
+	sent     []sent
+}
+
+type sent struct {
+	at   time.Time
+	work time.Duration
+}
+
+// Counts are how often something was seen.
+type Counts struct {
+	Asked, Served, Refused, Failed, Unanswered, Late int
+	Attempts, WritesRan, Doubled, TwoOut, Stale      int
+	AfterDrain, Overloaded, RefusedAfterRun          int
+}
+
+func (l *Ledger) breaks(rule string, args ...any) {
+	l.broken = append(l.broken, fmt.Sprintf(rule, args...))
+}
+
+func (l *Ledger) of(id string) *request {
+	if l.requests == nil {
+		l.requests = map[string]*request{}
+	}
+	r := l.requests[id]
+	if r == nil {
+		r = &request{out: map[string]bool{}}
+		l.requests[id] = r
+	}
+	return r
+}
+
+// Asked says that a client has written a request, which must be answered by then. A repeatable one may run several times.
+func (l *Ledger) Asked(id string, write, repeatable bool, by time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.of(id)
+	r.write, r.repeatable, r.asked, r.by = write, repeatable, time.Now(), by
+	l.counts.Asked++
+}
+
+// Answered says that a client has read a request's final answer.
+func (l *Ledger) Answered(id string, k Kind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.of(id)
+	if r.answers++; r.answers > 1 {
+		l.breaks("%s is answered %d times", id, r.answers)
+	}
+	switch k {
+	case Served:
+		l.counts.Served++
+		if r.ran == 0 {
+			l.breaks("%s is served and ran at no host", id)
+		}
+	case Refused:
+		l.counts.Refused++
+		if r.ran > 0 && !r.repeatable {
+			l.counts.RefusedAfterRun++
+			l.breaks("%s is refused and has run", id)
+		}
+	case Failed:
+		l.counts.Failed++
+	}
+	if !r.by.IsZero() && time.Now().After(r.by.Add(l.Limits.Slack)) {
+		l.counts.Late++
+		l.breaks("%s is answered %v after its client stopped waiting", id, time.Since(r.by))
+	}
+}
+
+// Left says that a client has gone away, or was cut off, without an answer.
+func (l *Ledger) Left(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Unanswered++
+	l.of(id).answers++
+}
+
+// Arrived says that a request has come whole to a host, on a connection that is open; work is what it would take warm.
+func (l *Ledger) Arrived(host, id string, work time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, r := time.Now(), l.of(id)
+	l.counts.Attempts++
+	for other := range r.out {
+		l.counts.TwoOut++
+		l.breaks("%s is out at %s and at %s", id, other, host)
+	}
+	r.out[host] = true
+	if told, ok := l.told[host]; ok && l.Limits.Grace > 0 && now.Sub(told) > l.Limits.Grace+l.Limits.Slack {
+		l.counts.AfterDrain++
+		l.breaks("%s comes to %s %v after it was told gone", id, host, now.Sub(told))
+	}
+	if c := l.cold[host]; c != nil && l.Limits.Overload > 0 {
+		c.sent = append(c.sent, sent{now, work})
+		var total time.Duration
+		for len(c.sent) > 0 && now.Sub(c.sent[0].at) > l.Limits.OverloadIn {
+			c.sent = c.sent[1:]
+		}
+		for _, s := range c.sent {
+			total += s.work
+		}
+		if most := l.Limits.Overload * c.capacity(now) * float64(l.Limits.OverloadIn); float64(total) > most {
+			l.counts.Overloaded++
+			l.breaks("%s was sent %v of work within %v", host, total, l.Limits.OverloadIn)
+		}
+	}
+}
+
+// Over says that an attempt is no longer out: it was answered, or its connection has ended.
+func (l *Ledger) Over(host, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.of(id).out, host)
+}
+
+// Ran says that a host has begun to run a request.
+func (l *Ledger) Ran(host, id string, write bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.of(id)
+	r.ran++
+	if write {
+		l.counts.WritesRan++
+		if r.ran > 1 && !r.repeatable {
+			l.counts.Doubled++
+			l.breaks("%s runs again at %s", id, host)
+		}
+	}
+}
+
+// Read says how a read was served: from data of a position, where the read must not see any older than bound.
+func (l *Ledger) Read(host, id string, position, bound time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if position.Before(bound.Add(-l.Limits.Slack)) {
+		l.counts.Stale++
+		l.breaks("%s is read at %s from data %v too old", id, host, bound.Sub(position))
+	}
+}
+
+// Told says that gateways were told now that a host drains or is gone; back ends that.
+func (l *Ledger) Told(host string, back bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.told == nil {
+		l.told = map[string]time.Time{}
+	}
+	if _, ok := l.told[host]; back {
+		delete(l.told, host)
+	} else if !ok {
+		l.told[host] = time.Now()
+	}
+}
+
+// Cold says that a host has started cold; capacity gives the work that it can do in a second from then on.
+func (l *Ledger) Cold(host string, capacity func(time.Time) float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cold == nil {
+		l.cold = map[string]*cold{}
+	}
+	l.cold[host] = &cold{capacity: capacity}
+}
+
+// Counts gives what was seen so far.
+func (l *Ledger) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+// Broken gives the rules that were broken, and requests that were asked and never answered.
+func (l *Ledger) Broken() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := append([]string(nil), l.broken...)
+	for id, r := range l.requests {
+		if !r.asked.IsZero() && r.answers == 0 {
+			out = append(out, id+" is never answered")
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/testbed/rules/rules_test.go
@@ -0,0 +1,58 @@
+package rules
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestEachRuleIsNoticedWhenBroken(t *testing.T) {
+	soon := func() time.Time { return time.Now().Add(time.Second) }
+	for want, do := range map[string]func(l *Ledger){
+		"":                    func(l *Ledger) { l.Asked("a", true, false, soon()); l.Ran("h", "a", true); l.Answered("a", Served) },
+		"never answered":      func(l *Ledger) { l.Asked("a", true, false, soon()) },
+		"answered 2 times":    func(l *Ledger) { l.Ran("h", "a", false); l.Answered("a", Served); l.Answered("a", Failed) },
+		"ran at no host":      func(l *Ledger) { l.Answered("a", Served) },
+		"runs again":          func(l *Ledger) { l.Ran("h", "a", true); l.Ran("i", "a", true) },
+		"refused and has run": func(l *Ledger) { l.Ran("h", "a", true); l.Answered("a", Refused) },
+		"is out at":           func(l *Ledger) { l.Arrived("h", "a", 0); l.Arrived("i", "a", 0) },
+		"data 100ms too old":  func(l *Ledger) { l.Read("h", "a", time.Now().Add(-100*time.Millisecond), time.Now()) },
+		"after it was told":   func(l *Ledger) { l.Told("h", false); time.Sleep(1100 * time.Millisecond); l.Arrived("h", "a", 0) },
+		"client stopped waiting": func(l *Ledger) {
+			l.Asked("a", false, true, soon())
+			time.Sleep(1100 * time.Millisecond)
+			l.Answered("a", Failed)
+		},
+		"of work within": func(l *Ledger) {
+			l.Cold("h", func(time.Time) float64 { return 1 })
+			for range 50 {
+				l.Arrived("h", "a", 100*time.Millisecond)
+				l.Over("h", "a")
+			}
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			l := &Ledger{Limits: Limits{Grace: time.Second, Slack: 50 * time.Millisecond, Overload: 4, OverloadIn: time.Second}}
+			do(l)
+			got := strings.Join(l.Broken(), "; ")
+			if want == "" && got != "" || !strings.Contains(got, want) {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		l := &Ledger{Limits: Limits{Grace: time.Second}}
+		l.Told("h", false)
+		l.Told("h", true)
+		time.Sleep(time.Minute)
+		l.Arrived("h", "a", 0)
+		l.Over("h", "a")
+		l.Arrived("i", "a", 0)
+		l.Asked("b", false, true, time.Now().Add(time.Second))
+		l.Left("b")
+		if got := l.Broken(); len(got) != 0 {
+			t.Errorf("nothing is broken, it says %q", got)
+		}
+	})
+}
