--- /dev/null
+++ b/cmd/yokemast/bench_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/hosts"
+	"yokemast/internal/wire/pg"
+)
+
+// cpuOf gives the processor time that a process has used.
+func cpuOf(b *testing.B, pid int) time.Duration {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Skip("no processor times here: ", err)
+	}
+	f := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+2:]))
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	return time.Duration(user+system) * 10 * time.Millisecond // the kernel counts hundredths of a second
+}
+
+// quickHost answers every query at once with one row, and says that it is a primary.
+func quickHost(b *testing.B) *hosts.Host {
+	h, err := hosts.New("s-1", hosts.Leader, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	h.Listener.Close()
+	l, err := net.Listen("tcp", h.Address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				if _, _, err := pg.ReadStartup(in); err != nil {
+					return
+				}
+				_, _ = c.Write(pg.AppendWelcome(nil, pg.StartSession))
+				var out []byte
+				for {
+					_, body, err := pg.Read(in, 1<<20)
+					if err != nil {
+						return
+					}
+					tag := "SELECT 1"
+					switch {
+					case bytes.HasPrefix(body, []byte("INSERT")):
+						tag = "INSERT 0 1"
+					case bytes.HasPrefix(body, []byte("SHOW")):
+						tag = "SHOW"
+					}
+					now := time.Now().UnixMilli()
+					value := []byte("value")
+					if tag == "SHOW" {
+						value = fmt.Appendf(nil, "x0=%.3f,x1=1", float64(now)/1000)
+					}
+					out = pg.Append(out[:0], pg.ParameterStatus, []byte("node_role\x00leader\x00"))
+					out = pg.Append(out, pg.ParameterStatus, fmt.Appendf(nil, "replay_position\x00%d\x00", now))
+					out = pg.AppendReady(pg.AppendRow(out, pg.Value{Data: value, Format: 1}, tag))
+					if _, err := c.Write(out); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return h
+}
+
+// BenchmarkGateway measures what a request costs the real program on one core, against the same clients on a direct
+// connection to the host.
+func BenchmarkGateway(b *testing.B) {
+	for _, n := range []int{16, 200} {
+		for _, way := range []string{"direct", "through"} {
+			b.Run(fmt.Sprintf("%s/%d clients", way, n), func(b *testing.B) {
+				h := quickHost(b)
+				address, pid := h.Address, 0
+				if way == "through" {
+					g := startWith(b, nil, nil, h)
+					address, pid = g.address, g.cmd.Process.Pid
+				}
+				each := func(requests int) {
+					var work sync.WaitGroup
+					for i := range n {
+						c, err := clients.Start(address, "backend", time.Minute)
+						if err != nil {
+							b.Fatal(err)
+						}
+						work.Go(func() {
+							defer c.Close()
+							for range requests/n + 1 {
+								q := clients.Request{ID: clients.NewID(), Class: "own", Key: "k" + strconv.Itoa(i), Wait: 5 * time.Second}
+								c.Send(q.Statement())
+								if r := c.ReadReply(); !r.Row {
+									b.Errorf("answered %+v", r)
+									return
+								}
+							}
+						})
+					}
+					work.Wait()
+				}
+				each(2 * n) // warm
+				var before time.Duration
+				if pid > 0 {
+					before = cpuOf(b, pid)
+				}
+				b.ResetTimer()
+				each(b.N)
+				b.StopTimer()
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+				if pid > 0 {
+					b.ReportMetric(float64((cpuOf(b, pid)-before).Microseconds())/float64(b.N), "us-cpu/request")
+				}
+			})
+		}
+	}
+}
