--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -89,7 +89,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	sockets := c.Sockets - spareSockets
 	clients := min(int(float64(sockets)*clientPart), c.MemoryMB*clientsPerMB)
-	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts,
+	rest := backend.DefaultRest
+	if own != nil {
+		rest = own.Rest
+	}
+	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts, Rest: rest,
 		ConnectTimeout: orElse(c.Settings.ConnectTimeout, defaultConnectTimeout),
 		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
 		MaxConns:       min(sockets-clients, c.MemoryMB*hostsPerMB), User: user, Database: database}, x)
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -18,6 +18,7 @@
 type File struct {
 	Path    string
 	Control Control
+	Rest    time.Duration // of connections to hosts
 	Cells   *cells.Config // nil: there are none
 	root    *node
 }
@@ -100,7 +101,7 @@
 		switch {
 		case len(given[e.Name]) > 0:
 			n.parts = append(n.parts, given[e.Name]...)
-		case e.Kind == Section && !e.Titled && path != "": // a section of limits, all by default
+		case e.Kind == Section && !e.Titled && (path != "" || e.Name == "pools"): // a section of limits, all by default
 			part := &node{entry: e, pos: at}
 			if err := r.section(part, path+"."+e.Name, at, nil); err != nil {
 				return err
@@ -211,6 +212,7 @@
 			return r.fail(c.one("socket").pos, "control.socket", "%q is no absolute path", f.Control.Socket)
 		}
 	}
+	f.Rest = value[time.Duration](f.root.one("pools"), "rest")
 	n := f.root.one("cells")
 	if n == nil {
 		return nil
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -50,6 +50,10 @@
 				{Name: "socket", Kind: Text, Doc: "Path of the unix domain socket. Needed where the section stands."},
 				{Name: "mode", Kind: Mode, Default: "0600", Most: 0o777, Doc: "Permissions of the socket."},
 			}},
+		{Name: "pools", Kind: Section, Doc: "Connections to hosts. Holds from the next start.",
+			Entries: []Entry{
+				{Name: "rest", Kind: Span, Default: "30ms", Most: hours(1), Doc: "A connection rests so long after an answer before it is used again. `0s` where hosts are known to send nothing behind an answer and to keep connections open: it saves most of the connections."},
+			}},
 		{Name: "cells", Kind: Section, Doc: "Cells for containment. Absent: all requests of a group share its hosts.",
 			Entries: []Entry{
 				{Name: "claims", Kind: Flag, Default: flag(c.Claims), Doc: "Whether a request may name its tenant, as `tenant=NAME` in the statement's comment."},
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -28,10 +28,10 @@
 	"yokemast/internal/wire/settings"
 )
 
-// restFor is how long a connection rests after an answer before it is used again. A host that closes it right then, or
+// DefaultRest is how long a connection rests after an answer before it is used again. A host that closes it right then, or
 // sends an answer a second time just behind the first, does so by then: the next request on it would end as one that may
 // have run, or be served with what was made for another.
-const restFor = 30 * time.Millisecond
+const DefaultRest = 30 * time.Millisecond
 
 // probeTries is how many connections in a row may break under a probe before it has failed. A failed probe counts as the
 // host's death, and it is spared as a cold one when it answers next; a dead process refuses connections, while a single
@@ -64,6 +64,7 @@
 	Counters       *counters.Set
 	ConnectTimeout time.Duration // for a connection to come up, and for a probe's answer
 	IdleTimeout    time.Duration // a connection is closed after as much idling; below the hosts' own limit
+	Rest           time.Duration // a connection rests so long after an answer before it is used again
 	MaxConns       int           // open at a time, to all hosts together
 	User, Database string
 }
@@ -75,6 +76,8 @@
 	group *errgroup.Group
 	ctx   context.Context
 
+	work chan *attempt // to a worker that has nothing to do
+
 	mu       sync.Mutex
 	hosts    map[string]*host
 	attempts map[key]*attempt
@@ -93,7 +96,8 @@
 
 // New makes a backend whose goroutines belong to the group and end with the context.
 func New(ctx context.Context, group *errgroup.Group, cfg Config, to Reporter) *Backend {
-	b := &Backend{cfg: cfg, to: to, group: group, ctx: ctx, hosts: map[string]*host{}, attempts: map[key]*attempt{}}
+	b := &Backend{cfg: cfg, to: to, group: group, ctx: ctx, hosts: map[string]*host{}, attempts: map[key]*attempt{},
+		work: make(chan *attempt)}
 	group.Go(b.reap)
 	return b
 }
@@ -144,7 +148,15 @@
 				}
 				h.idle = nil
 			}
+			var out []*attempt
+			for _, t := range b.attempts {
+				out = append(out, t)
+			}
 			b.mu.Unlock()
+			// An abandoned write is waited for as long as its client would have: the end of the gateway must not wait too.
+			for _, t := range out {
+				t.end(canceled)
+			}
 			return nil
 		case <-tick.C:
 		}
@@ -162,27 +174,52 @@
 	}
 }
 
+// workerIdle is how long a goroutine that has ended its attempt waits for another. Most attempts find one that waits, with
+// a stack that has grown already.
+const workerIdle = time.Second
+
 // Send starts an attempt.
 func (b *Backend) Send(a exchange.Attempt) {
 	t := &attempt{b: b, Attempt: a}
-	t.ctx, t.stop = context.WithCancel(b.ctx)
 	b.mu.Lock()
 	b.attempts[key{a.ID, a.Number}] = t
 	b.mu.Unlock()
-	b.group.Go(func() error {
-		// An abandoned write is waited for as long as its client would have: the end of the gateway must not wait too.
-		ended := context.AfterFunc(b.ctx, func() { t.end(canceled) })
-		defer func() { ended(); t.stop() }()
-		defer func() {
-			if p := recover(); p != nil { // one attempt must not end the process
-				b.cfg.Counters.Panics.Add(1)
-				b.cfg.Log.Error("attempt panicked", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
-				t.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.Reset}})
-			}
-		}()
-		t.run()
-		return nil
-	})
+	select {
+	case b.work <- t:
+	default:
+		b.group.Go(func() error { return b.worker(t) })
+	}
+}
+
+func (b *Backend) worker(t *attempt) error {
+	idle := time.NewTimer(workerIdle)
+	defer idle.Stop()
+	for {
+		b.attempt(t)
+		idle.Reset(workerIdle)
+		select {
+		case t = <-b.work:
+		case <-idle.C:
+			return nil
+		case <-b.ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (b *Backend) attempt(t *attempt) {
+	defer func() {
+		if p := recover(); p != nil { // one attempt must not end the process
+			b.cfg.Counters.Panics.Add(1)
+			b.cfg.Log.Error("attempt panicked", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+			t.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.Reset}})
+		}
+	}()
+	if b.ctx.Err() != nil {
+		t.end(canceled)
+		return
+	}
+	t.run()
 }
 
 // Cancel stops waiting for an attempt; the connection is closed before the outcome is told.
@@ -213,7 +250,7 @@
 		}()
 		until := start + b.cfg.ConnectTimeout
 		for range probeTries {
-			c, err := b.take(b.ctx, server, until)
+			c, err := b.take(func() context.Context { return b.ctx }, server, until)
 			if err != nil {
 				if p.Result = connectResult(err); broke(err) {
 					continue
@@ -251,8 +288,9 @@
 	return balance.NoConnection
 }
 
-// take gives a connection to the host: of those that have rested the one used last, or a new one.
-func (b *Backend) take(ctx context.Context, server string, until time.Duration) (*conn, error) {
+// take gives a connection to the host: of those that have rested the one used last, or a new one, opened in the context
+// that opening gives.
+func (b *Backend) take(opening func() context.Context, server string, until time.Duration) (*conn, error) {
 	b.mu.Lock()
 	h := b.hosts[server]
 	if h == nil {
@@ -262,7 +300,7 @@
 	now := b.cfg.Clock.Now()
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c := h.idle[i]
-		if now-c.idleSince < restFor {
+		if now-c.idleSince < b.cfg.Rest {
 			continue
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
@@ -281,7 +319,7 @@
 	b.conns++
 	address := h.address
 	b.mu.Unlock()
-	c, err := b.dial(ctx, address, until)
+	c, err := b.dial(opening(), address, until)
 	if err != nil {
 		b.mu.Lock()
 		b.conns--
@@ -363,14 +401,24 @@
 type attempt struct {
 	b *Backend
 	exchange.Attempt
-	ctx  context.Context
-	stop context.CancelFunc
 
 	mu    sync.Mutex
-	conn  *conn // only while something may be out on it
+	stop  context.CancelFunc // ends the opening of a connection; nil: none is being opened
+	conn  *conn              // only while something may be out on it
 	ended bool
 }
 
+// opening gives the context in which the attempt opens a connection: it ends with the attempt.
+func (t *attempt) opening() context.Context {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ctx, stop := context.WithCancel(t.b.ctx)
+	if t.stop = stop; t.ended {
+		stop()
+	}
+	return ctx
+}
+
 // end tells the outcome, once. A connection with something out on it is closed first: what is sent next must not
 // meet it.
 func (t *attempt) end(o exchange.Outcome) {
@@ -383,8 +431,11 @@
 	if t.conn != nil {
 		t.conn.close()
 	}
+	stop := t.stop
 	t.mu.Unlock()
-	t.stop()
+	if stop != nil {
+		stop()
+	}
 	t.b.mu.Lock()
 	delete(t.b.attempts, key{t.ID, t.Number})
 	t.b.mu.Unlock()
@@ -394,7 +445,7 @@
 
 func (t *attempt) run() {
 	result := func(r balance.Result) { t.end(exchange.Outcome{Outcome: balance.Outcome{Result: r}}) }
-	c, err := t.b.take(t.ctx, t.Server, t.Until)
+	c, err := t.b.take(t.opening, t.Server, t.Until)
 	if err != nil {
 		result(connectResult(err))
 		return
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -26,12 +26,13 @@
 // conn is one connection to a host, with one query on it at a time.
 type conn struct {
 	*net.TCPConn
-	address   string
-	clock     exchange.Clock
-	in        *bufio.Reader
-	idleSince time.Duration
-	clean     bool // nothing is out on it and nothing is left over
-	closing   sync.Once
+	address      string
+	clock        exchange.Clock
+	in           *bufio.Reader
+	idleSince    time.Duration
+	writeLimited bool // a deadline for writing was set: it has to be moved each time
+	clean        bool // nothing is out on it and nothing is left over
+	closing      sync.Once
 }
 
 func newConn(n *net.TCPConn, address string, clock exchange.Clock) *conn {
@@ -67,7 +68,7 @@
 			return pg.ReadError(body)
 		case kind == pg.ReadyForQuery:
 			c.clean = c.in.Buffered() == 0
-			return nil
+			return c.SetWriteDeadline(time.Time{})
 		}
 	}
 }
@@ -124,7 +125,12 @@
 // host may send noise, an answer twice or one with parts missing, and a client must never be served with that.
 func (c *conn) roundTrip(query []byte, tag string, until time.Duration) (r reply) {
 	c.clean = false
-	if c.until(until) != nil {
+	// A small query goes into the empty buffer of an idle connection at once; only a large one can get stuck on its way.
+	limit := c.SetReadDeadline
+	if large := len(query) > readBuffer; large || c.writeLimited {
+		limit, c.writeLimited = c.SetDeadline, true
+	}
+	if limit(time.Now().Add(until-c.clock.Now())) != nil {
 		return reply{result: balance.NoConnection}
 	}
 	if _, err := c.Write(query); err != nil {
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -22,6 +22,7 @@
 	draining  bool
 	said      bool          // the startup is done and a command has begun to come
 	midway    bool          // a message has begun to come
+	timed     bool          // a deadline for reading is set
 	open      int           // commands without an answer
 	idleSince time.Duration // since when nothing is open
 
@@ -34,6 +35,7 @@
 	commands chan command
 	closed   chan struct{} // the client has left
 	free     time.Duration // when the last answer was written
+	writeBy  time.Time     // the deadline for writing that is set
 	skipping bool          // an extended query was turned down: all up to Sync is skipped
 }
 
@@ -114,7 +116,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.midway, c.said = true, true
-	c.readBy(messageWithin)
+	if !pg.Whole(c.in) { // what is here already needs no time
+		c.readBy(messageWithin)
+		c.timed = true
+	}
 }
 
 // between says that no message has begun to come.
@@ -127,8 +132,10 @@
 		c.readBy(0)
 	case !c.said:
 		c.readBy(startWithin)
-	default:
+		c.timed = true
+	case c.timed:
 		_ = c.conn.SetReadDeadline(time.Time{})
+		c.timed = false
 	}
 }
 
@@ -163,6 +170,7 @@
 		default:
 			c.user = parameters["user"]
 			_ = c.conn.SetDeadline(time.Time{})
+			c.writeBy = time.Time{}
 			return c.write(pg.AppendWelcome(nil, kind))
 		}
 	}
@@ -190,7 +198,11 @@
 }
 
 func (c *session) write(b []byte) bool {
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	// Set anew only when half of it is gone: an answer has between half of the time and all of it.
+	if now := time.Now(); c.writeBy.Sub(now) < writeTimeout/2 {
+		c.writeBy = now.Add(writeTimeout)
+		_ = c.conn.SetWriteDeadline(c.writeBy)
+	}
 	_, err := c.conn.Write(b)
 	return err == nil
 }
