--- /dev/null
+++ b/internal/control/pooling/sql.go
@@ -0,0 +1,470 @@
+package pooling
+
+import (
+	"strings"
+)
+
+// Kind is what a statement does, as far as it matters where it runs and what it leaves behind.
+type Kind int
+
+// Kinds of statements.
+const (
+	Write Kind = iota // anything that may change data, or of which that is not known
+	Read
+	Begin
+	Commit
+	Rollback
+	Savepoint
+	RollbackTo
+	Release
+	Set      // of the session
+	SetLocal // of the transaction
+	Reset
+	ResetAll
+	DiscardAll
+	Deallocate    // of one name
+	DeallocateAll // all prepared statements, those of the protocol too
+	Neutral       // of no effect beyond its answer
+	Copy
+	Empty
+)
+
+// Pin is a reason why a session must keep its host connection: state that can't be carried to another.
+type Pin uint8
+
+// Reasons to pin.
+const (
+	PinListen Pin = 1 << iota
+	PinTempTable
+	PinAdvisoryLock
+	PinHoldCursor
+	PinSQLPrepare
+	PinUntracked
+	pinsAll = 1<<iota - 1
+)
+
+var pinNames = []string{"listen", "temporary table", "advisory lock", "cursor with hold", "prepare in sql", "untracked setting"}
+
+// Names gives the reasons in words.
+func (p Pin) Names() (out []string) {
+	for i, name := range pinNames {
+		if p&(1<<i) != 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// PinNames gives all reasons, in the order of their bits.
+func PinNames() []string { return pinNames }
+
+// Command is one statement.
+type Command struct {
+	Kind     Kind
+	Name     string // of a setting, savepoint or prepared statement, in lower case unless it was quoted
+	Value    string // of a setting: the rest of the statement as it was written
+	ReadOnly bool   // of Begin
+	Pin      Pin    // what it pins
+	Unpin    Pin    // what it ends
+}
+
+type token struct {
+	text string // words in lower case, quoted names without their quotes
+	kind byte   // w: word, q: quoted name, s: string, n: number, otherwise the sign itself
+	at   int
+	end  int
+}
+
+// lex splits SQL into tokens, without comments and white space. It follows PostgreSQL's rules for strings, dollar quotes and
+// nested comments (documentation, 4.1 Lexical Structure); what does not end ends with the text.
+func lex(sql string) (out []token) {
+	for i := 0; i < len(sql); {
+		c, start := sql[i], i
+		switch {
+		case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v':
+			i++
+			continue
+		case strings.HasPrefix(sql[i:], "--"):
+			if n := strings.IndexByte(sql[i:], '\n'); n >= 0 {
+				i += n + 1
+			} else {
+				i = len(sql)
+			}
+			continue
+		case strings.HasPrefix(sql[i:], "/*"):
+			depth := 1
+			for i += 2; i < len(sql) && depth > 0; {
+				switch {
+				case strings.HasPrefix(sql[i:], "/*"):
+					depth++
+					i += 2
+				case strings.HasPrefix(sql[i:], "*/"):
+					depth--
+					i += 2
+				default:
+					i++
+				}
+			}
+			continue
+		case c == '\'':
+			i = quoted(sql, i, '\'', false)
+			out = append(out, token{sql[start:i], 's', start, i})
+		case c == '"':
+			i = quoted(sql, i, '"', false)
+			name := strings.TrimSuffix(sql[start+1:i], `"`)
+			out = append(out, token{strings.ReplaceAll(name, `""`, `"`), 'q', start, i})
+		case c == '$' && dollar(sql[i:]) > 0:
+			n := dollar(sql[i:])
+			tag := sql[i : i+n]
+			if end := strings.Index(sql[i+n:], tag); end >= 0 {
+				i += n + end + n
+			} else {
+				i = len(sql)
+			}
+			out = append(out, token{sql[start:i], 's', start, i})
+		case letter(c):
+			for i < len(sql) && (letter(sql[i]) || sql[i] >= '0' && sql[i] <= '9' || sql[i] == '$') {
+				i++
+			}
+			word := strings.ToLower(sql[start:i])
+			if i < len(sql) && sql[i] == '\'' && (word == "e" || word == "b" || word == "x" || word == "n") {
+				i = quoted(sql, i, '\'', word == "e")
+				out = append(out, token{sql[start:i], 's', start, i})
+				continue
+			}
+			out = append(out, token{word, 'w', start, i})
+		case c >= '0' && c <= '9':
+			for i < len(sql) && (letter(sql[i]) || sql[i] >= '0' && sql[i] <= '9' || sql[i] == '.') {
+				i++
+			}
+			out = append(out, token{sql[start:i], 'n', start, i})
+		default:
+			i++
+			out = append(out, token{sql[start:i], c, start, i})
+		}
+	}
+	return out
+}
+
+func letter(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_' || c >= 0x80
+}
+
+// quoted gives the end of what is quoted from i on; a doubled quote stands for itself.
+func quoted(sql string, i int, quote byte, backslash bool) int {
+	for i++; i < len(sql); i++ {
+		switch {
+		case backslash && sql[i] == '\\':
+			i++
+		case sql[i] == quote:
+			if i+1 < len(sql) && sql[i+1] == quote {
+				i++
+				continue
+			}
+			return i + 1
+		}
+	}
+	return len(sql)
+}
+
+// dollar gives the length of a dollar quote's tag at the start of s, 0 if there is none: $1 is a parameter.
+func dollar(s string) int {
+	for i := 1; i < len(s); i++ {
+		switch c := s[i]; {
+		case c == '$':
+			return i + 1
+		case !letter(c) && (i == 1 || c < '0' || c > '9'):
+			return 0
+		}
+	}
+	return 0
+}
+
+// Scan says what each statement of a text does. An empty text is one empty statement.
+func Scan(sql string) (out []Command) {
+	tokens := lex(sql)
+	for start := 0; start <= len(tokens); {
+		end := start
+		for end < len(tokens) && tokens[end].kind != ';' {
+			end++
+		}
+		if end > start {
+			out = append(out, classify(sql, tokens[start:end]))
+		}
+		start = end + 1
+	}
+	if len(out) == 0 {
+		out = append(out, Command{Kind: Empty})
+	}
+	return out
+}
+
+// words are the tokens of one statement.
+type words []token
+
+func (w words) is(i int, any ...string) bool {
+	if i >= len(w) || w[i].kind != 'w' {
+		return false
+	}
+	for _, x := range any {
+		if w[i].text == x {
+			return true
+		}
+	}
+	return false
+}
+
+func (w words) name(i int) string {
+	if i < len(w) && (w[i].kind == 'w' || w[i].kind == 'q') {
+		return w[i].text
+	}
+	return ""
+}
+
+func (w words) has(any ...string) bool {
+	for i := range w {
+		if w.is(i, any...) {
+			return true
+		}
+	}
+	return false
+}
+
+// rest is the text from token i on, as it was written.
+func (w words) rest(sql string, i int) string {
+	if i >= len(w) {
+		return ""
+	}
+	return sql[w[i].at:w[len(w)-1].end]
+}
+
+func classify(sql string, t []token) Command {
+	w := words(t)
+	c := Command{}
+	switch {
+	case w.is(0, "begin"), w.is(0, "start") && w.is(1, "transaction"):
+		c.Kind, c.ReadOnly = Begin, readOnly(w)
+	case w.is(0, "commit", "end"):
+		if c.Kind = Commit; w.is(1, "prepared") {
+			c.Kind = Write
+		}
+	case w.is(0, "abort"):
+		c.Kind = Rollback
+	case w.is(0, "rollback"):
+		i := 1
+		if w.is(i, "work", "transaction") {
+			i++
+		}
+		switch {
+		case w.is(1, "prepared"):
+			c.Kind = Write
+		case w.is(i, "to"):
+			if i++; w.is(i, "savepoint") {
+				i++
+			}
+			c.Kind, c.Name = RollbackTo, w.name(i)
+		default:
+			c.Kind = Rollback
+		}
+	case w.is(0, "savepoint"):
+		c.Kind, c.Name = Savepoint, w.name(1)
+	case w.is(0, "release"):
+		i := 1
+		if w.is(1, "savepoint") {
+			i = 2
+		}
+		c.Kind, c.Name = Release, w.name(i)
+	case w.is(0, "set"):
+		setting(&c, sql, w)
+	case w.is(0, "reset"):
+		switch {
+		case w.is(1, "all"):
+			c.Kind = ResetAll
+		case w.is(1, "session"):
+			c.Kind, c.Unpin = Neutral, 0 // RESET SESSION AUTHORIZATION: what it ends was pinned as untracked, and stays so
+		case w.is(1, "time"):
+			c.Kind, c.Name = Reset, "timezone"
+		default:
+			c.Kind, c.Name = Reset, settingName(w, 1)
+		}
+	case w.is(0, "discard"):
+		switch {
+		case w.is(1, "all"):
+			c.Kind, c.Unpin = DiscardAll, pinsAll
+		case w.is(1, "temp", "temporary"):
+			c.Kind, c.Unpin = Neutral, PinTempTable
+		default:
+			c.Kind = Neutral
+		}
+	case w.is(0, "deallocate"):
+		i := 1
+		if w.is(1, "prepare") {
+			i = 2
+		}
+		if c.Kind, c.Name = Deallocate, w.name(i); w.is(i, "all") {
+			c.Kind, c.Name = DeallocateAll, ""
+		}
+	case w.is(0, "prepare"):
+		if c.Kind, c.Name, c.Pin = Neutral, w.name(1), PinSQLPrepare; w.is(1, "transaction") {
+			c.Kind, c.Pin = Write, 0
+		}
+	case w.is(0, "listen"):
+		c.Kind, c.Pin = Neutral, PinListen
+	case w.is(0, "unlisten"):
+		if c.Kind = Neutral; len(w) > 1 && w[1].kind == '*' {
+			c.Unpin = PinListen
+		}
+	case w.is(0, "declare"):
+		if c.Kind = Read; w.has("hold") && !w.has("without") {
+			c.Pin = PinHoldCursor
+		}
+		c.Pin |= calls(w)
+	case w.is(0, "fetch", "move", "close", "checkpoint"):
+		c.Kind = Read
+	case w.is(0, "show"):
+		c.Kind = Neutral
+	case w.is(0, "copy"):
+		c.Kind = Copy
+	case w.is(0, "create"):
+		if w.is(1, "temp", "temporary") || w.is(1, "local", "global") && w.is(2, "temp", "temporary") ||
+			w.is(1, "or") && w.is(3, "temp", "temporary") {
+			c.Pin = PinTempTable
+		}
+	case w.is(0, "do", "load"), w.is(0, "set_config"):
+		c.Pin = PinUntracked // what it runs is not seen here
+	case w.is(0, "explain"):
+		if c.Kind = Read; w.has("analyze", "analyse") {
+			c.Kind = Write
+		}
+	case w.is(0, "select", "values", "table", "with") || len(w) > 0 && w[0].kind == '(':
+		if reads(w) {
+			c.Kind = Read
+		}
+		if w.has("into") && w.has("temp", "temporary") {
+			c.Pin |= PinTempTable
+		}
+		c.Pin |= calls(w)
+	default:
+		c.Pin |= calls(w)
+	}
+	return c
+}
+
+func readOnly(w words) bool {
+	for i := range w {
+		if w.is(i, "read") && w.is(i+1, "only") {
+			return true
+		}
+	}
+	return false
+}
+
+// setting reads SET in its many forms.
+func setting(c *Command, sql string, w words) {
+	i := 1
+	c.Kind = Set
+	if w.is(1, "local") {
+		c.Kind = SetLocal
+		i = 2
+	} else if w.is(1, "session") {
+		i = 2
+	}
+	switch {
+	case w.is(i, "transaction"), w.is(i, "constraints"):
+		c.Kind = Neutral // of the transaction
+		return
+	case w.is(1, "session") && w.is(2, "characteristics", "authorization"), w.is(i, "session"):
+		c.Kind, c.Pin = Neutral, PinUntracked
+		return
+	case w.is(i, "time") && w.is(i+1, "zone"):
+		c.Name, c.Value = "timezone", w.rest(sql, i+2)
+		if w.is(i+2, "local") {
+			c.Value = "default"
+		}
+	case w.is(i, "names"):
+		if c.Name, c.Value = "client_encoding", w.rest(sql, i+1); c.Value == "" {
+			c.Value = "default"
+		}
+	case w.is(i, "role"):
+		c.Name, c.Value = "role", w.rest(sql, i+1)
+		if w.is(i+1, "none") {
+			c.Value = "'none'"
+		}
+	default:
+		c.Name = settingName(w, i)
+		for i++; i < len(w) && w[i].kind != '=' && !w.is(i, "to"); i++ {
+		}
+		c.Value = w.rest(sql, i+1)
+	}
+	if c.Name == "" || c.Value == "" {
+		*c = Command{Kind: Neutral} // the host will say what is wrong with it
+		return
+	}
+	if strings.EqualFold(c.Value, "default") {
+		c.Value = ""
+		if c.Kind == Set {
+			c.Kind = Reset
+		}
+	}
+}
+
+// settingName reads a name that may have a prefix, as in app.tenant.
+func settingName(w words, i int) string {
+	name := strings.ToLower(w.name(i))
+	for i++; i+1 < len(w) && w[i].kind == '.' && name != ""; i += 2 {
+		name += "." + strings.ToLower(w.name(i+1))
+	}
+	return name
+}
+
+// pure are functions that only read. A call of any other counts as a write: what it does can't be seen here.
+var pure = map[string]bool{}
+
+func init() {
+	for _, f := range strings.Fields(`abs age array_agg array_length avg bit_length bool_and bool_or btrim cardinality
+		ceil ceiling char_length character_length coalesce concat concat_ws convert_from convert_to count current_database
+		current_schema current_setting date_part date_trunc decode div encode every exists extract floor format
+		generate_series greatest grouping initcap json_agg json_build_array json_build_object jsonb_agg jsonb_build_object
+		lag lead least left length localtimestamp lower lpad ltrim max md5 min mod now nullif octet_length overlay
+		pg_backend_pid pg_is_in_recovery pg_last_wal_replay_lsn pg_sleep pg_typeof position power rank regexp_match
+		regexp_replace repeat replace reverse right round row row_number row_to_json rpad rtrim sqrt stddev string_agg
+		strpos substr substring sum timeofday to_char to_date to_json to_jsonb to_number to_timestamp translate trim trunc
+		unnest upper variance version width_bucket
+		in any all some values as over filter using and or not on then when case else from where select array interval
+		varchar char numeric decimal bit time timestamp cast within lateral rows by join`) {
+		pure[f] = true
+	}
+}
+
+// reads says that a query only reads, as far as can be seen.
+func reads(w words) bool {
+	for i := range w {
+		switch {
+		case w.is(i, "insert", "update", "delete", "merge", "into"):
+			return false
+		case w.is(i, "for") && w.is(i+1, "update", "share", "no", "key"):
+			return false
+		case w[i].kind == 'w' && i+1 < len(w) && w[i+1].kind == '(' && !pure[w[i].text]:
+			return false
+		case w[i].kind == 'q' && i+1 < len(w) && w[i+1].kind == '(':
+			return false
+		}
+	}
+	return true
+}
+
+// calls gives what function calls pin.
+func calls(w words) (p Pin) {
+	for i := range w {
+		if w[i].kind != 'w' || i+1 >= len(w) || w[i+1].kind != '(' {
+			continue
+		}
+		switch name := w[i].text; {
+		case name == "set_config":
+			p |= PinUntracked
+		case strings.Contains(name, "advisory_lock") && !strings.Contains(name, "xact") && !strings.Contains(name, "unlock"):
+			p |= PinAdvisoryLock
+		}
+	}
+	return p
+}
