--- a/balance/api.go
+++ b/balance/api.go
@@ -178,6 +178,11 @@
 	WriteAge                   time.Duration // since the session's last write, with carried tokens; 0: none
 	Since                      time.Duration // a session that wrote must see all up to here too; 0: no such time
 	Over                       time.Duration // above 0: more than its share; refused, to come back after as long
+	// Lease says that its attempt keeps the member until its client is through, as a transaction does: it has no time-out
+	// but the deadline, and never goes again once it may have run. Patience is how long it may wait to be sent; 0: half of
+	// its time, as any.
+	Lease    bool
+	Patience time.Duration
 }
 
 // Role of a member in its group.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -464,7 +464,7 @@
 // repeatable says whether q may be sent on after what was sent before. A request keyed within a zone is not:
 // the new primary may stand in another.
 func (r *Router) repeatable(q *request) bool {
-	return q.ranAt == 0 || q.cls.Effect == Safe || q.cls.Effect == Keyed &&
+	return q.ranAt == 0 || !q.Lease && q.cls.Effect == Safe || !q.Lease && q.cls.Effect == Keyed &&
 		q.cls.Scope != ScopeZone && r.now-q.ranAt < q.cls.KeyTTL-4*r.s.Tick
 }
 
@@ -505,11 +505,11 @@
 // What was never sent is not held past half its time: its client can come back.
 func (r *Router) hopeless(q *request) bool {
 	return r.now+min(q.cls.took*3/2, q.cls.Aim/2) > r.useful(q) ||
-		q.attempts == 0 && 2*(r.now-q.arrived+2*beat) > q.Deadline-q.arrived
+		q.attempts == 0 && r.now-q.arrived+2*beat > cmp.Or(q.Patience, (q.Deadline-q.arrived)/2)
 }
 
 func (r *Router) useful(q *request) time.Duration {
-	if q.cls.LateWorth > 0 {
+	if q.cls.LateWorth > 0 || q.Lease {
 		return q.Deadline
 	}
 	return min(q.Deadline, q.arrived+q.cls.Aim)
@@ -517,7 +517,7 @@
 
 func (r *Router) send(q *request, m *member) {
 	q.limit = 0
-	if q.cls.Effect == Safe {
+	if q.cls.Effect == Safe && !q.Lease {
 		q.limit = r.useful(q) - r.now
 		if m != q.group.primary {
 			q.limit = min(q.limit, max(q.cls.Aim*6/10, 6*q.cls.took))
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -146,6 +146,12 @@
 // Close forgets a prepared statement.
 func (s *Session) Close(name string) { delete(s.statements, name) }
 
+// All gives the prepared statements by name; they are the session's own, not to be changed.
+func (s *Session) All() map[string]*Statement { return s.statements }
+
+// Restore puts back the prepared statements as they were: what was asked has not happened.
+func (s *Session) Restore(all map[string]*Statement) { s.statements = all }
+
 // Statements is how many are prepared.
 func (s *Session) Statements() int { return len(s.statements) }
 
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yokemast/balance"
+	"yokemast/internal/control/pooling"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/operator"
@@ -89,17 +91,22 @@
 	group, ctx := errgroup.WithContext(ctx)
 	sockets := c.Sockets - spareSockets
 	clients := min(int(float64(sockets)*clientPart), c.MemoryMB*clientsPerMB)
-	rest := backend.DefaultRest
+	limits, prepared := pooling.Limits{Rest: backend.DefaultRest}, 0
+	var pool func(user, database string) *frontend.Pool
 	if own != nil {
-		rest = own.Rest
+		limits, prepared = own.Pools.Limits, own.Pools.Prepared
+		if pool, err = pools(own.Pools.Pools, c.Settings.Balance.Classes); err != nil {
+			return fmt.Errorf("%s: %w", own.Path, err)
+		}
 	}
-	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts, Rest: rest,
+	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts, Pools: limits, Prepared: prepared, Seed: c.Seed,
+		ColdTime:       c.Settings.Balance.ColdTime,
 		ConnectTimeout: orElse(c.Settings.ConnectTimeout, defaultConnectTimeout),
 		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
 		MaxConns:       min(sockets-clients, c.MemoryMB*hostsPerMB), User: user, Database: database}, x)
 	front := frontend.New(frontend.Config{Clock: clock, Log: log, Counters: counts, MaxConns: clients, KeepIdle: c.Sockets / keepPart,
-		Share:    c.Sockets / sharePart,
-		MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance)}, x)
+		Share: c.Sockets / sharePart,
+		Pool:  pool, MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance)}, x)
 	if len(c.Known.Members) > 0 {
 		x.Members(true, c.Known.Members)
 	}
@@ -186,6 +193,36 @@
 	return group.Wait()
 }
 
+// pools gives the pool of a user and a database: the first that takes both; nil: there is none.
+func pools(list []operator.Pool, classes []balance.Class) (func(user, database string) *frontend.Pool, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	need := map[string]balance.Need{}
+	for _, c := range classes {
+		need[c.Name] = c.Need
+	}
+	made := make([]*frontend.Pool, len(list))
+	for i, p := range list {
+		for _, name := range []string{p.Read, p.Own, p.Write} {
+			if n, ok := need[name]; !ok || (n == balance.Write) != (name == p.Write) {
+				return nil, fmt.Errorf("pools.pool: %q: class %q is not one of the platform's that fits", p.Name, name)
+			}
+		}
+		made[i] = &frontend.Pool{Name: p.Name, Mode: p.Mode, Group: p.Group, Read: p.Read, Own: p.Own, Write: p.Write,
+			Transaction: p.Transaction, Idle: p.Idle, MaxBatch: p.MaxBatch, Stats: &frontend.PoolStats{}}
+	}
+	takes := func(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
+	return func(user, database string) *frontend.Pool {
+		for i, p := range list {
+			if takes(p.Users, user) && takes(p.Databases, database) {
+				return made[i]
+			}
+		}
+		return nil
+	}, nil
+}
+
 // ends says how long after SIGTERM the last answer is due and when the process must have ended.
 func ends(classes []balance.Class) (answers, end time.Duration) {
 	var longest time.Duration
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -37,6 +37,7 @@
 	Arrived            time.Duration
 	Wait               time.Duration // the client's, from when it sent; 0: the class's deadline
 	After              time.Duration // position that the read must see; 0: none
+	Lease              time.Duration // it keeps its host until its client is through, for so long at most; 0: it does not
 	Command            any           // for the host side: what to run
 	Answer             chan<- Answer // takes the one answer; must have room for it
 }
@@ -121,6 +122,7 @@
 	*Request
 	class    *balance.Class
 	deadline time.Duration
+	patience time.Duration
 	attempts int
 	out      bool // an attempt has no outcome yet
 	answered bool
@@ -311,7 +313,12 @@
 	if r.Wait > 0 && (r.Wait < wait || wait == 0) {
 		wait = r.Wait
 	}
-	o := &open{Request: r, class: class, deadline: r.Arrived + max(wait-answerMargin, wait/2)}
+	patience := time.Duration(0)
+	if r.Lease > 0 {
+		// What waits for a host waits no longer than any of its class would.
+		patience, wait = wait/2, r.Lease
+	}
+	o := &open{Request: r, patience: patience, class: class, deadline: r.Arrived + max(wait-answerMargin, wait/2)}
 	if x.endBy > 0 {
 		o.deadline = min(o.deadline, x.endBy) // what is unanswered when the process ends is lost
 	}
@@ -339,7 +346,7 @@
 		return
 	}
 	q := balance.Request{ID: r.ID, Class: r.Class, Session: r.Session, Group: v.Group, Cell: v.Cell, Since: v.Since,
-		Deadline: o.deadline, Retry: r.Retry}
+		Deadline: o.deadline, Retry: r.Retry, Lease: r.Lease > 0, Patience: o.patience}
 	if v.Kind == cells.Over {
 		x.cfg.Counters.Over.Add(1)
 		q.Over = max(v.After, 1)
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -12,17 +13,36 @@
 	"github.com/alecthomas/participle/v2/lexer"
 
 	"yokemast/internal/control/cells"
+	"yokemast/internal/control/pooling"
 )
 
 // File is what the operator's file says, with the defaults for what it leaves out.
 type File struct {
 	Path    string
 	Control Control
-	Rest    time.Duration // of connections to hosts
+	Pools   Pools
 	Cells   *cells.Config // nil: there are none
 	root    *node
 }
 
+// Pools says how connections to hosts are kept and shared.
+type Pools struct {
+	Limits   pooling.Limits // those of descriptors and memory are filled in by the platform's configuration
+	Prepared int
+	Pools    []Pool
+}
+
+// Pool is one pool of clients that may ask general SQL.
+type Pool struct {
+	Name              string
+	Users, Databases  []string // empty: any
+	Mode              pooling.Mode
+	Group             int
+	Read, Own, Write  string
+	Transaction, Idle time.Duration
+	MaxBatch          int
+}
+
 // Control is the control socket.
 type Control struct {
 	Socket string // "": there is none
@@ -212,7 +232,9 @@
 			return r.fail(c.one("socket").pos, "control.socket", "%q is no absolute path", f.Control.Socket)
 		}
 	}
-	f.Rest = value[time.Duration](f.root.one("pools"), "rest")
+	if err := f.pools(r); err != nil {
+		return err
+	}
 	n := f.root.one("cells")
 	if n == nil {
 		return nil
@@ -256,6 +278,29 @@
 	return nil
 }
 
+func (f *File) pools(r reader) error {
+	n := f.root.one("pools")
+	f.Pools = Pools{Prepared: value[int](n, "prepared"), Limits: pooling.Limits{Total: value[int](n, "total"),
+		PerHost: value[int](n, "per-host"), Least: value[int](n, "least"), Opening: value[int](n, "opening"),
+		PerSec: value[float64](n, "per-second"), Rest: value[time.Duration](n, "rest"), Age: value[time.Duration](n, "age"),
+		Memory: value[time.Duration](n, "memory"), ColdPart: value[float64](n, "cold-part")}}
+	for _, p := range n.all("pool") {
+		x := Pool{Name: p.title, Users: texts(p, "user"), Databases: texts(p, "database"), Group: value[int](p, "group"),
+			Read: value[string](p, "read"), Own: value[string](p, "own"), Write: value[string](p, "write"),
+			Transaction: value[time.Duration](p, "transaction"), Idle: value[time.Duration](p, "idle"), MaxBatch: value[int](p, "batch")}
+		x.Own = cmp.Or(x.Own, x.Read)
+		var ok bool
+		if x.Mode, ok = pooling.ParseMode(value[string](p, "mode")); !ok {
+			return r.fail(p.one("mode").pos, "pools.pool.mode", "%q: neither statement, transaction nor session", value[string](p, "mode"))
+		}
+		if x.Read == "" || x.Write == "" {
+			return r.fail(p.pos, "pools.pool", "%q: read and write name no class", x.Name)
+		}
+		f.Pools.Pools = append(f.Pools.Pools, x)
+	}
+	return nil
+}
+
 // Print writes the settings in force, defaults included, in the form of the file. What is by default is marked.
 func (f *File) Print(w io.Writer) error {
 	var b strings.Builder
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"yokemast/internal/control/cells"
+	"yokemast/internal/control/pooling"
 )
 
 const good = `; tenants of this installation
@@ -30,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := &File{Path: "f", Rest: 30 * time.Millisecond, Control: Control{"/run/yokemast/control.sock", 0o660}, Cells: &cells.Config{Claims: true, Size: 3,
+	want := &File{Path: "f", Pools: Pools{Prepared: 100, Limits: pooling.Limits{Rest: 30 * time.Millisecond}}, Control: Control{"/run/yokemast/control.sock", 0o660}, Cells: &cells.Config{Claims: true, Size: 3,
 		Overlap: 1, Reserve: 0.5, Buckets: 1024, Queue: 4, Floor: 16, Gateways: 1,
 		Cells: []cells.Cell{{Name: "coast", Weight: 2, Pins: []string{"s-1", "s-2"}, Rate: 200, Burst: 50},
 			{Name: "hills", Weight: 1}},
@@ -47,40 +48,42 @@
 
 func TestErrorsNameTheirPlace(t *testing.T) {
 	for in, want := range map[string]string{
-		strings.Repeat("(a ", 50):                `f:1:61: forms stand`,
-		`(cells (cell "\q"))`:                    `f:1:14: "\q" has an escape`,
-		`((`:                                     `f:1:2: "(" where the name`,
-		`(cells`:                                 `f:1:7: `,
-		`cells`:                                  `f:1:1: `,
-		"(cells\n  (cell \"a\nb\"))":             `f:2:9: `,
-		`(cell "a")`:                             `f:1:1: cell: no such entry`,
-		"(cells (cell a)\n  (sise 2))":           `f:2:3: cells.sise: no such entry`,
-		"(cells (cell a) (size 2)\n(size 3))":    `f:2:1: cells.size: stands here and at line 1`,
-		"(cells (cell a)\n(cell a))":             `f:2:1: cells.cell: "a" stands here and at line 1`,
-		`(cells (cell a) (size two))`:            `f:1:23: cells.size: "two" is no whole number`,
-		`(cells (cell a) (size 0))`:              `f:1:23: cells.size: 0: under 1`,
-		`(cells (cell a) (size 1 2))`:            `f:1:25: cells.size: takes one whole number`,
-		`(cells (cell a) (size))`:                `f:1:17: cells.size: takes a whole number`,
-		`(cells (cell a) (size (x)))`:            `f:1:23: cells.size: takes no entry here`,
-		`(cells (cell a) (reserve 1.5))`:         `f:1:26: cells.reserve: 1.5: over 1`,
-		`(cells (cell a) (reserve NaN))`:         `f:1:26: cells.reserve: "NaN" is no number`,
-		`(cells (cell a) (claims maybe))`:        `f:1:25: cells.claims: "maybe" is neither yes nor no`,
-		`(cells (cell a) (moves (ramp 5)))`:      `f:1:30: cells.moves.ramp: "5" is no time, as in 250ms or 5s`,
-		`(cells (cell a) (moves (ramp 2h)))`:     `f:1:30: cells.moves.ramp: 2h: over 1h0m0s`,
-		`(cells (cell (weight 2)))`:              `f:1:14: cells.cell: takes no entry here`,
-		`(cells (cell))`:                         `f:1:8: cells.cell: its name is missing`,
-		`(cells (cell ""))`:                      `f:1:14: cells.cell: its name is empty`,
-		`(cells x (cell a))`:                     `f:1:8: cells: "x" is no entry`,
-		`(cells)`:                                `f:1:1: cells: no cell is named`,
-		`(cells (cell a (weight 0)))`:            `f:1:8: cells.cell: "a": weight is not above 0`,
-		`(cells (cell a (pin "")))`:              `f:1:21: cells.cell.pin: empty`,
-		`(cells (overlap 3) (cell a))`:           `f:1:8: cells.overlap: not between 0 and size 2`,
-		"(cells (cell a)\n(tenant t (cell b)))":  `f:2:1: cells.tenant: "t": no cell is named "b"`,
-		"(cells (cell a)\n(user u (tenants x)))": `f:2:1: cells.user: "u": no tenant is named "x"`,
-		"(cells (cell a)\n(user u))":             `f:2:1: cells.user: "u": no tenant`,
-		"(control)":                              `f:1:1: control: socket is missing`,
-		"(control (socket here))":                `f:1:10: control.socket: "here" is no absolute path`,
-		"(control (socket /s) (mode 999))":       `f:1:28: control.mode: "999" is no mode, as in 0600`,
+		strings.Repeat("(a ", 50):                        `f:1:61: forms stand`,
+		`(cells (cell "\q"))`:                            `f:1:14: "\q" has an escape`,
+		`((`:                                             `f:1:2: "(" where the name`,
+		`(cells`:                                         `f:1:7: `,
+		`cells`:                                          `f:1:1: `,
+		"(cells\n  (cell \"a\nb\"))":                     `f:2:9: `,
+		`(cell "a")`:                                     `f:1:1: cell: no such entry`,
+		"(cells (cell a)\n  (sise 2))":                   `f:2:3: cells.sise: no such entry`,
+		"(cells (cell a) (size 2)\n(size 3))":            `f:2:1: cells.size: stands here and at line 1`,
+		"(cells (cell a)\n(cell a))":                     `f:2:1: cells.cell: "a" stands here and at line 1`,
+		`(cells (cell a) (size two))`:                    `f:1:23: cells.size: "two" is no whole number`,
+		`(cells (cell a) (size 0))`:                      `f:1:23: cells.size: 0: under 1`,
+		`(cells (cell a) (size 1 2))`:                    `f:1:25: cells.size: takes one whole number`,
+		`(cells (cell a) (size))`:                        `f:1:17: cells.size: takes a whole number`,
+		`(cells (cell a) (size (x)))`:                    `f:1:23: cells.size: takes no entry here`,
+		`(cells (cell a) (reserve 1.5))`:                 `f:1:26: cells.reserve: 1.5: over 1`,
+		`(cells (cell a) (reserve NaN))`:                 `f:1:26: cells.reserve: "NaN" is no number`,
+		`(cells (cell a) (claims maybe))`:                `f:1:25: cells.claims: "maybe" is neither yes nor no`,
+		`(cells (cell a) (moves (ramp 5)))`:              `f:1:30: cells.moves.ramp: "5" is no time, as in 250ms or 5s`,
+		`(cells (cell a) (moves (ramp 2h)))`:             `f:1:30: cells.moves.ramp: 2h: over 1h0m0s`,
+		`(cells (cell (weight 2)))`:                      `f:1:14: cells.cell: takes no entry here`,
+		`(cells (cell))`:                                 `f:1:8: cells.cell: its name is missing`,
+		`(cells (cell ""))`:                              `f:1:14: cells.cell: its name is empty`,
+		`(cells x (cell a))`:                             `f:1:8: cells: "x" is no entry`,
+		`(cells)`:                                        `f:1:1: cells: no cell is named`,
+		`(cells (cell a (weight 0)))`:                    `f:1:8: cells.cell: "a": weight is not above 0`,
+		`(cells (cell a (pin "")))`:                      `f:1:21: cells.cell.pin: empty`,
+		`(cells (overlap 3) (cell a))`:                   `f:1:8: cells.overlap: not between 0 and size 2`,
+		"(cells (cell a)\n(tenant t (cell b)))":          `f:2:1: cells.tenant: "t": no cell is named "b"`,
+		"(cells (cell a)\n(user u (tenants x)))":         `f:2:1: cells.user: "u": no tenant is named "x"`,
+		"(cells (cell a)\n(user u))":                     `f:2:1: cells.user: "u": no tenant`,
+		`(pools (pool p (read a) (write b) (mode all)))`: `f:1:35: pools.pool.mode: "all": neither statement`,
+		`(pools (pool p (read a)))`:                      `f:1:8: pools.pool: "p": read and write name no class`,
+		"(control)":                                      `f:1:1: control: socket is missing`,
+		"(control (socket here))":                        `f:1:10: control.socket: "here" is no absolute path`,
+		"(control (socket /s) (mode 999))":               `f:1:28: control.mode: "999" is no mode, as in 0600`,
 	} {
 		_, err := Parse("f", []byte(in))
 		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yokemast/internal/control/cells"
+	"yokemast/internal/control/pooling"
 )
 
 // Kind is what an entry takes.
@@ -53,6 +54,28 @@
 		{Name: "pools", Kind: Section, Doc: "Connections to hosts. Holds from the next start.",
 			Entries: []Entry{
 				{Name: "rest", Kind: Span, Default: "30ms", Most: hours(1), Doc: "A connection rests so long after an answer before it is used again. `0s` where hosts are known to send nothing behind an answer and to keep connections open: it saves most of the connections."},
+				{Name: "prepared", Kind: Count, Unit: "statements", Default: strconv.Itoa(pooling.DefaultPrepared), Least: 1, Most: 100000, Doc: "Prepared statements that a connection keeps; the one used longest ago makes room."},
+				{Name: "total", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections to all hosts. 0: what the descriptors and the memory of the platform's configuration allow, which bound it in any case."},
+				{Name: "per-host", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections to one host. 0: as many as in total."},
+				{Name: "least", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections that a host can have even where others hold the total: an idle one of theirs is closed for it."},
+				{Name: "opening", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections being opened to one host at a time. 0: any number."},
+				{Name: "per-second", Kind: Real, Unit: "connections/s", Default: "0", Most: 1e6, Doc: "Connections opened to one host in a second, with as many at once. 0: any number."},
+				{Name: "age", Kind: Span, Default: "0s", Most: hours(240), Doc: "A connection is closed at this age, give or take a quarter. 0s: never."},
+				{Name: "memory", Kind: Span, Default: "0s", Most: hours(24), Doc: "The connections kept go down by half to what is used in each such time. 0s: only those that idle for too long are closed."},
+				{Name: "cold-part", Kind: Real, Unit: "part", Default: "0", Most: 1, Doc: "Part of `per-host` that a host has that starts cold. 0: all."},
+				{Name: "pool", Kind: Section, Titled: true, Many: true, Doc: "Clients that may ask general SQL, simple and extended, and how they share connections. All others are taken by the platform's two statements only.",
+					Entries: []Entry{
+						{Name: "user", Kind: Texts, Doc: "Users of the pool. Absent: any."},
+						{Name: "database", Kind: Texts, Doc: "Databases of the pool. Absent: any."},
+						{Name: "mode", Kind: Text, Default: pooling.ByTransaction.String(), Doc: "For how long a client keeps a host connection: `statement`, `transaction` or `session`."},
+						{Name: "group", Kind: Count, Default: "1", Most: 1 << 30, Doc: "The group of hosts, where the statement's comment names none as `cluster=N`."},
+						{Name: "read", Kind: Text, Doc: "The class of statements that only read. A comment's `c=CLASS` goes before it."},
+						{Name: "own", Kind: Text, Doc: "The class of reads after a write of the session's own. Absent: as `read`."},
+						{Name: "write", Kind: Text, Doc: "The class of all that may write, and of transactions that are not READ ONLY."},
+						{Name: "transaction", Kind: Span, Default: "30s", Most: hours(24), Doc: "How long a transaction may take; then it is ended and its client told."},
+						{Name: "idle", Kind: Span, Default: "10s", Most: hours(24), Doc: "How long a transaction may be open with nothing asked; then it is rolled back and its client told (25P03)."},
+						{Name: "batch", Kind: Count, Unit: "bytes", Default: "1048576", Least: 1024, Most: 1 << 28, Doc: "The longest pipeline that is taken before its end."},
+					}},
 			}},
 		{Name: "cells", Kind: Section, Doc: "Cells for containment. Absent: all requests of a group share its hosts.",
 			Entries: []Entry{
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -33,7 +33,11 @@
 	Trail  func(query string) []byte // sent a moment after each answer
 	Ended  chan struct{}             // gets one for each connection that has ended, while there is room
 	Log    func(format string, args ...any)
-	Ledger *rules.Ledger // is told what comes; nil: nobody is
+	// General hosts of a cluster serve SQL of their own on connections that carry settings, statements and transactions.
+	General     bool
+	AfterCommit func() bool   // is asked after each commit of a general host: true closes the connection without an answer
+	Peak        int           // connections that a general host had at most; read when nothing is running
+	Ledger      *rules.Ledger // is told what comes; nil: nobody is
 
 	// Of a host in a cluster: what it can do.
 	Slots    int           // requests that it runs at a time; 0: any number
@@ -53,6 +57,7 @@
 	released chan struct{} // closed when a hang ends
 	slots    chan struct{}
 	waiting  int
+	seated   map[pg.Key]*seat
 	life     int // counts starts: what a dead process held is gone
 }
 
@@ -123,7 +128,12 @@
 
 func (h *Host) serve(c net.Conn) {
 	in := bufio.NewReader(c)
-	if _, _, err := pg.ReadStartup(in); err != nil {
+	kind, parameters, err := pg.ReadStartup(in)
+	switch {
+	case err != nil:
+		return
+	case h.General:
+		h.serveGeneral(c, in, parameters, kind)
 		return
 	}
 	if _, err := c.Write(pg.AppendWelcome(nil, pg.StartSession)); err != nil {
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yokemast/balance"
+	"yokemast/internal/control/pooling"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
@@ -62,10 +62,13 @@
 	Clock          exchange.Clock
 	Log            *zap.Logger
 	Counters       *counters.Set
-	ConnectTimeout time.Duration // for a connection to come up, and for a probe's answer
-	IdleTimeout    time.Duration // a connection is closed after as much idling; below the hosts' own limit
-	Rest           time.Duration // a connection rests so long after an answer before it is used again
-	MaxConns       int           // open at a time, to all hosts together
+	ConnectTimeout time.Duration  // for a connection to come up, and for a probe's answer
+	ColdTime       time.Duration  // that a host is cold after its start
+	IdleTimeout    time.Duration  // a connection is closed after as much idling; below the hosts' own limit
+	Prepared       int            // statements that a connection keeps; 0: pooling.DefaultPrepared
+	Pools          pooling.Limits // MaxConns and IdleTimeout stand over what they say of total and idle
+	Seed           uint64
+	MaxConns       int // open at a time, to all hosts together
 	User, Database string
 }
 
@@ -81,7 +84,9 @@
 	mu       sync.Mutex
 	hosts    map[string]*host
 	attempts map[key]*attempt
-	conns    int // open or being opened
+	pools    *pooling.Pools
+	conns    map[int]*conn // that idle
+	last     int           // number of a connection
 }
 
 type key struct {
@@ -91,13 +96,18 @@
 
 type host struct {
 	address string
-	idle    []*conn // the one used last at the end
+	cold    time.Duration // until then
 }
 
 // New makes a backend whose goroutines belong to the group and end with the context.
 func New(ctx context.Context, group *errgroup.Group, cfg Config, to Reporter) *Backend {
 	b := &Backend{cfg: cfg, to: to, group: group, ctx: ctx, hosts: map[string]*host{}, attempts: map[key]*attempt{},
-		work: make(chan *attempt)}
+		work: make(chan *attempt), conns: map[int]*conn{}}
+	limits := cfg.Pools
+	if limits.Idle = cfg.IdleTimeout; limits.Total <= 0 || limits.Total > cfg.MaxConns {
+		limits.Total = cfg.MaxConns
+	}
+	b.pools = pooling.NewPools(limits, cfg.Seed)
 	group.Go(b.reap)
 	return b
 }
@@ -112,13 +122,15 @@
 			h = &host{}
 			b.hosts[m.Server] = h
 		}
+		b.pools.Close(m.Server, false) // it may have been forgotten before
 		if h.address != m.Address || m.State == balance.Left {
-			for _, c := range h.idle {
-				b.closeLocked(c)
-			}
-			h.idle = nil
+			b.closeLocked(b.pools.Drop(m.Server))
 		}
 		h.address = m.Address
+		if b.cfg.ColdTime > 0 && m.Started > 0 {
+			h.cold = m.Started + b.cfg.ColdTime
+			b.pools.Cold(m.Server, b.cfg.Clock.Now() < h.cold)
+		}
 	}
 }
 
@@ -126,10 +138,8 @@
 func (b *Backend) Forget(server string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h := b.hosts[server]; h != nil {
-		for _, c := range h.idle {
-			b.closeLocked(c)
-		}
+	if b.hosts[server] != nil {
+		b.closeLocked(b.pools.Forget(server))
 		delete(b.hosts, server)
 	}
 }
@@ -142,11 +152,8 @@
 		select {
 		case <-b.ctx.Done():
 			b.mu.Lock()
-			for _, h := range b.hosts {
-				for _, c := range h.idle {
-					b.closeLocked(c)
-				}
-				h.idle = nil
+			for server := range b.hosts {
+				b.closeLocked(b.pools.Drop(server))
 			}
 			var out []*attempt
 			for _, t := range b.attempts {
@@ -162,13 +169,12 @@
 		}
 		now := b.cfg.Clock.Now()
 		b.mu.Lock()
-		for _, h := range b.hosts {
-			n := 0
-			for n < len(h.idle) && now-h.idle[n].idleSince > b.cfg.IdleTimeout {
-				b.closeLocked(h.idle[n])
-				n++
+		b.closeLocked(b.pools.Tick(now))
+		for server, h := range b.hosts {
+			if h.cold > 0 && now >= h.cold {
+				h.cold = 0
+				b.pools.Cold(server, false)
 			}
-			h.idle = append(h.idle[:0], h.idle[n:]...)
 		}
 		b.mu.Unlock()
 	}
@@ -297,51 +303,37 @@
 		b.mu.Unlock()
 		return nil, errUnknown
 	}
-	now := b.cfg.Clock.Now()
-	for i := len(h.idle) - 1; i >= 0; i-- {
-		c := h.idle[i]
-		if now-c.idleSince < b.cfg.Rest {
-			continue
-		}
-		h.idle = slices.Delete(h.idle, i, i+1)
-		// A host may have closed it meanwhile: what is written to it then would count as a reset that may have run.
-		if now-c.idleSince <= b.cfg.IdleTimeout && c.alive() {
-			b.mu.Unlock()
-			return c, nil
+	// A host may have closed one meanwhile: what is written to it then would count as a reset that may have run.
+	choice, id, dead := b.pools.Take(b.cfg.Clock.Now(), server, func(id int) bool { return b.conns[id].alive() })
+	b.closeLocked(dead)
+	switch choice {
+	case pooling.Reuse:
+		c := b.conns[id]
+		delete(b.conns, id)
+		b.mu.Unlock()
+		return c, nil
+	case pooling.Open:
+		if id > 0 {
+			b.closeLocked([]int{id})
 		}
-		b.closeLocked(c)
-	}
-	if b.conns >= b.cfg.MaxConns && !b.evictLocked() {
+	default:
 		b.mu.Unlock()
 		b.cfg.Counters.HostsFull.Add(1)
 		return nil, errNoRoom
 	}
-	b.conns++
 	address := h.address
 	b.mu.Unlock()
 	c, err := b.dial(opening(), address, until)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if err != nil {
-		b.mu.Lock()
-		b.conns--
-		b.mu.Unlock()
-	}
-	return c, err
-}
-
-// evictLocked closes the connection that has idled longest, of all hosts.
-func (b *Backend) evictLocked() bool {
-	var from *host
-	for _, h := range b.hosts {
-		if len(h.idle) > 0 && (from == nil || h.idle[0].idleSince < from.idle[0].idleSince) {
-			from = h
-		}
-	}
-	if from == nil {
-		return false
+		b.pools.NotOpened(server)
+		return nil, err
 	}
-	b.closeLocked(from.idle[0])
-	from.idle = append(from.idle[:0], from.idle[1:]...)
-	return true
+	b.last++
+	c.id = b.last
+	b.pools.Opened(b.cfg.Clock.Now(), server, c.id)
+	return c, nil
 }
 
 // put keeps a connection for the next attempt, if nothing is left of the last one on it; it closes it otherwise.
@@ -349,19 +341,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.hosts[server]
-	if !c.clean || h == nil || h.address != c.address || b.ctx.Err() != nil {
-		b.closeLocked(c)
-		return
+	clean := c.clean && h != nil && h.address == c.address && b.ctx.Err() == nil
+	keep := b.pools.Put(b.cfg.Clock.Now(), server, c.id, clean)
+	b.conns[c.id] = c
+	if !keep {
+		b.closeLocked([]int{c.id})
+	}
+	if h == nil {
+		b.pools.Forget(server)
 	}
-	c.idleSince = b.cfg.Clock.Now()
-	h.idle = append(h.idle, c)
 }
 
-func (b *Backend) closeLocked(c *conn) {
-	c.close()
-	b.conns--
-	b.cfg.Counters.HostsOpen.Add(-1)
-	b.cfg.Counters.HostsClosed.Add(1)
+// closeLocked closes connections that do not serve any more.
+func (b *Backend) closeLocked(ids []int) {
+	for _, id := range ids {
+		b.conns[id].close()
+		delete(b.conns, id)
+		b.cfg.Counters.HostsOpen.Add(-1)
+		b.cfg.Counters.HostsClosed.Add(1)
+	}
 }
 
 // dial opens a connection and starts a session on it. One that does not come up in time has never been there.
@@ -421,7 +419,10 @@
 
 // end tells the outcome, once. A connection with something out on it is closed first: what is sent next must not
 // meet it.
-func (t *attempt) end(o exchange.Outcome) {
+func (t *attempt) end(o exchange.Outcome) { t.finish(o, -1) }
+
+// finish is end with the time that the host took, if that is known apart; below 0: all since it was sent.
+func (t *attempt) finish(o exchange.Outcome, busy time.Duration) {
 	t.mu.Lock()
 	if t.ended {
 		t.mu.Unlock()
@@ -439,7 +440,10 @@
 	t.b.mu.Lock()
 	delete(t.b.attempts, key{t.ID, t.Number})
 	t.b.mu.Unlock()
-	o.ID, o.Attempt, o.Server, o.Took = t.ID, t.Number, t.Server, t.b.cfg.Clock.Now()-t.Sent
+	o.ID, o.Attempt, o.Server, o.Took = t.ID, t.Number, t.Server, busy
+	if busy < 0 {
+		o.Took = t.b.cfg.Clock.Now() - t.Sent
+	}
 	t.b.to.Outcome(o)
 }
 
@@ -451,8 +455,13 @@
 		return
 	}
 	now := t.b.cfg.Clock.Now()
-	command := t.Command.(Command)
-	query := command.AppendQuery(nil, t.Until-now)
+	talk, converses := t.Command.(Conversation)
+	var command Command
+	var query []byte
+	if !converses {
+		command = t.Command.(Command)
+		query = command.AppendQuery(nil, t.Until-now)
+	}
 	t.mu.Lock()
 	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until
 	if t.ended || late {
@@ -463,6 +472,10 @@
 	}
 	t.conn = c
 	t.mu.Unlock()
+	if converses {
+		t.converse(c, talk)
+		return
+	}
 	r := c.roundTrip(query, command.Tag(), t.Until)
 	t.mu.Lock()
 	t.conn = nil
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -63,8 +63,8 @@
 		}
 		stop()
 		_ = group.Wait()
-		if len(b.attempts) != 0 || b.conns != 0 {
-			t.Errorf("%s: %d attempts and %d connections are left", c.name, len(b.attempts), b.conns)
+		if len(b.attempts) != 0 || b.pools.Total() != 0 {
+			t.Errorf("%s: %d attempts and %d connections are left", c.name, len(b.attempts), b.pools.Total())
 		}
 	}
 }
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yokemast/balance"
+	"yokemast/internal/control/pooling"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
 	"yokemast/internal/wire/socket"
@@ -26,12 +27,15 @@
 // conn is one connection to a host, with one query on it at a time.
 type conn struct {
 	*net.TCPConn
+	id           int
 	address      string
 	clock        exchange.Clock
 	in           *bufio.Reader
 	idleSince    time.Duration
-	writeLimited bool // a deadline for writing was set: it has to be moved each time
-	clean        bool // nothing is out on it and nothing is left over
+	writeLimited bool          // a deadline for writing was set: it has to be moved each time
+	key          pg.Key        // that a cancel names
+	link         *pooling.Link // what it has been set up with; nil: nothing
+	clean        bool          // nothing is out on it and nothing is left over
 	closing      sync.Once
 }
 
@@ -66,6 +70,8 @@
 			return err
 		case kind == pg.ErrorResponse:
 			return pg.ReadError(body)
+		case kind == pg.BackendKeyData:
+			c.key, _ = pg.ReadKey(body)
 		case kind == pg.ReadyForQuery:
 			c.clean = c.in.Buffered() == 0
 			return c.SetWriteDeadline(time.Time{})
--- /dev/null
+++ b/internal/wire/backend/lease.go
@@ -0,0 +1,124 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"yokemast/balance"
+	"yokemast/internal/control/pooling"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/pg"
+)
+
+// Conversation is a command that goes to and fro with its host: a transaction, or a statement of any form.
+type Conversation interface {
+	// Converse speaks with a host until it is through or the connection fails, and says how that ended. It may be called
+	// once more, with another host, only if what it said allows that.
+	Converse(h *Host) Ending
+}
+
+// Ending is how a conversation ended.
+type Ending struct {
+	Result balance.Result
+	Clean  bool          // the connection can serve others: nothing is out on it, no transaction is open
+	Busy   time.Duration // that the host took, without what its client took
+}
+
+// Host is one host connection in a conversation.
+type Host struct {
+	c     *conn
+	b     *Backend
+	notes reply
+}
+
+// Link is what the connection has been set up with.
+func (h *Host) Link() *pooling.Link {
+	if h.c.link == nil {
+		h.c.link = pooling.NewLink(h.b.cfg.Prepared)
+	}
+	return h.c.link
+}
+
+// Write sends to the host.
+func (h *Host) Write(b []byte) error {
+	_, err := h.c.Write(b)
+	return err
+}
+
+// Head reads the head of the next message. What the host notes of itself is taken out of the stream.
+func (h *Host) Head() (kind byte, length int, err error) { return pg.Head(h.c.in) }
+
+// Body reads the body of a message whose head was read, up to most bytes.
+func (h *Host) Body(length, most int) ([]byte, error) { return pg.Body(h.c.in, length, most) }
+
+// Copy passes a body on without holding it whole.
+func (h *Host) Copy(to io.Writer, length int) error {
+	_, err := io.CopyN(to, h.c.in, int64(length))
+	return err
+}
+
+// Note takes a ParameterStatus of the host's; it says whether that was a note of the host's on itself, which is no client's.
+func (h *Host) Note(body []byte) bool {
+	name, _, err := pg.Parameter(body)
+	if err != nil {
+		return false
+	}
+	switch name {
+	case "node_role", "replay_position", "server_load":
+		h.notes.note(body, h.c.clock.Now())
+		return true
+	}
+	return false
+}
+
+// Position is the newest that the host told in this conversation; 0: none.
+func (h *Host) Position() time.Duration { return h.notes.position }
+
+// Limit bounds what is read from the host from now on.
+func (h *Host) Limit(within time.Duration) { _ = h.c.SetReadDeadline(time.Now().Add(within)) }
+
+// Quiet says that the host has sent nothing beyond what was read.
+func (h *Host) Quiet() bool { return h.c.in.Buffered() == 0 }
+
+// Cancel asks the host to cancel what runs on this connection, and waits until the host has taken the request: what runs there
+// next must not be hit by it.
+func (h *Host) Cancel(ctx context.Context, within time.Duration) error {
+	if h.c.key == (pg.Key{}) {
+		return errors.New("the host gave no key")
+	}
+	ctx, stop := context.WithTimeout(ctx, within)
+	defer stop()
+	var d net.Dialer
+	n, err := d.DialContext(ctx, "tcp", h.c.address)
+	if err != nil {
+		return err
+	}
+	defer n.Close()
+	_ = n.SetDeadline(time.Now().Add(within))
+	if _, err := n.Write(pg.AppendCancel(nil, h.c.key)); err != nil {
+		return err
+	}
+	_, err = n.Read(make([]byte, 1)) // the host closes once it has passed it on
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// converse carries out an attempt that is a conversation.
+func (t *attempt) converse(c *conn, talk Conversation) {
+	h := &Host{c: c, b: t.b}
+	c.clean = false
+	_ = c.SetReadDeadline(time.Now().Add(t.Until - c.clock.Now()))
+	end := talk.Converse(h)
+	t.mu.Lock()
+	t.conn = nil
+	c.clean = end.Clean && !t.ended && c.in.Buffered() == 0
+	t.mu.Unlock()
+	t.b.put(t.Server, c)
+	t.finish(exchange.Outcome{Outcome: balance.Outcome{Result: end.Result, Role: h.notes.role, Position: h.notes.position,
+		Report: h.notes.report}}, end.Busy)
+}
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -18,6 +18,7 @@
 
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/pg"
 )
 
 const (
@@ -53,11 +54,12 @@
 	Clock    exchange.Clock
 	Log      *zap.Logger
 	Counters *counters.Set
-	MaxConns int           // clients at a time
-	KeepIdle int           // of them that may stay for long with nothing open
-	Share    int           // connections that clients with requests can hold among them; 0: no such limit
-	MaxBytes int64         // of large statements held at a time
-	ComeBack time.Duration // when a client that found no room may try again; 0: no advice
+	MaxConns int                               // clients at a time
+	KeepIdle int                               // of them that may stay for long with nothing open
+	Share    int                               // connections that clients with requests can hold among them; 0: no such limit
+	Pool     func(user, database string) *Pool // of general sessions; nil, or nil of it: only the platform's statements are taken
+	MaxBytes int64                             // of large statements held at a time
+	ComeBack time.Duration                     // when a client that found no room may try again; 0: no advice
 }
 
 // Server serves clients.
@@ -69,7 +71,8 @@
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	leaving  int // of them, on their way out
+	leaving  int                 // of them, on their way out
+	keys     map[pg.Key]*session // of general sessions: what a cancel request names
 	draining bool
 	ending   chan struct{} // closed when no new clients are to be expected
 }
@@ -77,7 +80,7 @@
 // New makes a server.
 func New(cfg Config, x Exchange) *Server {
 	return &Server{cfg: cfg, x: x, ready: make(chan struct{}), ending: make(chan struct{}), bytes: &budget{left: cfg.MaxBytes},
-		sessions: map[*session]struct{}{}}
+		sessions: map[*session]struct{}{}, keys: map[pg.Key]*session{}}
 }
 
 // Ready lets the empty query be answered: the front takes the gateway in when it is.
@@ -269,6 +272,9 @@
 		s.leaving--
 	}
 	delete(s.sessions, c)
+	if c.general != nil {
+		delete(s.keys, c.general.key)
+	}
 	s.cfg.Counters.ClientsOpen.Add(-1)
 }
 
--- /dev/null
+++ b/internal/wire/frontend/general.go
@@ -0,0 +1,415 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"yokemast/internal/control/pooling"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/relay"
+)
+
+// Pool is how the sessions of a user or database are served that may ask general SQL.
+type Pool struct {
+	Name             string
+	Mode             pooling.Mode
+	Group            int
+	Read, Own, Write string        // classes: of reads, of reads after a write of the session's own, of all that may write
+	Transaction      time.Duration // that a transaction may take from its first statement
+	Idle             time.Duration // that one may be open with nothing asked
+	MaxBatch         int           // bytes of a pipeline before its end
+	Stats            *PoolStats
+}
+
+// PoolStats counts what sessions of a pool do.
+type PoolStats struct {
+	Sessions, Leased, Batches, Transactions atomic.Int64
+	Pins                                    [8]atomic.Int64 // by the bits of pooling.Pin
+	Lost, Cancels                           atomic.Int64
+}
+
+// sessionLease bounds how long a session that keeps its connection may do so.
+const sessionLease = 24 * time.Hour
+
+// general is what a session has that may ask general SQL. The reader gathers batches, the other goroutine has them run.
+type general struct {
+	c     *session
+	pool  *Pool
+	state *pooling.Session
+	key   pg.Key
+
+	batch *relay.Batch // being gathered
+	bytes int
+	held  int // of the budget
+
+	lease   *relay.Lease // that is kept between batches
+	request *exchange.Request
+	answers chan exchange.Answer
+	wrote   time.Duration // position of the session's last write
+	running atomic.Pointer[relay.Lease]
+	serial  int
+}
+
+func newGeneral(c *session, p *Pool, parameters pg.Parameters) *general {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	g := &general{c: c, pool: p, state: pooling.NewSession(parameters),
+		key: pg.Key{Process: binary.BigEndian.Uint32(b[:]), Secret: binary.BigEndian.Uint32(b[4:])}}
+	p.Stats.Sessions.Add(1)
+	return g
+}
+
+// register lets cancel requests find the session.
+func (s *Server) register(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys[c.general.key] = c
+}
+
+var errClient = errors.New("the client takes no answer")
+
+func (g *general) write(b []byte) error {
+	if !g.c.write(b) {
+		return errClient
+	}
+	return nil
+}
+
+// cancel cancels what the session of that key is running, if it is.
+func (s *Server) cancel(key pg.Key) {
+	s.mu.Lock()
+	c := s.keys[key]
+	s.mu.Unlock()
+	if c == nil {
+		return
+	}
+	if l := c.general.running.Load(); l != nil {
+		c.general.pool.Stats.Cancels.Add(1)
+		_ = l.Cancel(context.Background()) // it is bounded in time; that nothing was there to cancel is no fault
+	}
+}
+
+// next reads one message into the batch and queues the batch at its end.
+func (g *general) next(kind byte, length int, bad func(code, message string) *pg.Error) error {
+	c := g.c
+	refuse := func(e *pg.Error) error {
+		c.s.bytes.give(g.held)
+		g.batch, g.bytes, g.held = nil, 0, 0
+		c.skipping = kind != pg.Query
+		if kind == pg.Query || kind == pg.Function {
+			return c.skip(length, command{err: e}, command{sync: true})
+		}
+		return c.skip(length, command{err: e})
+	}
+	switch kind {
+	case pg.Terminate:
+		return io.EOF
+	case pg.Function:
+		return refuse(bad(pg.CodeNotSupported, "function calls are not supported"))
+	case pg.CopyData, pg.CopyDone, pg.CopyFail:
+		return c.skip(length) // as PostgreSQL does outside a copy
+	case pg.Password:
+		return c.skip(length, command{err: bad(pg.CodeProtocolViolation, "no password was asked for")}, command{sync: true})
+	case pg.Query, pg.Parse, pg.Bind, pg.Describe, pg.Execute, pg.Close, pg.Flush, pg.Sync:
+	default:
+		return pg.ErrFraming
+	}
+	if c.skipping {
+		if kind == pg.Sync {
+			c.skipping = false
+			return c.skip(length, command{sync: true})
+		}
+		return c.skip(length)
+	}
+	if length > pg.MaxMessage || g.bytes+length > g.pool.MaxBatch {
+		return refuse(bad("54000", "the message or the pipeline is too long"))
+	}
+	if length > largeBody {
+		if !c.s.bytes.take(length) {
+			return refuse(pg.Refusal("no memory for the statement", c.s.cfg.ComeBack))
+		}
+		g.held += length
+	}
+	body, err := pg.Body(c.in, length, length)
+	if err != nil {
+		return err
+	}
+	if g.batch == nil {
+		g.batch = &relay.Batch{}
+	}
+	g.batch.Messages = append(g.batch.Messages, relay.Message{Kind: kind, Body: body})
+	g.bytes += length + 5
+	if kind == pg.Query || kind == pg.Sync || kind == pg.Flush {
+		g.batch.Ends = kind != pg.Flush
+		cmd := command{batch: g.batch, held: g.held, arrived: c.s.cfg.Clock.Now()}
+		g.batch, g.bytes, g.held = nil, 0, 0
+		c.queue(cmd)
+	}
+	return nil
+}
+
+// commands says what a batch does, as far as can be seen.
+func (g *general) commands(b *relay.Batch) (out []pooling.Command, text string) {
+	for _, m := range b.Messages {
+		switch m.Kind {
+		case pg.Query:
+			text = string(bytes.TrimSuffix(m.Body, []byte{0}))
+			out = append(out, pooling.Scan(text)...)
+		case pg.Parse:
+			if p, err := pg.ReadParse(m.Body); err == nil {
+				text = p.Text
+				out = append(out, pooling.Scan(text)...)
+			}
+		case pg.Bind:
+			if _, name, _, err := pg.ReadBind(m.Body); err == nil {
+				if st := g.state.Prepared(name); st != nil {
+					text = st.Text
+					out = append(out, pooling.Scan(text)...)
+				}
+			}
+		}
+	}
+	return out, text
+}
+
+// comment reads names and values from the last comment of a text.
+func comment(text string) map[string]string {
+	out := map[string]string{}
+	start, end := strings.LastIndex(text, "/*"), strings.LastIndex(text, "*/")
+	if start < 0 || end < start {
+		return out
+	}
+	for field := range strings.SplitSeq(text[start+2:end], ",") {
+		if name, value, ok := strings.Cut(strings.TrimSpace(field), "="); ok {
+			out[name] = value
+		}
+	}
+	return out
+}
+
+var leases atomic.Int64
+
+// answer has a batch run and its answer written; false ends the session.
+func (g *general) answer(ctx context.Context, cmd command) bool {
+	c, b := g.c, cmd.batch
+	g.pool.Stats.Batches.Add(1)
+	var text string
+	b.Commands, text = g.commands(b)
+	for _, x := range b.Commands {
+		if x.Kind == pooling.Copy {
+			return g.say(b, &pg.Error{Code: pg.CodeNotSupported, Message: "COPY is not carried"})
+		}
+	}
+	last := b.Messages[len(b.Messages)-1].Kind
+	begins, readOnly := b.Begins()
+	switch {
+	case len(b.Messages) == 1 && last == pg.Sync && g.lease == nil:
+		return c.write(pg.AppendReady(nil))
+	case len(b.Messages) == 1 && last == pg.Query && len(b.Commands) == 1 && b.Commands[0].Kind == pooling.Empty && g.lease == nil:
+		select {
+		case <-c.s.ready:
+		case <-c.closed:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+		return c.write(pg.AppendReady(pg.Append(nil, pg.EmptyQueryResponse)))
+	case len(b.Messages) == 1 && last == pg.Query && len(b.Commands) == 1 && b.Commands[0].Kind == pooling.Deallocate &&
+		g.state.Prepared(b.Commands[0].Name) != nil:
+		// The host knows it by another name, if it does.
+		g.state.Close(b.Commands[0].Name)
+		return c.write(pg.AppendReadyAs(pg.Append(nil, pg.CommandComplete, []byte("DEALLOCATE\x00")), g.state.Status))
+	case begins && g.pool.Mode == pooling.ByStatement:
+		return g.say(b, &pg.Error{Code: pg.CodeNotSupported, Message: "this pool carries no transactions"})
+	}
+	if g.lease != nil {
+		g.lease.Next(b)
+		return g.wait(ctx, b, false)
+	}
+	said := comment(text)
+	write := b.Writes() || begins && !readOnly
+	class := g.pool.Read
+	switch {
+	case write:
+		class = g.pool.Write
+	case g.wrote != 0:
+		class = g.pool.Own
+	}
+	if said["c"] != "" && !write {
+		class = said["c"]
+	}
+	group := g.pool.Group
+	if n, err := strconv.Atoi(said["cluster"]); err == nil {
+		group = n
+	}
+	r := &exchange.Request{ID: fmt.Sprintf("general-%d", leases.Add(1)), User: c.user, Tenant: said["tenant"], Class: class, Session: c.user,
+		Group: group, Write: write, Arrived: max(cmd.arrived, c.free)}
+	if g.wrote > 0 {
+		r.After = g.wrote
+	} else if g.wrote < 0 {
+		r.After = c.s.cfg.Clock.Now() // it wrote, and the host did not say when
+	}
+	pins := false
+	for _, x := range b.Commands {
+		pins = pins || x.Pin != 0
+	}
+	if pins || begins || g.pool.Mode == pooling.BySession || !b.Ends {
+		r.Lease = g.pool.Transaction
+		if pins || g.pool.Mode == pooling.BySession {
+			r.Lease = sessionLease
+		}
+	}
+	if begins {
+		g.pool.Stats.Transactions.Add(1)
+	}
+	l := relay.New(g.state, g.pool.Mode, g.write, b)
+	l.Idle = g.pool.Idle
+	l.Pinned = func(p pooling.Pin) {
+		for i := range g.pool.Stats.Pins {
+			if p&(1<<i) != 0 {
+				g.pool.Stats.Pins[i].Add(1)
+			}
+		}
+	}
+	g.answers = make(chan exchange.Answer, 1)
+	r.Command, r.Answer = l, g.answers
+	g.request = r
+	g.hold(l)
+	c.s.x.Submit(r)
+	return g.wait(ctx, b, true)
+}
+
+// hold takes a lease, or lets it go: a session that holds one is at work.
+func (g *general) hold(l *relay.Lease) {
+	if (g.lease == nil) == (l == nil) {
+		g.lease = l
+		return
+	}
+	g.c.mu.Lock()
+	if l != nil {
+		g.c.open++
+		g.pool.Stats.Leased.Add(1)
+	} else {
+		g.c.open--
+		g.pool.Stats.Leased.Add(-1)
+	}
+	g.c.mu.Unlock()
+	g.lease = l
+}
+
+// wait waits for the end of a batch.
+func (g *general) wait(ctx context.Context, b *relay.Batch, first bool) bool {
+	c, l := g.c, g.lease
+	g.running.Store(l)
+	defer g.running.Store(nil)
+	select {
+	case d := <-l.Done():
+		return g.done(d)
+	case a := <-g.answers:
+		select {
+		case d := <-l.Done(): // both are there
+			return g.done(d)
+		default:
+		}
+		l.Mute()
+		l.Close()
+		g.hold(nil)
+		if !first {
+			g.state.Lost()
+			return g.fatal(relay.ErrorOf(fmt.Errorf("%s", reason(a))))
+		}
+		if a.Kind == exchange.Served { // its Done comes before
+			return false
+		}
+		return g.say(b, errorOf(a))
+	case <-c.closed:
+		c.s.x.Gone(g.request)
+		l.Mute()
+		l.Close()
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func reason(a exchange.Answer) string {
+	if a.Reason == "" {
+		return "its time is over"
+	}
+	return a.Reason
+}
+
+// done takes the end of a batch, or of a lease between two.
+func (g *general) done(d relay.Done) bool {
+	if d.Wrote != 0 {
+		g.wrote = d.Wrote
+	}
+	switch {
+	case d.Err != nil:
+		g.lease.Mute()
+		g.c.s.x.Gone(g.request)
+		g.hold(nil)
+		g.pool.Stats.Lost.Add(1)
+		g.state.Lost()
+		return g.fatal(relay.ErrorOf(d.Err))
+	case !d.Keep:
+		g.hold(nil)
+		g.c.free = g.c.s.cfg.Clock.Now()
+	}
+	return true
+}
+
+// fatal tells the client why its session ends.
+func (g *general) fatal(e *pg.Error) bool {
+	if g.c.write(pg.AppendError(nil, e)) {
+		g.c.linger()
+	}
+	return false
+}
+
+// say answers a batch with an error of the gateway's own.
+func (g *general) say(b *relay.Batch, e *pg.Error) bool {
+	out := pg.AppendError(nil, e)
+	if b.Ends {
+		out = pg.AppendReadyAs(out, g.state.Status)
+	}
+	return g.c.write(out)
+}
+
+// end ends the session's lease, if it holds one: an open transaction is rolled back.
+func (g *general) end() {
+	if g.lease != nil {
+		g.lease.Mute()
+		g.lease.Close()
+		g.hold(nil)
+	}
+	g.pool.Stats.Sessions.Add(-1)
+}
+
+// nextCommand gives the next command. A lease that ends while the client says nothing ends the session.
+func (c *session) nextCommand() (command, bool) {
+	if c.general == nil || c.general.lease == nil {
+		cmd, ok := <-c.commands
+		return cmd, ok
+	}
+	select {
+	case cmd, ok := <-c.commands:
+		return cmd, ok
+	case d := <-c.general.lease.Done():
+		return command{}, c.general.done(d)
+	case a := <-c.general.answers:
+		c.general.hold(nil)
+		c.general.fatal(relay.ErrorOf(fmt.Errorf("%s", reason(a))))
+		return command{}, false
+	}
+}
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -12,6 +12,7 @@
 
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/relay"
 	"yokemast/internal/wire/socket"
 )
 
@@ -31,6 +32,7 @@
 	conn     *net.TCPConn
 	in       *bufio.Reader
 	user     string
+	general  *general // nil: only the platform's statements are taken
 	accepted time.Duration
 	commands chan command
 	closed   chan struct{} // the client has left
@@ -43,11 +45,12 @@
 type command struct {
 	statement *pg.Statement // run it
 	arrived   time.Duration
-	held      int       // bytes of the budget that it holds
-	empty     bool      // the empty query
-	err       *pg.Error // an answer that is known already
-	sync      bool      // only ReadyForQuery
-	ready     bool      // ReadyForQuery follows the error at once
+	held      int          // bytes of the budget that it holds
+	empty     bool         // the empty query
+	err       *pg.Error    // an answer that is known already
+	sync      bool         // only ReadyForQuery
+	batch     *relay.Batch // of a general session
+	ready     bool         // ReadyForQuery follows the error at once
 }
 
 func (c *session) serve(ctx context.Context) {
@@ -61,18 +64,28 @@
 		defer close(c.commands)
 		c.read()
 	})
-	for cmd := range c.commands {
-		ok := c.answer(ctx, cmd)
+	for {
+		cmd, ok := c.nextCommand()
+		if !ok {
+			break
+		}
+		ok = c.answer(ctx, cmd)
 		c.s.bytes.give(cmd.held)
 		c.answered()
 		if !ok {
 			break
 		}
 	}
+	if c.general != nil {
+		c.general.end()
+	}
 	c.conn.Close()
 	for cmd := range c.commands { // lets the reader end
 		c.s.bytes.give(cmd.held)
 	}
+	if c.general != nil {
+		c.s.bytes.give(c.general.held)
+	}
 }
 
 // queue hands a command on to be answered.
@@ -161,7 +174,12 @@
 				c.linger()
 			}
 			return false
-		case err != nil || kind == pg.StartCancel:
+		case err == nil && kind == pg.StartCancel:
+			if key, ok := parameters.CancelKey(); ok {
+				c.s.cancel(key)
+			}
+			return false
+		case err != nil:
 			return false
 		case kind == pg.StartEncrypt:
 			if !c.write([]byte{'N'}) {
@@ -171,6 +189,13 @@
 			c.user = parameters["user"]
 			_ = c.conn.SetDeadline(time.Time{})
 			c.writeBy = time.Time{}
+			if c.s.cfg.Pool != nil {
+				if p := c.s.cfg.Pool(c.user, parameters["database"]); p != nil {
+					c.general = newGeneral(c, p, parameters)
+					c.s.register(c)
+					return c.write(pg.AppendWelcomeAs(nil, kind, pg.DefaultParameters(), c.general.key))
+				}
+			}
 			return c.write(pg.AppendWelcome(nil, kind))
 		}
 	}
@@ -250,6 +275,9 @@
 		c.s.cfg.Counters.BadMessages.Add(1)
 		return &pg.Error{Code: code, Message: message}
 	}
+	if c.general != nil {
+		return c.general.next(kind, length, bad)
+	}
 	switch kind {
 	case pg.Query:
 		return c.query(length, bad)
@@ -351,6 +379,8 @@
 			out = pg.AppendReady(out)
 		}
 		return c.write(out)
+	case cmd.batch != nil:
+		return c.general.answer(ctx, cmd)
 	case cmd.sync:
 		return c.write(pg.AppendReady(nil))
 	case cmd.empty:
@@ -381,17 +411,23 @@
 }
 
 func appendAnswer(out []byte, st *pg.Statement, a exchange.Answer) []byte {
-	switch a.Kind {
-	case exchange.Served:
+	if a.Kind == exchange.Served {
 		return pg.AppendRow(out, a.Value.(pg.Value), st.Tag())
+	}
+	return pg.AppendError(out, errorOf(a))
+}
+
+// errorOf is an answer that is none, as an error.
+func errorOf(a exchange.Answer) *pg.Error {
+	switch a.Kind {
 	case exchange.Refused:
-		return pg.AppendError(out, pg.Refusal(a.Reason, a.RetryAfter))
+		return pg.Refusal(a.Reason, a.RetryAfter)
 	case exchange.Undefined:
-		return pg.AppendError(out, &pg.Error{Code: pg.CodeUndefined, Message: a.Reason})
+		return &pg.Error{Code: pg.CodeUndefined, Message: a.Reason}
 	case exchange.Forbidden:
-		return pg.AppendError(out, &pg.Error{Code: pg.CodeForbidden, Message: a.Reason})
+		return &pg.Error{Code: pg.CodeForbidden, Message: a.Reason}
 	case exchange.Duplicate:
-		return pg.AppendError(out, &pg.Error{Code: pg.CodeDuplicate, Message: a.Reason})
+		return &pg.Error{Code: pg.CodeDuplicate, Message: a.Reason}
 	}
-	return pg.AppendError(out, &pg.Error{Code: pg.CodeFailed, Message: a.Reason})
+	return &pg.Error{Code: pg.CodeFailed, Message: a.Reason}
 }
--- a/internal/wire/pg/startup.go
+++ b/internal/wire/pg/startup.go
@@ -48,6 +48,9 @@
 	case code == codeSSL || code == codeGSS:
 		return StartEncrypt, nil, nil
 	case code == codeCancel:
+		if n == 8 {
+			return StartCancel, Parameters{"process": string(body[:4]), "secret": string(body[4:])}, nil
+		}
 		return StartCancel, nil, nil
 	case code>>16 != 3:
 		return 0, nil, &Error{Code: CodeNotSupported, Fatal: true,
@@ -60,6 +63,15 @@
 	return StartSession, parameters(body), nil
 }
 
+// CancelKey is the key that a cancel request names.
+func (p Parameters) CancelKey() (k Key, ok bool) {
+	process, secret := p["process"], p["secret"]
+	if len(process) != 4 || len(secret) != 4 {
+		return k, false
+	}
+	return Key{binary.BigEndian.Uint32([]byte(process)), binary.BigEndian.Uint32([]byte(secret))}, true
+}
+
 // parameters reads names and values in turn; of a name that comes twice the last counts, as with PostgreSQL.
 func parameters(body []byte) Parameters {
 	out := Parameters{}
@@ -82,9 +94,7 @@
 		out = Append(out, NegotiateVersion, []byte{0, 3, 0, 0, 0, 0, 0, 0})
 	}
 	out = Append(out, Authentication, []byte{0, 0, 0, 0})
-	for _, p := range [][2]string{{"server_version", serverVersion}, {"server_encoding", "UTF8"},
-		{"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"},
-		{"standard_conforming_strings", "on"}} {
+	for _, p := range DefaultParameters() {
 		out = Append(out, ParameterStatus, cstring(p[0]), cstring(p[1]))
 	}
 	out = Append(out, BackendKeyData, make([]byte, 8))
