--- a/cmd/yokemast/main.go
+++ b/cmd/yokemast/main.go
@@ -18,6 +18,7 @@
 	Serve   serveCmd   `cmd:"" help:"Run the gateway until SIGTERM. SIGHUP takes discovery and the operator's file anew, SIGUSR1 logs the counters."`
 	Check   checkCmd   `cmd:"" help:"Read a configuration and say whether a gateway could start from it."`
 	Cells   cellsCmd   `cmd:"" help:"Look at the cells of a running gateway, and move tenants."`
+	Pools   poolsCmd   `cmd:"" help:"Show how a running gateway's clients share host connections."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/internal/control/pooling/pool.go
+++ b/internal/control/pooling/pool.go
@@ -59,6 +59,7 @@
 	rng    *rand.Rand
 	hosts  map[string]*pool
 	total  int
+	peak   int
 }
 
 // NewPools makes pools; seed draws the spread of ages.
@@ -124,6 +125,7 @@
 	h.open++
 	h.opening++
 	p.total++
+	p.peak = max(p.peak, p.total)
 	return Open, evicted, dead
 }
 
@@ -289,5 +291,8 @@
 	return out
 }
 
+// Peak is how many were open or being opened at most.
+func (p *Pools) Peak() int { return p.peak }
+
 // Total is how many are open or being opened.
 func (p *Pools) Total() int { return p.total }
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"os"
@@ -91,15 +92,16 @@
 	group, ctx := errgroup.WithContext(ctx)
 	sockets := c.Sockets - spareSockets
 	clients := min(int(float64(sockets)*clientPart), c.MemoryMB*clientsPerMB)
-	limits, prepared := pooling.Limits{Rest: backend.DefaultRest}, 0
+	limits, prepared, wait := pooling.Limits{Rest: backend.DefaultRest}, 0, time.Duration(0)
+	var made []*frontend.Pool
 	var pool func(user, database string) *frontend.Pool
 	if own != nil {
-		limits, prepared = own.Pools.Limits, own.Pools.Prepared
-		if pool, err = pools(own.Pools.Pools, c.Settings.Balance.Classes); err != nil {
+		limits, prepared, wait = own.Pools.Limits, own.Pools.Prepared, own.Pools.Wait
+		if made, pool, err = pools(own.Pools.Pools, c.Settings.Balance.Classes); err != nil {
 			return fmt.Errorf("%s: %w", own.Path, err)
 		}
 	}
-	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts, Pools: limits, Prepared: prepared, Seed: c.Seed,
+	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts, Pools: limits, Prepared: prepared, Wait: wait, Seed: c.Seed,
 		ColdTime:       c.Settings.Balance.ColdTime,
 		ConnectTimeout: orElse(c.Settings.ConnectTimeout, defaultConnectTimeout),
 		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
@@ -125,7 +127,9 @@
 				return err
 			}
 			defer l.Close()
-			group.Go(func() error { return control.Serve(ctx, l, x, log) })
+			group.Go(func() error {
+				return control.Serve(ctx, l, x, func() control.PoolsReport { return report(made, hosts, counts) }, log)
+			})
 		}
 	}
 
@@ -194,9 +198,9 @@
 }
 
 // pools gives the pool of a user and a database: the first that takes both; nil: there is none.
-func pools(list []operator.Pool, classes []balance.Class) (func(user, database string) *frontend.Pool, error) {
+func pools(list []operator.Pool, classes []balance.Class) ([]*frontend.Pool, func(user, database string) *frontend.Pool, error) {
 	if len(list) == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
 	need := map[string]balance.Need{}
 	for _, c := range classes {
@@ -206,14 +210,14 @@
 	for i, p := range list {
 		for _, name := range []string{p.Read, p.Own, p.Write} {
 			if n, ok := need[name]; !ok || (n == balance.Write) != (name == p.Write) {
-				return nil, fmt.Errorf("pools.pool: %q: class %q is not one of the platform's that fits", p.Name, name)
+				return nil, nil, fmt.Errorf("pools.pool: %q: class %q is not one of the platform's that fits", p.Name, name)
 			}
 		}
 		made[i] = &frontend.Pool{Name: p.Name, Mode: p.Mode, Group: p.Group, Read: p.Read, Own: p.Own, Write: p.Write,
 			Transaction: p.Transaction, Idle: p.Idle, MaxBatch: p.MaxBatch, Stats: &frontend.PoolStats{}}
 	}
 	takes := func(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
-	return func(user, database string) *frontend.Pool {
+	return made, func(user, database string) *frontend.Pool {
 		for i, p := range list {
 			if takes(p.Users, user) && takes(p.Databases, database) {
 				return made[i]
@@ -223,6 +227,31 @@
 	}, nil
 }
 
+// report says how the pools stand.
+func report(made []*frontend.Pool, hosts *backend.Backend, counts *counters.Set) control.PoolsReport {
+	out := control.PoolsReport{Pools: []control.PoolReport{}, Hosts: []control.HostReport{}, Hits: counts.PreparedHits.Get(),
+		Misses: counts.PreparedMisses.Get(), NoneFree: counts.HostsFull.Get()}
+	for _, p := range made {
+		s := p.Stats
+		r := control.PoolReport{Pool: p.Name, Mode: p.Mode.String(), Sessions: s.Sessions.Load(), Holding: s.Leased.Load(),
+			Batches: s.Batches.Load(), Transactions: s.Transactions.Load(), Lost: s.Lost.Load(), Cancels: s.Cancels.Load(),
+			Pinned: map[string]int64{}}
+		for i, name := range pooling.PinNames() {
+			if n := s.Pins[i].Load(); n > 0 {
+				r.Pinned[name] = n
+			}
+		}
+		out.Pools = append(out.Pools, r)
+	}
+	stats, waiting, peak := hosts.Stats()
+	out.Waiting, out.Peak = waiting, peak
+	for _, server := range slices.Sorted(maps.Keys(stats)) {
+		s := stats[server]
+		out.Hosts = append(out.Hosts, control.HostReport{Host: server, Open: s.Open, Used: s.Used, Idle: s.Idle, Opening: s.Opening})
+	}
+	return out
+}
+
 // ends says how long after SIGTERM the last answer is due and when the process must have ended.
 func ends(classes []balance.Class) (answers, end time.Duration) {
 	var longest time.Duration
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -29,6 +29,7 @@
 type Pools struct {
 	Limits   pooling.Limits // those of descriptors and memory are filled in by the platform's configuration
 	Prepared int
+	Wait     time.Duration // for a connection
 	Pools    []Pool
 }
 
@@ -280,7 +281,7 @@
 
 func (f *File) pools(r reader) error {
 	n := f.root.one("pools")
-	f.Pools = Pools{Prepared: value[int](n, "prepared"), Limits: pooling.Limits{Total: value[int](n, "total"),
+	f.Pools = Pools{Prepared: value[int](n, "prepared"), Wait: value[time.Duration](n, "wait"), Limits: pooling.Limits{Total: value[int](n, "total"),
 		PerHost: value[int](n, "per-host"), Least: value[int](n, "least"), Opening: value[int](n, "opening"),
 		PerSec: value[float64](n, "per-second"), Rest: value[time.Duration](n, "rest"), Age: value[time.Duration](n, "age"),
 		Memory: value[time.Duration](n, "memory"), ColdPart: value[float64](n, "cold-part")}}
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -57,6 +57,7 @@
 				{Name: "prepared", Kind: Count, Unit: "statements", Default: strconv.Itoa(pooling.DefaultPrepared), Least: 1, Most: 100000, Doc: "Prepared statements that a connection keeps; the one used longest ago makes room."},
 				{Name: "total", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections to all hosts. 0: what the descriptors and the memory of the platform's configuration allow, which bound it in any case."},
 				{Name: "per-host", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections to one host. 0: as many as in total."},
+				{Name: "wait", Kind: Span, Default: "100ms", Most: hours(1), Doc: "How long a request waits for a connection to the host that was chosen, where all are in use; then another choice is made."},
 				{Name: "least", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections that a host can have even where others hold the total: an idle one of theirs is closed for it."},
 				{Name: "opening", Kind: Count, Unit: "connections", Default: "0", Most: 1 << 20, Doc: "Connections being opened to one host at a time. 0: any number."},
 				{Name: "per-second", Kind: Real, Unit: "connections/s", Default: "0", Most: 1e6, Doc: "Connections opened to one host in a second, with as many at once. 0: any number."},
--- a/internal/testbed/hosts/cluster.go
+++ b/internal/testbed/hosts/cluster.go
@@ -36,6 +36,8 @@
 	commits map[string][]commit
 	copies  []*Cluster
 	count   int
+	open    int // connections of general hosts
+	peak    int
 }
 
 type commit struct {
@@ -124,6 +126,13 @@
 	return nil
 }
 
+// Peak is how many connections general hosts had at most, all together.
+func (c *Cluster) Peak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peak
+}
+
 // Commits is how many writes were committed here; those copied do not count.
 func (c *Cluster) Commits() int {
 	c.mu.Lock()
--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -102,9 +102,15 @@
 		portals: map[string]portal{}, canceled: make(chan struct{})}
 	h.mu.Lock()
 	h.seats()[key] = s
-	h.Peak = max(h.Peak, len(h.seated))
 	h.mu.Unlock()
+	h.cluster.mu.Lock()
+	h.cluster.open++
+	h.cluster.peak = max(h.cluster.peak, h.cluster.open)
+	h.cluster.mu.Unlock()
 	defer func() {
+		h.cluster.mu.Lock()
+		h.cluster.open--
+		h.cluster.mu.Unlock()
 		h.mu.Lock()
 		delete(h.seated, key)
 		h.mu.Unlock()
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -36,7 +36,6 @@
 	// General hosts of a cluster serve SQL of their own on connections that carry settings, statements and transactions.
 	General     bool
 	AfterCommit func() bool   // is asked after each commit of a general host: true closes the connection without an answer
-	Peak        int           // connections that a general host had at most; read when nothing is running
 	Ledger      *rules.Ledger // is told what comes; nil: nobody is
 
 	// Of a host in a cluster: what it can do.
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -67,6 +68,7 @@
 	IdleTimeout    time.Duration  // a connection is closed after as much idling; below the hosts' own limit
 	Prepared       int            // statements that a connection keeps; 0: pooling.DefaultPrepared
 	Pools          pooling.Limits // MaxConns and IdleTimeout stand over what they say of total and idle
+	Wait           time.Duration  // that an attempt waits for a connection where all are in use; 0: it is not sent
 	Seed           uint64
 	MaxConns       int // open at a time, to all hosts together
 	User, Database string
@@ -87,6 +89,7 @@
 	pools    *pooling.Pools
 	conns    map[int]*conn // that idle
 	last     int           // number of a connection
+	waiting  []*waiter     // for a connection, in their order
 }
 
 type key struct {
@@ -94,6 +97,12 @@
 	number int
 }
 
+// waiter is one attempt that waits for a connection to a host.
+type waiter struct {
+	server string
+	free   chan struct{} // closed when it may look again
+}
+
 type host struct {
 	address string
 	cold    time.Duration // until then
@@ -328,6 +337,7 @@
 	defer b.mu.Unlock()
 	if err != nil {
 		b.pools.NotOpened(server)
+		b.wakeLocked(server)
 		return nil, err
 	}
 	b.last++
@@ -341,6 +351,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.hosts[server]
+	if c.link != nil {
+		b.cfg.Counters.PreparedHits.Add(int64(c.link.Hits))
+		b.cfg.Counters.PreparedMisses.Add(int64(c.link.Misses))
+		c.link.Hits, c.link.Misses = 0, 0
+	}
 	clean := c.clean && h != nil && h.address == c.address && b.ctx.Err() == nil
 	keep := b.pools.Put(b.cfg.Clock.Now(), server, c.id, clean)
 	b.conns[c.id] = c
@@ -350,6 +365,51 @@
 	if h == nil {
 		b.pools.Forget(server)
 	}
+	b.wakeLocked(server)
+}
+
+// Stats says how the pools of all hosts stand, how many wait for a connection, and how many there were at most.
+func (b *Backend) Stats() (hosts map[string]pooling.Stat, waiting, peak int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pools.Stats(), len(b.waiting), b.pools.Peak()
+}
+
+// await waits for a connection to come free, for so long at most; false: none did.
+func (b *Backend) await(server string, within time.Duration) bool {
+	if within <= 0 {
+		return false
+	}
+	w := &waiter{server, make(chan struct{})}
+	b.mu.Lock()
+	b.waiting = append(b.waiting, w)
+	b.mu.Unlock()
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case <-w.free:
+		return true
+	case <-timer.C:
+	case <-b.ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.waiting, w); i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+		return false
+	}
+	return true
+}
+
+// wakeLocked lets one that waits look again: the first for that host, else the first of all, for whom an idle connection of
+// another host can be closed.
+func (b *Backend) wakeLocked(server string) {
+	if len(b.waiting) == 0 {
+		return
+	}
+	i := max(0, slices.IndexFunc(b.waiting, func(w *waiter) bool { return w.server == server }))
+	close(b.waiting[i].free)
+	b.waiting = slices.Delete(b.waiting, i, i+1)
 }
 
 // closeLocked closes connections that do not serve any more.
@@ -450,6 +510,15 @@
 func (t *attempt) run() {
 	result := func(r balance.Result) { t.end(exchange.Outcome{Outcome: balance.Outcome{Result: r}}) }
 	c, err := t.b.take(t.opening, t.Server, t.Until)
+	for end := t.Sent + t.b.cfg.Wait; errors.Is(err, errNoRoom); c, err = t.b.take(t.opening, t.Server, t.Until) {
+		until := min(end, t.Until)
+		if t.StartBy > 0 {
+			until = min(until, t.StartBy)
+		}
+		if !t.b.await(t.Server, until-t.b.cfg.Clock.Now()) {
+			break
+		}
+	}
 	if err != nil {
 		result(connectResult(err))
 		return
--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -77,6 +77,14 @@
 // Position is the newest that the host told in this conversation; 0: none.
 func (h *Host) Position() time.Duration { return h.notes.position }
 
+// Behind says that the host has told, in this conversation, that it is a replica which lies before a position.
+func (h *Host) Behind(position time.Duration) bool {
+	return h.notes.role == balance.Replica && h.notes.position < position
+}
+
+// ForgetPosition drops what was told before: Position then tells only what comes after.
+func (h *Host) ForgetPosition() { h.notes.position = 0 }
+
 // Limit bounds what is read from the host from now on.
 func (h *Host) Limit(within time.Duration) { _ = h.c.SetReadDeadline(time.Now().Add(within)) }
 
--- a/internal/wire/control/client.go
+++ b/internal/wire/control/client.go
@@ -30,6 +30,11 @@
 	return out, c.call(ctx, http.MethodGet, "cells", nil, &out)
 }
 
+// Pools gives the state of the pools.
+func (c *Client) Pools(ctx context.Context) (out PoolsReport, err error) {
+	return out, c.call(ctx, http.MethodGet, "pools", nil, &out)
+}
+
 // Plan says what would change.
 func (c *Client) Plan(ctx context.Context, q PlanRequest) (out cells.Forecast, err error) {
 	return out, c.call(ctx, http.MethodPost, "cells/plan", q, &out)
--- a/internal/wire/control/server.go
+++ b/internal/wire/control/server.go
@@ -55,6 +55,39 @@
 	Confirm   bool   `json:"confirm,omitempty"`
 }
 
+// PoolsReport is how connections to hosts are shared.
+type PoolsReport struct {
+	Pools    []PoolReport `json:"pools"`
+	Hosts    []HostReport `json:"hosts"`
+	Waiting  int          `json:"waiting"` // for a connection
+	Peak     int          `json:"peak"`    // connections to hosts that there were at most
+	Hits     int64        `json:"prepared_hits"`
+	Misses   int64        `json:"prepared_misses"`
+	NoneFree int64        `json:"none_free"` // times that no connection was to be had
+}
+
+// PoolReport is one pool of clients.
+type PoolReport struct {
+	Pool         string           `json:"pool"`
+	Mode         string           `json:"mode"`
+	Sessions     int64            `json:"sessions"`
+	Holding      int64            `json:"holding"` // sessions that hold a host connection
+	Batches      int64            `json:"batches"`
+	Transactions int64            `json:"transactions"`
+	Lost         int64            `json:"lost"` // sessions ended with their host connection, or for their silence
+	Cancels      int64            `json:"cancels"`
+	Pinned       map[string]int64 `json:"pinned"` // how often, by reason
+}
+
+// HostReport is one host's connections.
+type HostReport struct {
+	Host    string `json:"host"`
+	Open    int    `json:"open"`
+	Used    int    `json:"used"`
+	Idle    int    `json:"idle"`
+	Opening int    `json:"opening"`
+}
+
 type failure struct {
 	Error string `json:"error"`
 }
@@ -98,8 +131,8 @@
 }
 
 // Serve answers until the context ends.
-func Serve(ctx context.Context, l net.Listener, x Exchange, log *zap.Logger) error {
-	s := &http.Server{Handler: handler(x), ReadTimeout: requestWithin, WriteTimeout: requestWithin,
+func Serve(ctx context.Context, l net.Listener, x Exchange, pools func() PoolsReport, log *zap.Logger) error {
+	s := &http.Server{Handler: handler(x, pools), ReadTimeout: requestWithin, WriteTimeout: requestWithin,
 		MaxHeaderBytes: 8 << 10, ErrorLog: zap.NewStdLog(log)}
 	s.SetKeepAlivesEnabled(false)
 	stop := context.AfterFunc(ctx, func() { s.Close() })
@@ -110,8 +143,9 @@
 	return nil
 }
 
-func handler(x Exchange) http.Handler {
+func handler(x Exchange, pools func() PoolsReport) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/pools", func(w http.ResponseWriter, _ *http.Request) { answer(w, pools(), nil) })
 	mux.HandleFunc("GET /v1/cells", func(w http.ResponseWriter, r *http.Request) {
 		var out cells.Report
 		answer(w, &out, x.Cells(r.Context(), func(_ time.Duration, s *cells.State) ([]cells.Action, error) {
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -131,7 +131,7 @@
 		}
 		return c.skip(length)
 	}
-	if length > pg.MaxMessage || g.bytes+length > g.pool.MaxBatch {
+	if g.bytes+length > g.pool.MaxBatch {
 		return refuse(bad("54000", "the message or the pipeline is too long"))
 	}
 	if length > largeBody {
@@ -274,6 +274,9 @@
 	}
 	l := relay.New(g.state, g.pool.Mode, g.write, b)
 	l.Idle = g.pool.Idle
+	if !write && r.Lease == 0 && g.wrote > 0 {
+		l.MustSee = g.wrote
+	}
 	l.Pinned = func(p pooling.Pin) {
 		for i := range g.pool.Stats.Pins {
 			if p&(1<<i) != 0 {
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	hidden    bool               // the client did not ask for it
 	carry     bool               // it brings the connection to the session's settings
 	statement *pooling.Statement // of a Parse or Bind, as the host has it
+	of        byte               // S: of a Describe of a statement
 	name      string             // the client's for it
 	commands  []pooling.Command  // that complete in turn
 }
@@ -120,7 +122,7 @@
 			}
 			x.portals[portal] = st
 			x.query = pg.AppendBind(x.query, portal, host, rest)
-			add(expect{kind: pg.Bind, statement: st})
+			add(expect{kind: pg.Bind, statement: st, name: name})
 		case pg.Describe:
 			kind, name, err := pg.ReadTarget(m.Body)
 			if err != nil {
@@ -132,7 +134,7 @@
 					host = here(st)
 				}
 				x.query = pg.AppendTarget(x.query, pg.Describe, 'S', host)
-				add(expect{kind: pg.Describe, name: "S"})
+				add(expect{kind: pg.Describe, of: 'S', name: name})
 				continue
 			}
 			x.query = pg.Append(x.query, pg.Describe, m.Body)
@@ -206,9 +208,15 @@
 			}
 		}
 	}
+	if see := x.l.MustSee; see > 0 && !x.relayed && x.h.Behind(see) {
+		return errStale
+	}
 	return x.flush()
 }
 
+// errStale says that a host which was taken for the primary is none any more, and lies behind what the session must see.
+var errStale = errors.New("the host lies behind what the session has written")
+
 func (x *exchangeOf) pop() { x.expects = x.expects[1:] }
 
 // receive takes one message from the host.
@@ -270,7 +278,7 @@
 	case pg.Describe:
 		switch kind {
 		case pg.ParameterDescription:
-			ok = e.name == "S"
+			ok = e.of == 'S'
 			relay()
 		case pg.RowDescription, pg.NoData:
 			ok = true
@@ -342,14 +350,16 @@
 		x.l.Pinned(fresh)
 	}
 	if c.Kind == pooling.Write || c.Kind == pooling.Commit && tag != "ROLLBACK" {
-		x.wrote = x.h.Position()
-		if x.wrote == 0 {
-			x.wrote = -1 // it wrote, when is not known
-		}
+		// When is told with the end of the batch, if at all: what the host told before lies before the commit.
+		x.wrote = -1
+		x.h.ForgetPosition()
 	}
 }
 
 func (x *exchangeOf) ready(body []byte) {
+	if p := x.h.Position(); x.wrote < 0 && p > 0 {
+		x.wrote = p
+	}
 	x.s.Ready(body[0])
 	x.h.Link().Follow(x.s)
 }
@@ -367,6 +377,9 @@
 		return fmt.Errorf("%w: %s", errCarry, bad.Message)
 	}
 	x.s.Failed()
+	if bad.Code == "26000" {
+		body = bytes.ReplaceAll(body, []byte(unknown), []byte(e.name)) // as its client calls it
+	}
 	x.out = pg.Append(x.out, pg.ErrorResponse, body)
 	if e.kind == pg.Bind && e.statement != nil && strings.HasPrefix(bad.Message, "cached plan must not change") {
 		x.h.Link().Forget(e.statement) // prepared anew, it gives what there is now; its client is told by the error
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -78,6 +78,7 @@
 	Session *pooling.Session
 	Mode    pooling.Mode
 	Write   func([]byte) error // to the client
+	MustSee time.Duration      // position that a read must see; 0: none
 	Idle    time.Duration      // that a transaction may be open with nothing asked
 	Pinned  func(pooling.Pin)  // is told of new reasons to pin
 
@@ -187,6 +188,8 @@
 				end.Result = balance.Garbled
 			case errors.Is(err, errCarry):
 				end.Result = balance.Failed
+			case errors.Is(err, errStale):
+				end.Result, end.Clean = balance.Miss, h.Quiet()
 			}
 			return end
 		case err != nil:
