--- a/cmd/yokemast/bench_test.go
+++ b/cmd/yokemast/bench_test.go
@@ -87,6 +87,43 @@
 	return h
 }
 
+// BenchmarkPooled measures what a statement of a pooled session costs the real program on one core, when nothing has to be
+// carried and when another session's settings have to be replaced each time.
+func BenchmarkPooled(b *testing.B) {
+	for _, set := range []bool{false, true} {
+		b.Run(fmt.Sprintf("other settings each time=%v", set), func(b *testing.B) {
+			p := startPooled(b, 1, fmt.Sprintf(onePool, 8), nil, nil)
+			var all []*clients.Client
+			for i := range 16 {
+				c, err := clients.Start(p.address, "app", time.Minute)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if set {
+					c.Ask(fmt.Sprintf("SET a.x = '%d'; SET a.y = '%d'", i, i))
+				}
+				all = append(all, c)
+			}
+			before := cpuOf(b, p.cmd.Process.Pid)
+			b.ResetTimer()
+			var work sync.WaitGroup
+			for _, c := range all {
+				work.Go(func() {
+					for range b.N/len(all) + 1 {
+						if got := c.Ask("SELECT 'x'"); got != "row x" {
+							b.Error(got)
+							return
+						}
+					}
+				})
+			}
+			work.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+			b.ReportMetric(float64((cpuOf(b, p.cmd.Process.Pid)-before).Microseconds())/float64(b.N), "us-cpu/statement")
+		})
+	}
+}
+
 // BenchmarkGateway measures what a request costs the real program on one core, against the same clients on a direct
 // connection to the host.
 func BenchmarkGateway(b *testing.B) {
--- a/cmd/yokemast/proof_pooling_test.go
+++ b/cmd/yokemast/proof_pooling_test.go
@@ -463,6 +463,107 @@
 	}
 }
 
+func TestLongValuesAreStreamed(t *testing.T) {
+	small := func(c string) string { return strings.Replace(c, `"memory_mb":192`, `"memory_mb":32`, 1) }
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 4), small, nil)
+	k, ctx := p.must(t), t.Context()
+	long := strings.Repeat("0123456789abcdef", 1<<16) // 1 MiB, more than a pipeline may hold
+	for range 3 {
+		if got, err := one(ctx, k, "SELECT $1", long); got != long || err != nil {
+			t.Fatalf("%d bytes come back, %v", len(got), err)
+		}
+		// In the middle of a pipeline, and behind an error.
+		b := &pgx.Batch{}
+		b.Queue("SELECT 'before'")
+		b.Queue("INSERT INTO kv (name, content) VALUES ($1, $2)", "k", long)
+		b.Queue("SELECT 'after'")
+		if err := k.SendBatch(ctx, b).Close(); err != nil {
+			t.Fatal(err)
+		}
+		b = &pgx.Batch{}
+		b.Queue("FAIL")
+		b.Queue("SELECT $1", long)
+		var bad *pgconn.PgError
+		if err := k.SendBatch(ctx, b).Close(); !errors.As(err, &bad) || bad.Code != "22012" {
+			t.Fatalf("behind an error: %v", err)
+		}
+		if got, err := one(ctx, k, "SELECT $1", "short"); got != "short" || err != nil {
+			t.Fatalf("after it: %.20q, %v", got, err)
+		}
+	}
+	if n := p.c.IDs()[long]; n != 3 {
+		t.Errorf("the long value is committed %d times", n)
+	}
+}
+
+func TestFlushGivesWhatThereIs(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+	c, err := clients.Start(p.address, "app", patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := func(n int) (out string) {
+		for range n {
+			kind, _, err := pg.Read(c.In, 1<<20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out += string(kind)
+		}
+		return out
+	}
+	ask := func(sql string, end byte) {
+		out := pg.AppendParse(nil, pg.ParseMessage{Text: sql})
+		out = pg.AppendBind(out, "", "", []byte{0, 0, 0, 0, 0, 0})
+		out = pg.Append(out, pg.Execute, []byte("\x00\x00\x00\x00\x00"))
+		_, _ = c.Write(pg.Append(out, end))
+	}
+	ask("SELECT 'x'", pg.Flush)
+	if got := kinds(4); got != "12DC" {
+		t.Errorf("a Flush brings %q", got)
+	}
+	ask("FAIL", pg.Flush)
+	if got := kinds(3); got != "12E" {
+		t.Errorf("a failure brings %q", got)
+	}
+	ask("SELECT 'skipped'", pg.Flush)
+	ask("SELECT 'skipped'", pg.Sync)
+	if got := kinds(1); got != "Z" {
+		t.Errorf("what follows it brings %q", got)
+	}
+	ask("SELECT 'y'", pg.Sync)
+	if got := kinds(5); got != "12DCZ" {
+		t.Errorf("after the Sync: %q", got)
+	}
+}
+
+func TestPoolsBoundAndTenants(t *testing.T) {
+	p := startPooled(t, 1, `(cells (cell "c") (tenant "apollo") (tenant "medi") (user "app" (tenants "apollo")) (user "other" (tenants "medi")))
+		(pools (rest 0s) (pool "apollo" (tenant "apollo") (read view) (own own) (write order) (most 1)))`, nil, nil)
+	a, b := p.must(t), p.must(t)
+	tx, err := a.Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var bad *pgconn.PgError
+	if _, err := one(t.Context(), b, "SELECT 'x'"); !errors.As(err, &bad) || bad.Code != pg.CodeTooMany || bad.Detail == "" {
+		t.Errorf("beyond the pool's bound: %v", err)
+	}
+	if err := tx.Rollback(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if got, err := one(t.Context(), b, "SELECT 'x'"); got != "x" || err != nil {
+		t.Errorf("after it: %q, %v", got, err)
+	}
+	c, err := clients.Start(p.address, "other", patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := c.Ask("SELECT 'x'"); got != "42601" {
+		t.Errorf("another tenant's user gets %q", got)
+	}
+}
+
 func TestRefusedByName(t *testing.T) {
 	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
 	c, err := clients.Start(p.address, "app", patience)
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -97,7 +97,7 @@
 	var pool func(user, database string) *frontend.Pool
 	if own != nil {
 		limits, prepared, wait = own.Pools.Limits, own.Pools.Prepared, own.Pools.Wait
-		if made, pool, err = pools(own.Pools.Pools, c.Settings.Balance.Classes); err != nil {
+		if made, pool, err = pools(own, c.Settings.Balance.Classes); err != nil {
 			return fmt.Errorf("%s: %w", own.Path, err)
 		}
 	}
@@ -198,10 +198,17 @@
 }
 
 // pools gives the pool of a user and a database: the first that takes both; nil: there is none.
-func pools(list []operator.Pool, classes []balance.Class) ([]*frontend.Pool, func(user, database string) *frontend.Pool, error) {
+func pools(own *operator.File, classes []balance.Class) ([]*frontend.Pool, func(user, database string) *frontend.Pool, error) {
+	list := own.Pools.Pools
 	if len(list) == 0 {
 		return nil, nil, nil
 	}
+	tenant := func(user string) string {
+		if own.Cells == nil || len(own.Cells.Users[user]) == 0 {
+			return ""
+		}
+		return own.Cells.Users[user][0]
+	}
 	need := map[string]balance.Need{}
 	for _, c := range classes {
 		need[c.Name] = c.Need
@@ -214,12 +221,12 @@
 			}
 		}
 		made[i] = &frontend.Pool{Name: p.Name, Mode: p.Mode, Group: p.Group, Read: p.Read, Own: p.Own, Write: p.Write,
-			Transaction: p.Transaction, Idle: p.Idle, MaxBatch: p.MaxBatch, Stats: &frontend.PoolStats{}}
+			Transaction: p.Transaction, Idle: p.Idle, MaxBatch: p.MaxBatch, MaxMessage: p.MaxMessage, Most: p.Most, Stats: &frontend.PoolStats{}}
 	}
 	takes := func(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
 	return made, func(user, database string) *frontend.Pool {
 		for i, p := range list {
-			if takes(p.Users, user) && takes(p.Databases, database) {
+			if takes(p.Users, user) && takes(p.Databases, database) && takes(p.Tenants, tenant(user)) {
 				return made[i]
 			}
 		}
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -37,6 +37,7 @@
 	Arrived            time.Duration
 	Wait               time.Duration // the client's, from when it sent; 0: the class's deadline
 	After              time.Duration // position that the read must see; 0: none
+	Over               time.Duration // above 0: more than its front lets it have; refused, to come back after as long
 	Lease              time.Duration // it keeps its host until its client is through, for so long at most; 0: it does not
 	Command            any           // for the host side: what to run
 	Answer             chan<- Answer // takes the one answer; must have room for it
@@ -347,7 +348,9 @@
 	}
 	q := balance.Request{ID: r.ID, Class: r.Class, Session: r.Session, Group: v.Group, Cell: v.Cell, Since: v.Since,
 		Deadline: o.deadline, Retry: r.Retry, Lease: r.Lease > 0, Patience: o.patience}
-	if v.Kind == cells.Over {
+	if q.Over = r.Over; q.Over > 0 {
+		x.cfg.Counters.Over.Add(1)
+	} else if v.Kind == cells.Over {
 		x.cfg.Counters.Over.Add(1)
 		q.Over = max(v.After, 1)
 	}
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -37,11 +37,13 @@
 type Pool struct {
 	Name              string
 	Users, Databases  []string // empty: any
+	Tenants           []string
 	Mode              pooling.Mode
 	Group             int
 	Read, Own, Write  string
 	Transaction, Idle time.Duration
 	MaxBatch          int
+	MaxMessage, Most  int
 }
 
 // Control is the control socket.
@@ -288,7 +290,8 @@
 	for _, p := range n.all("pool") {
 		x := Pool{Name: p.title, Users: texts(p, "user"), Databases: texts(p, "database"), Group: value[int](p, "group"),
 			Read: value[string](p, "read"), Own: value[string](p, "own"), Write: value[string](p, "write"),
-			Transaction: value[time.Duration](p, "transaction"), Idle: value[time.Duration](p, "idle"), MaxBatch: value[int](p, "batch")}
+			Transaction: value[time.Duration](p, "transaction"), Idle: value[time.Duration](p, "idle"), MaxBatch: value[int](p, "batch"),
+			Tenants: texts(p, "tenant"), MaxMessage: value[int](p, "message"), Most: value[int](p, "most")}
 		x.Own = cmp.Or(x.Own, x.Read)
 		var ok bool
 		if x.Mode, ok = pooling.ParseMode(value[string](p, "mode")); !ok {
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -68,6 +68,7 @@
 					Entries: []Entry{
 						{Name: "user", Kind: Texts, Doc: "Users of the pool. Absent: any."},
 						{Name: "database", Kind: Texts, Doc: "Databases of the pool. Absent: any."},
+						{Name: "tenant", Kind: Texts, Doc: "Tenants of the pool: users whose first tenant by (cells (user ...)) is one of them. Absent: any."},
 						{Name: "mode", Kind: Text, Default: pooling.ByTransaction.String(), Doc: "For how long a client keeps a host connection: `statement`, `transaction` or `session`."},
 						{Name: "group", Kind: Count, Default: "1", Most: 1 << 30, Doc: "The group of hosts, where the statement's comment names none as `cluster=N`."},
 						{Name: "read", Kind: Text, Doc: "The class of statements that only read. A comment's `c=CLASS` goes before it."},
@@ -75,7 +76,9 @@
 						{Name: "write", Kind: Text, Doc: "The class of all that may write, and of transactions that are not READ ONLY."},
 						{Name: "transaction", Kind: Span, Default: "30s", Most: hours(24), Doc: "How long a transaction may take; then it is ended and its client told."},
 						{Name: "idle", Kind: Span, Default: "10s", Most: hours(24), Doc: "How long a transaction may be open with nothing asked; then it is rolled back and its client told (25P03)."},
-						{Name: "batch", Kind: Count, Unit: "bytes", Default: "1048576", Least: 1024, Most: 1 << 28, Doc: "The longest pipeline that is taken before its end."},
+						{Name: "batch", Kind: Count, Unit: "bytes", Default: "1048576", Least: 1024, Most: 1 << 28, Doc: "How much of a pipeline is held before its end."},
+						{Name: "message", Kind: Count, Unit: "bytes", Default: "67108864", Least: 1024, Most: 1 << 30, Doc: "The longest Bind; above 64 KiB it is passed on in pieces as it comes."},
+						{Name: "most", Kind: Count, Unit: "sessions", Default: "0", Most: 1 << 20, Doc: "Sessions of the pool that hold a host connection at a time; others are refused with a time to come back. 0: any number."},
 					}},
 			}},
 		{Name: "cells", Kind: Section, Doc: "Cells for containment. Absent: all requests of a group share its hosts.",
--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -121,7 +121,7 @@
 	var out []byte
 	skipping := false
 	for {
-		kind, body, err := pg.Read(in, 1<<20)
+		kind, body, err := pg.Read(in, 8<<20)
 		if err != nil {
 			return
 		}
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -27,7 +27,9 @@
 	Read, Own, Write string        // classes: of reads, of reads after a write of the session's own, of all that may write
 	Transaction      time.Duration // that a transaction may take from its first statement
 	Idle             time.Duration // that one may be open with nothing asked
-	MaxBatch         int           // bytes of a pipeline before its end
+	MaxBatch         int           // bytes of a pipeline that are held before its end
+	MaxMessage       int           // bytes of a Bind, which is passed on in pieces
+	Most             int           // sessions that hold a host connection at a time; 0: any number
 	Stats            *PoolStats
 }
 
@@ -38,6 +40,9 @@
 	Lost, Cancels                           atomic.Int64
 }
 
+// overPool is when a client may come again whose pool holds as many host connections as it may.
+const overPool = 50 * time.Millisecond
+
 // sessionLease bounds how long a session that keeps its connection may do so.
 const sessionLease = 24 * time.Hour
 
@@ -55,6 +60,7 @@
 	lease   *relay.Lease // that is kept between batches
 	request *exchange.Request
 	answers chan exchange.Answer
+	skip    bool          // up to the next Sync
 	wrote   time.Duration // position of the session's last write
 	running atomic.Pointer[relay.Lease]
 	serial  int
@@ -131,6 +137,9 @@
 		}
 		return c.skip(length)
 	}
+	if kind == pg.Bind && length > streamFrom && length <= g.pool.MaxMessage {
+		return g.stream(length, bad)
+	}
 	if g.bytes+length > g.pool.MaxBatch {
 		return refuse(bad("54000", "the message or the pipeline is too long"))
 	}
@@ -158,6 +167,58 @@
 	return nil
 }
 
+// streamFrom is the length of a Bind from which on it is passed on in pieces, and piece the size of these.
+const (
+	streamFrom = 64 << 10
+	piece      = 32 << 10
+)
+
+// stream hands a long Bind over as it comes: the batch so far goes ahead with it.
+func (g *general) stream(length int, bad func(code, message string) *pg.Error) error {
+	c := g.c
+	head, err := c.in.Peek(min(length, c.in.Size()))
+	if err != nil {
+		return err
+	}
+	names := bytes.IndexByte(head, 0) + 1
+	if n := bytes.IndexByte(head[names:], 0) + 1; names > 0 && n > 0 {
+		names += n
+	} else {
+		c.skipping = true
+		return c.skip(length, command{err: bad(pg.CodeProtocolViolation, "the names in a Bind are too long")})
+	}
+	if !c.s.bytes.take(2 * piece) {
+		c.skipping = true
+		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.cfg.ComeBack)})
+	}
+	defer c.s.bytes.give(2 * piece)
+	rest := relay.NewStream(length - names)
+	m := relay.Message{Kind: pg.Bind, Body: bytes.Clone(head[:names]), Rest: rest}
+	_, _ = c.in.Discard(names)
+	if g.batch == nil {
+		g.batch = &relay.Batch{}
+	}
+	g.batch.Messages, g.batch.Part = append(g.batch.Messages, m), true
+	cmd := command{batch: g.batch, held: g.held, arrived: c.s.cfg.Clock.Now()}
+	g.batch, g.bytes, g.held = nil, 0, 0
+	c.queue(cmd)
+	defer rest.End()
+	wanted, buffers := true, [2][]byte{make([]byte, piece), make([]byte, piece)}
+	for left, i := length-names, 0; left > 0; i = 1 - i {
+		c.readBy(messageWithin) // each piece in time: the whole may take longer
+		b := buffers[i][:min(left, piece)]
+		if _, err := io.ReadFull(c.in, b); err != nil {
+			return err
+		}
+		left -= len(b)
+		wanted = wanted && rest.Put(b)
+	}
+	c.mu.Lock()
+	c.timed = true // between clears the deadline
+	c.mu.Unlock()
+	return nil
+}
+
 // commands says what a batch does, as far as can be seen.
 func (g *general) commands(b *relay.Batch) (out []pooling.Command, text string) {
 	for _, m := range b.Messages {
@@ -171,7 +232,11 @@
 				out = append(out, pooling.Scan(text)...)
 			}
 		case pg.Bind:
-			if _, name, _, err := pg.ReadBind(m.Body); err == nil {
+			body := m.Body
+			if m.Rest != nil {
+				body = append(bytes.Clone(body), make([]byte, 6)...) // only its names are here
+			}
+			if _, name, _, err := pg.ReadBind(body); err == nil {
 				if st := g.state.Prepared(name); st != nil {
 					text = st.Text
 					out = append(out, pooling.Scan(text)...)
@@ -203,6 +268,15 @@
 func (g *general) answer(ctx context.Context, cmd command) bool {
 	c, b := g.c, cmd.batch
 	g.pool.Stats.Batches.Add(1)
+	if g.skip {
+		// What follows an error is skipped up to the Sync, as a host would.
+		b.Discard()
+		if g.skip = b.Messages[len(b.Messages)-1].Kind != pg.Sync; g.skip {
+			return true
+		}
+		return c.write(pg.AppendReadyAs(nil, g.state.Status))
+	}
+	defer b.Discard()
 	var text string
 	b.Commands, text = g.commands(b)
 	for _, x := range b.Commands {
@@ -269,6 +343,9 @@
 			r.Lease = sessionLease
 		}
 	}
+	if m := int64(g.pool.Most); m > 0 && g.pool.Stats.Leased.Load() >= m {
+		r.Over = overPool
+	}
 	if begins {
 		g.pool.Stats.Transactions.Add(1)
 	}
@@ -383,7 +460,7 @@
 // say answers a batch with an error of the gateway's own.
 func (g *general) say(b *relay.Batch, e *pg.Error) bool {
 	out := pg.AppendError(nil, e)
-	if b.Ends {
+	if g.skip = !b.Ends; b.Ends {
 		out = pg.AppendReadyAs(out, g.state.Status)
 	}
 	return g.c.write(out)
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -381,6 +381,8 @@
 		return c.write(out)
 	case cmd.batch != nil:
 		return c.general.answer(ctx, cmd)
+	case cmd.sync && c.general != nil:
+		return c.write(pg.AppendReadyAs(nil, c.general.state.Status))
 	case cmd.sync:
 		return c.write(pg.AppendReady(nil))
 	case cmd.empty:
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -126,6 +126,19 @@
 	return out
 }
 
+// AppendLong appends a message's head and the beginning of its body, of which rest more bytes follow.
+func AppendLong(out []byte, kind byte, rest int, parts ...[]byte) []byte {
+	n := 4 + rest
+	for _, p := range parts {
+		n += len(p)
+	}
+	out = binary.BigEndian.AppendUint32(append(out, kind), uint32(n))
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
+
 func cstring(s string) []byte { return append([]byte(s), 0) }
 
 // AppendQuery appends a simple query of a statement that has no comment to fill in.
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -73,20 +73,10 @@
 		x.expects = append(x.expects, expect{kind: pg.Query, hidden: true, carry: true})
 	}
 	x.portals = map[string]*pooling.Statement{}
-	add := func(e expect) { x.expects = append(x.expects, e) }
-	// here prepares a statement on this connection where it is not, and gives its name.
-	here := func(st *pooling.Statement) string {
-		name, parse := link.Use(st)
-		for _, gone := range link.Evicted() {
-			x.query = pg.AppendTarget(x.query, pg.Close, 'S', gone)
-			add(expect{kind: pg.Close, hidden: true})
-		}
-		if parse {
-			x.query = pg.AppendParse(x.query, pg.ParseMessage{Name: name, Text: st.Text, Types: st.Types})
-			add(expect{kind: pg.Parse, hidden: true, statement: st})
-		}
-		return name
+	if x.l.bound != nil { // a portal of a Bind that came before
+		x.portals[x.l.portal], x.l.bound = x.l.bound, nil
 	}
+	add, here := x.add, x.here
 	for _, m := range x.b.Messages {
 		switch m.Kind {
 		case pg.Query:
@@ -112,6 +102,9 @@
 				add(expect{made: pg.Append(nil, pg.ParseComplete)})
 			}
 		case pg.Bind:
+			if m.Rest != nil {
+				continue // the last one: it follows when what stands before it has its answers
+			}
 			portal, name, rest, err := pg.ReadBind(m.Body)
 			if err != nil {
 				return err
@@ -172,23 +165,117 @@
 	return nil
 }
 
+func (x *exchangeOf) add(e expect) { x.expects = append(x.expects, e) }
+
+// here prepares a statement on this connection where it is not, and gives its name.
+func (x *exchangeOf) here(st *pooling.Statement) string {
+	link := x.h.Link()
+	name, parse := link.Use(st)
+	for _, gone := range link.Evicted() {
+		x.query = pg.AppendTarget(x.query, pg.Close, 'S', gone)
+		x.add(expect{kind: pg.Close, hidden: true})
+	}
+	if parse {
+		x.query = pg.AppendParse(x.query, pg.ParseMessage{Name: name, Text: st.Text, Types: st.Types})
+		x.add(expect{kind: pg.Parse, hidden: true, statement: st})
+	}
+	return name
+}
+
 // run takes the batch to the host and its answer to the client.
 func (x *exchangeOf) run() error {
 	x.s.Start()
 	if err := x.build(); err != nil {
 		return err
 	}
-	if n := len(x.expects); n > 0 && x.expects[n-1].kind == pg.ErrorResponse {
+	if n := len(x.expects); n > 0 && x.expects[n-1].made != nil && x.expects[n-1].kind == pg.ErrorResponse {
 		// Found here, in the middle of a batch: what stands before it runs, and the rest up to Sync does not.
 		x.query = pg.Append(x.query, pg.Sync)
 		x.expects = append(x.expects, expect{kind: pg.Sync})
 	}
+	x.expects = append(x.l.owed, x.expects...)
+	x.l.owed = nil
+	if x.b.Part && len(x.expects) > 0 {
+		x.query = pg.Append(x.query, pg.Flush) // nothing may wait for us to read while we write a long message
+	}
+	var written chan error
 	if len(x.query) > 0 {
 		x.sent = true
-		if err := x.h.Write(x.query); err != nil {
+		if len(x.query) <= writeAhead {
+			if err := x.h.Write(x.query); err != nil {
+				return err
+			}
+		} else {
+			// The host may answer the first statements of a long pipeline before it reads the last.
+			written = make(chan error, 1)
+			go func() { written <- x.h.Write(x.query) }()
+		}
+	}
+	if err := x.receiveAll(); err != nil {
+		return err
+	}
+	if written != nil {
+		if err := <-written; err != nil {
+			return err
+		}
+	}
+	if x.b.Part {
+		if err := x.stream(x.b.Messages[len(x.b.Messages)-1]); err != nil {
+			return err
+		}
+		return x.flush()
+	}
+	if see := x.l.MustSee; see > 0 && !x.relayed && x.h.Behind(see) {
+		return errStale
+	}
+	return x.flush()
+}
+
+// writeAhead is how much is written before answers are read: it fits into the buffers between two sockets.
+const writeAhead = 32 << 10
+
+// stream passes a Bind on as it comes. It can't be sent again, to no other host.
+func (x *exchangeOf) stream(m Message) error {
+	if x.l.skipping {
+		m.Rest.Discard()
+		return nil
+	}
+	portal, name, _, err := pg.ReadBind(append(m.Body, make([]byte, 6)...))
+	if err != nil {
+		return err
+	}
+	st, host := x.s.Prepared(name), unknown
+	x.query = x.query[:0]
+	before := len(x.expects)
+	if st != nil {
+		host = x.here(st)
+	}
+	x.portals[portal] = st
+	x.l.owed = append(x.l.owed, x.expects[before:]...)
+	x.l.owed = append(x.l.owed, expect{kind: pg.Bind, statement: st, name: name})
+	x.expects = nil
+	x.l.portal, x.l.bound = portal, st
+	x.query = pg.AppendLong(x.query, pg.Bind, m.Rest.Length, []byte(portal), []byte{0}, []byte(host), []byte{0})
+	x.sent, x.relayed = true, true
+	if err := x.h.Write(x.query); err != nil {
+		return err
+	}
+	left := m.Rest.Length
+	for piece := range m.Rest.pieces {
+		if err := x.h.Write(piece); err != nil {
+			m.Rest.Discard()
 			return err
 		}
+		left -= len(piece)
+	}
+	if left != 0 {
+		return errors.New("the client left in the middle of a message")
 	}
+	return nil
+}
+
+// receiveAll takes all that is owed.
+func (x *exchangeOf) receiveAll() error {
 	for len(x.expects) > 0 {
 		e := &x.expects[0]
 		if e.made != nil {
@@ -208,10 +295,7 @@
 			}
 		}
 	}
-	if see := x.l.MustSee; see > 0 && !x.relayed && x.h.Behind(see) {
-		return errStale
-	}
-	return x.flush()
+	return nil
 }
 
 // errStale says that a host which was taken for the primary is none any more, and lies behind what the session must see.
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -29,13 +29,54 @@
 // Message is one of a client's.
 type Message struct {
 	Kind byte
-	Body []byte
+	Body []byte  // of a Bind that comes as a stream: its names, each with its zero byte
+	Rest *Stream // what follows Body; nil: nothing
+}
+
+// Stream is the rest of a large message, in pieces as it comes from the client.
+type Stream struct {
+	Length int // of the rest, in bytes
+	pieces chan []byte
+	quit   chan struct{}
+	once   sync.Once
+}
+
+// NewStream makes a stream of so many bytes.
+func NewStream(length int) *Stream {
+	return &Stream{Length: length, pieces: make(chan []byte), quit: make(chan struct{})}
+}
+
+// Put hands over a piece and waits until it is taken, so that the piece's memory can be used again with the next call but one;
+// false: nobody wants any more.
+func (s *Stream) Put(piece []byte) bool {
+	select {
+	case s.pieces <- piece:
+		return true
+	case <-s.quit:
+		return false
+	}
+}
+
+// End says that nothing more comes: the client has gone, or all is there.
+func (s *Stream) End() { close(s.pieces) }
+
+// Discard says that nobody wants any more.
+func (s *Stream) Discard() { s.once.Do(func() { close(s.quit) }) }
+
+// Discard drops what a batch still brings.
+func (b *Batch) Discard() {
+	for _, m := range b.Messages {
+		if m.Rest != nil {
+			m.Rest.Discard()
+		}
+	}
 }
 
 // Batch is what a client sends before it waits: one Query, or extended messages up to a Sync or Flush.
 type Batch struct {
 	Messages []Message
 	Ends     bool // with a Query or Sync: ReadyForQuery follows
+	Part     bool // its last message comes as a stream, and more of the pipeline follows
 	Commands []pooling.Command
 }
 
@@ -82,7 +123,10 @@
 	Idle    time.Duration      // that a transaction may be open with nothing asked
 	Pinned  func(pooling.Pin)  // is told of new reasons to pin
 
-	skipping bool // of the conversation: the host skips all until a Sync
+	skipping bool     // of the conversation: the host skips all until a Sync
+	owed     []expect // for what was sent in parts
+	portal   string   // that a Bind in parts has made
+	bound    *pooling.Statement
 
 	first  *Batch
 	next   chan *Batch
