--- a/internal/control/pooling/pooling_test.go
+++ b/internal/control/pooling/pooling_test.go
@@ -491,6 +491,17 @@
 	}
 }
 
+func TestWhatAFunctionHasSetIsTakenFromTheHostsReport(t *testing.T) {
+	s := NewSession(nil)
+	if Settles(Scan("SELECT prepare_me()")) || !Settles(Scan("SELECT 1; SET TIME ZONE 'UTC'")) {
+		t.Error("what changes settings is not told apart")
+	}
+	s.Reported("TimeZone", "Asia/Kolkata")
+	if got := NewLink(0).Carry(s); got != "SET timezone TO 'Asia/Kolkata'" {
+		t.Errorf("another connection runs %q", got)
+	}
+}
+
 func TestStatementsOfTheSameHashAreToldApart(t *testing.T) {
 	a, b := NewStatement("SELECT 1", nil), NewStatement("SELECT 2", nil)
 	b.hash = a.hash
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -248,6 +248,23 @@
 	}
 }
 
+// Reported takes a setting's value as the host told it in a batch that, as far as could be read, changes no setting: a function
+// has set it. Of what the host does not report nothing is heard that way.
+func (s *Session) Reported(name, value string) {
+	s.settings, _, _ = s.settings.Insert([]byte(strings.ToLower(name)), Literal(value))
+}
+
+// Settles says that statements change settings in a way that is followed by reading them.
+func Settles(commands []Command) bool {
+	for _, c := range commands {
+		switch c.Kind {
+		case Set, SetLocal, Reset, ResetAll, DiscardAll, Begin, Commit, Rollback, RollbackTo:
+			return true
+		}
+	}
+	return false
+}
+
 // Lost says that the host connection is gone, and with it what was tied to it. Carried says whether the session can go on: not
 // if it was pinned or in a transaction.
 func (s *Session) Lost() (carried bool) {
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -330,8 +330,12 @@
 	}
 	switch kind {
 	case pg.ParameterStatus:
-		if !x.h.Note(body) && !e.carry {
-			x.out = pg.Append(x.out, kind, body)
+		if x.h.Note(body) || e.carry {
+			return nil
+		}
+		x.out = pg.Append(x.out, kind, body)
+		if name, value, err := pg.Parameter(body); err == nil && !pooling.Settles(x.b.Commands) && !x.s.Open() {
+			x.s.Reported(name, value)
 		}
 		return nil
 	case pg.NoticeResponse, pg.NotificationResponse:
