Bound what each of many gateways has out at a group; cold hosts take the part of leaving ones

TestLists failed on a fast machine: while every connection rested, a write used up its 10 attempts in a millisecond.

Change (balance.go): 'fleet' in 'room' bounds what is out at a group's replicas, and at its primary, by two routers' limits divided by the number of routers, one at least; 'draw' counts active members only; a lack of connections to the primary waits a beat.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,7 @@
 	leastWeight          = 1e-9    // weights of nothing, all alike, still make a draw
 	badMemory, failsMost = 10.0, 3 // attempts; errors in a row, which a good probe does not end
 
+	fewRouters                 = 2.0           // whose limits together a group bears
 	firstLimit, leastLimit     = 8, 4          // attempts out at a new member; kept however slow all are
 	highShare, lowShare        = 0.35, 0.25    // of the aim: slower answers, fewer attempts out
 	shareMemory, overMargin    = 100.0, 1.2    // requests tenants are compared by; above that is over
@@ -282,7 +283,6 @@
 
 func (s sharers) with(c *cell) sharers { return sharers{append(s.cells, c), s.weight + c.Weight} }
 
-// may says whether q's cell reads from m.
 func (q *request) may(m *member) bool { return q.cell.Servers == nil || q.cell.Servers[m.Server] }
 
 // part is the fair part of limit at m for a weight of 1, among the cells that may use m.
@@ -294,8 +294,8 @@
 	return limit / max(by.weight, c.Weight, leastWeight), by.cells
 }
 
-// fair says whether q's cell may have one more out at m. Its reserve of its fair part it gets even where
-// others hold the limit, as limits shrink in a flood; beyond it leaves free what others have left of theirs.
+// fair says whether q's cell may have one more out at m: its reserve of its fair part even where others hold
+// the limit; beyond it leaves free what others have left of theirs.
 func (r *Router) fair(q *request, m *member, limit float64) bool {
 	part, cells := r.part(q.cell, m, limit)
 	free := limit - float64(len(m.out))
@@ -327,12 +327,11 @@
 }
 
 func (r *Router) setState(m *member, s State) {
-	if s == Active {
-		m.toldAt, m.drained = 0, false
+	if m.drained = (m.drained || s == Draining) && s != Active; s == Active {
+		m.toldAt = 0
 	} else if m.toldAt == 0 {
 		m.toldAt = r.now
 	}
-	m.drained = m.drained || s == Draining
 }
 
 // open says whether the list lets anything new go to m. A primary that drains still takes writes until it
@@ -349,7 +348,18 @@
 	if len(r.cells) > 1 {
 		return r.fair(q, m, limit)
 	}
-	return float64(len(m.out)) < limit
+	return float64(len(m.out)) < limit && r.fleet(m)
+}
+
+// fleet bounds what this router has out at m and its like: one each of many routers is a long queue there.
+func (r *Router) fleet(m *member) bool {
+	out, limit, p := 0, 0.0, r.believed(m.group)
+	for _, o := range m.group.members {
+		if (o == p) == (m == p) && r.open(o, true) {
+			out, limit = out+len(o.out), limit+o.limit
+		}
+	}
+	return float64(out) < max(1, limit*fewRouters/float64(r.s.Routers))
 }
 
 // warmth is the least part of its capacity that m has, by the start that was told or that this router saw.
@@ -362,9 +372,8 @@
 	return r.s.ColdShare + (1-r.s.ColdShare)*float64(age)/float64(r.s.ColdTime)
 }
 
-// admit keeps a cold member's budget: of requests that come to m with the given chance it lets so many pass
-// that m's part of the group's traffic is its present part of the group's capacity, times that margin.
-// As each router does so with its own traffic, it holds for the sum of any number.
+// admit keeps a cold member's budget: of requests that come to m with the given chance so many pass that its
+// part of the group's traffic is its part of the capacity, times the margin: at each router, so in sum.
 func (r *Router) admit(m *member, chance, share float64) bool {
 	w := r.warmth(m)
 	return w == 1 || r.rng.Float64()*chance < w*share*max(1, coldMargin*r.s.OverloadFactor)
@@ -374,16 +383,12 @@
 
 func (r *Router) serves(p *member) bool { return p != nil && r.open(p, true) && r.alive(p) }
 
-// about draws a pause of half to one and a half of d.
-func (r *Router) about(d time.Duration) time.Duration {
+func (r *Router) about(d time.Duration) time.Duration { // half to one and a half of it
 	return d/2 + time.Duration(r.rng.Int64N(int64(d)))
 }
 
 func (r *Router) onRequest(e Request) {
-	cell, g := r.cells[e.Cell], r.group(e.Group)
-	if cell == nil {
-		cell = r.cells[0]
-	}
+	cell, g := cmp.Or(r.cells[e.Cell], r.cells[0]), r.group(e.Group)
 	c := cell.classes[e.Class]
 	if r.reqs[e.ID] != nil {
 		return // doubled
@@ -464,8 +469,7 @@
 	r.end(q)
 }
 
-// repeatable says whether q may be sent on after what was sent before. A request keyed within a zone is not:
-// the new primary may stand in another.
+// repeatable says whether q may go again; keyed within a zone not: the new primary may stand in another.
 func (r *Router) repeatable(q *request) bool {
 	return q.ranAt == 0 || !q.Lease && q.cls.Effect == Safe || !q.Lease && q.cls.Effect == Keyed &&
 		q.cls.Scope != ScopeZone && r.now-q.ranAt < q.cls.KeyTTL-4*r.s.Tick
@@ -482,13 +486,12 @@
 	}
 	if m := r.choose(q); m != nil {
 		r.send(q, m)
-	} else {
-		r.park(q)
+		return
 	}
+	r.park(q)
 }
 
-// park keeps q until there is room: most worth for its work first, then newest, as the oldest are near late.
-func (r *Router) park(q *request) {
+func (r *Router) park(q *request) { // most worth for its work first, then newest, as the oldest are near late
 	q.parked = true
 	list := q.group.parked
 	i := len(list)
@@ -605,7 +608,7 @@
 	usable, primary := r.usable[:0], r.believed(q.group)
 	downPause := max(downProbe, probeShare*time.Duration(r.s.Routers))
 	for _, m := range q.group.members {
-		if m.State != Left {
+		if m.State == Active {
 			all += m.Weight
 		}
 		switch {
@@ -742,7 +745,7 @@
 }
 
 // down blacklists m and takes back what may be tried elsewhere. A good probe ends that, but not after a
-// time-out: members that crawl or swallow requests answer probes. They stay away longer each time.
+// time-out: members that swallow requests answer probes. They stay away longer each time.
 func (r *Router) down(m *member, timedOut bool) {
 	m.downUntil, m.suspect = r.now+blacklistFor, true
 	if timedOut {
@@ -810,7 +813,8 @@
 			r.down(m, true)
 		}
 	}
-	if e.Result == OK || e.Result == Failed || e.Result == Garbled || e.Result == Full || e.Result == Miss {
+	switch e.Result {
+	case OK, Failed, Garbled, Full, Miss:
 		r.lives(m)
 	}
 	if q.ranAt == 0 && !neverRan(e.Result) {
@@ -823,7 +827,7 @@
 	if e.Final || e.Result == OK {
 		r.end(q)
 	}
-	if (e.Result == Full || e.Result == NoConnection) && m == r.believed(g) {
+	if (e.Result == Full || e.Result == NoConnection || e.Result == NotSent) && m == r.believed(g) {
 		// Sent back at once by hundreds of routers, rejects are all that a full primary gets to do.
 		q.notBefore = r.now + r.about(retryPause<<min(q.attempts-1, 4))
 	}
@@ -943,10 +947,9 @@
 	switch {
 	case tag == tagWatch:
 		r.do(Watch{})
+	case tag != tagBeat && r.seqs[tag] != nil:
+		r.giveUp(r.seqs[tag])
 	case tag != tagBeat:
-		if q := r.seqs[tag]; q != nil {
-			r.giveUp(q)
-		}
 	default:
 		r.beating = false
 		r.waiting = slices.DeleteFunc(r.waiting, func(g *group) bool {
@@ -959,8 +962,7 @@
 	}
 }
 
-// wake asks for a beat if anything waits for one.
-func (r *Router) wake(g *group) {
+func (r *Router) wake(g *group) { // asks for a beat if anything waits for one
 	if g != nil && !g.waiting {
 		g.waiting = true
 		r.waiting = append(r.waiting, g)
@@ -971,8 +973,7 @@
 	}
 }
 
-// askPause is longer the more routers ask for the same primary.
-func (r *Router) askPause() time.Duration {
+func (r *Router) askPause() time.Duration { // longer, the more routers ask for the same primary
 	return min(retryPause+time.Duration(r.s.Routers)*ms, downProbe)
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -512,7 +512,7 @@
 		g.r.judge(m, g.r.cells[0], g.r.cells[0].classes["any"], OK, 900*ms, true)
 	}
 	// Four run side by side on a host; with two out, half of it idled while reads waited until they were too late.
-	if m.limit != leastLimit || !g.r.room(nil, &member{limit: m.limit, out: make([]*request, 3)}, 1) {
+	if m.limit != leastLimit || !g.r.room(nil, &member{limit: m.limit, out: make([]*request, 3), group: m.group}, 1) {
 		t.Errorf("limit %v after a long slow spell, want %d and room for a fourth", m.limit, leastLimit)
 	}
 }
--- a/balance/heard_test.go
+++ b/balance/heard_test.go
@@ -112,3 +112,56 @@
 		t.Errorf("refused by group: %v", refused)
 	}
 }
+
+func TestOfManyRoutersEachKeepsFewAttemptsOut(t *testing.T) {
+	// Eighty routers with four each at a member are a queue of minutes; no limit of one router's ever bound.
+	for _, c := range []struct{ routers, replicas, writes int }{{1, 16, 8}, {2, 16, 8}, {80, 1, 1}} {
+		g := newRig(t, func(s *Settings) { s.Routers = c.routers })
+		g.know("p", Primary, 0)
+		reads, writes := 0, 0
+		for range 40 {
+			_, acts := g.ask("any", 0)
+			reads += len(sends(acts))
+			_, acts = g.ask("save", 0)
+			writes += len(sends(acts))
+		}
+		if reads != c.replicas || writes != c.writes {
+			t.Errorf("%d routers: %d reads and %d writes out, want %d and %d", c.routers, reads, writes, c.replicas, c.writes)
+		}
+	}
+}
+
+func TestWhatFindsNoConnectionToThePrimaryWaitsABeat(t *testing.T) {
+	// While every connection rested, a write used up all its attempts within a millisecond.
+	g := newRig(t, nil)
+	g.know("p", Primary, 0)
+	id, _ := g.ask("save", 0)
+	acts := g.answer(id, "p", 0, NotSent, Unknown)
+	if len(sends(acts)) > 0 || len(finals(acts)) > 0 {
+		t.Fatalf("at once: %v", acts)
+	}
+	want(t, "a moment later", sends(g.beat(200*ms)), []string{"p"})
+}
+
+func TestColdMembersTakeThePartOfThoseThatLeave(t *testing.T) {
+	// Counted with the members that they replace, new ones got half of what they could bear, while the last old
+	// ones drowned.
+	count := func(old State) (n int) {
+		g := newRig(t, func(s *Settings) { s.OverloadFactor = 4 })
+		g.do(Members{Whole: true, List: []Member{{Server: "p", Primary: true, Weight: 1}, {Server: "a", Weight: 1},
+			{Server: "b", Weight: 1, State: old}, {Server: "c", Weight: 1, State: old}, {Server: "n", Weight: 1, Started: g.now}}})
+		for range 400 {
+			id, acts := g.ask("any", 0)
+			for _, to := range sends(acts) {
+				if to == "n" {
+					n++
+				}
+				g.answer(id, to, 0, OK, Replica)
+			}
+		}
+		return n
+	}
+	if left, stay := count(Draining), count(Active); left < stay*5/4 {
+		t.Errorf("of 400 reads a cold member takes %d where two drain, %d where they stay", left, stay)
+	}
+}
