--- a/balance/balance.go
+++ b/balance/balance.go
@@ -880,10 +880,10 @@
 	}
 }
 
-// onHeard takes what another router tells: of a member, nothing of a request.
+// onHeard takes what another router tells: of a member, not a request. The dead show their start here.
 func (r *Router) onHeard(e Heard) {
 	m := r.members[e.Server]
-	if m == nil || e.At > r.now {
+	if m == nil {
 		return
 	}
 	r.learn(m, e.Role, e.At, e.Position, Report{})
--- a/balance/heard_test.go
+++ b/balance/heard_test.go
@@ -79,6 +79,15 @@
 	if !probed {
 		t.Error("never probed")
 	}
+	g.do(ProbeResult{Server: "a", Result: NoConnection})
+	g.now += 10 * ms
+	g.heard("a", nil) // on its way since before that death, or after a start that is not told yet: its cold budget begins here
+	if !g.r.members["a"].suspect {
+		t.Error("another router's word wakes the dead")
+	}
+	g.now += time.Second
+	g.do(ProbeResult{Server: "a", Result: OK, Report: Report{Has: true, Position: g.now}})
+	g.heard("a", func(h *Heard) { h.Result, h.At = NoConnection, g.now+ms })
 	g.now += 10 * ms
 	g.heard("a", nil) // others are answered again
 	if g.r.members["a"].suspect {
--- a/internal/control/hearsay/hearsay.go
+++ b/internal/control/hearsay/hearsay.go
@@ -7,7 +7,7 @@
 //	3 bytes  the host: a hash of its id
 //	2 bytes  from the top: 4 bits how it ended, 2 bits the host's role, 2 bits the class (3: none), 4 bits the time
 //	         that it took (k stands for 4 ms * 2^(k/2), rounded to the nearest), 4 bits how long before the head's
-//	         clock it ended, in steps of 16 ms
+//	         clock it ended, in steps of 16 ms, rounded up; a role seen longer ago than 15 is not told
 //	1 byte   the host's log position: 1 + its age at the head's clock in steps of 4 ms, rounded up; 0: not told
 //
 // Numbers are big-endian.
@@ -128,8 +128,12 @@
 			class = noClass
 		}
 		h := hash(n.Server)
-		info := uint16(n.Result)<<12 | uint16(n.Role)<<10 | uint16(class)<<8 | uint16(tookCode(n.Took))<<4 |
-			uint16(min(15, max(0, (ms*time.Millisecond-n.At)/endedStep)))
+		// Roles count by their time: one told as later than it was seen would bring back a primary that is none any more.
+		ended := (max(ms*time.Millisecond-n.At, 0) + endedStep - 1) / endedStep
+		if ended > 15 {
+			ended, n.Role = 15, balance.Unknown
+		}
+		info := uint16(n.Result)<<12 | uint16(n.Role)<<10 | uint16(class)<<8 | uint16(tookCode(n.Took))<<4 | uint16(ended)
 		out = append(out, byte(h>>16), byte(h>>8), byte(h), byte(info>>8), byte(info), ageCode(ms*time.Millisecond-n.Position, n.Position))
 	}
 	s.pending = s.pending[:0]
