Add the lease machine: grants, renewals, terms, fencing tokens, without I/O

This is the pure part: a Machine applied to the entries of a replicated log (grant, renew, release, a leader's stamp), a Holding that tells a process when it may act, and a Fence for the acted-on side that refuses an older token.

Clocks of different processes are never compared: a new term gives every lease its full time anew from the new leader's first stamp, and an entry of an older term applies at the present term's last stamp. A token is the log index of its grant, so it only grows at every voter alike.

Measured: table tests of every op, of a new leader whose clock is far behind or ahead, of an old term's entry, of malformed entries; tokens grow over 200 entries.

--- /dev/null
+++ b/internal/control/leases/leases_test.go
@@ -0,0 +1,230 @@
+package leases
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const ms = time.Millisecond
+
+func acq(name, holder string, term uint64, now time.Duration) Entry {
+	return Entry{Op: Acquire, Name: name, Holder: holder, TTL: 1000 * ms, Term: term, Now: now}
+}
+
+func renew(name, holder string, token, term uint64, now time.Duration) Entry {
+	return Entry{Op: Renew, Name: name, Holder: holder, Token: token, TTL: 1000 * ms, Term: term, Now: now}
+}
+
+func release(name, holder string, token, term uint64, now time.Duration) Entry {
+	return Entry{Op: Release, Name: name, Holder: holder, Token: token, Term: term, Now: now}
+}
+
+func stamp(term uint64, now time.Duration) Entry { return Entry{Op: Stamp, Term: term, Now: now} }
+
+// step is one entry applied and what it must answer.
+type step struct {
+	e       Entry
+	granted bool
+	holder  string // of the lease in the result
+	token   uint64
+	expiry  time.Duration
+	err     error
+}
+
+func TestMachine(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"a free lease is granted with the entry's index as token", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+		}},
+		{"a held lease is refused to another", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: acq("scout", "b", 1, 999*ms), holder: "a", token: 1, expiry: 1000 * ms, err: ErrHeld},
+		}},
+		{"an expired lease passes with a newer token", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: acq("scout", "b", 1, 1000*ms), granted: true, holder: "b", token: 2, expiry: 2000 * ms},
+			{e: renew("scout", "a", 1, 1, 1001*ms), holder: "b", token: 2, expiry: 2000 * ms, err: ErrLost},
+		}},
+		{"the holder's acquire renews with the same token", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: acq("scout", "a", 1, 500*ms), holder: "a", token: 1, expiry: 1500 * ms},
+		}},
+		{"renewal extends, never shortens", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: renew("scout", "a", 1, 1, 600*ms), holder: "a", token: 1, expiry: 1600 * ms},
+			{e: Entry{Op: Renew, Name: "scout", Holder: "a", Token: 1, TTL: 300 * ms, Term: 1, Now: 700 * ms},
+				holder: "a", token: 1, expiry: 1600 * ms},
+		}},
+		{"a renewal with another token is refused", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: renew("scout", "a", 7, 1, 10*ms), holder: "a", token: 1, expiry: 1000 * ms, err: ErrLost},
+		}},
+		{"a renewal after expiry is refused", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: renew("scout", "a", 1, 1, 1000*ms), err: ErrLost},
+		}},
+		{"release frees at once", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: release("scout", "a", 1, 1, 10*ms), holder: "a", token: 1, expiry: 1000 * ms},
+			{e: acq("scout", "b", 1, 20*ms), granted: true, holder: "b", token: 3, expiry: 1020 * ms},
+		}},
+		{"a release by another is refused", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: release("scout", "b", 1, 1, 10*ms), holder: "a", token: 1, expiry: 1000 * ms, err: ErrLost},
+		}},
+		{"a new term gives every lease its full time anew", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			// the new leader's clock is far behind the old one's
+			{e: stamp(2, 5*ms)},
+			{e: acq("scout", "b", 2, 900*ms), holder: "a", token: 1, expiry: 1005 * ms, err: ErrHeld},
+			{e: acq("scout", "b", 2, 1005*ms), granted: true, holder: "b", token: 4, expiry: 2005 * ms},
+		}},
+		{"a new leader's clock far ahead does not free a lease early", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: acq("scout", "b", 2, 50000*ms), holder: "a", token: 1, expiry: 51000 * ms, err: ErrHeld},
+		}},
+		{"an entry of an older term applies at the present term's last stamp", []step{
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 1, expiry: 1000 * ms},
+			{e: stamp(2, 100*ms)},
+			// proposed by the old leader at its clock's 2 s, when a's lease had run out on that clock
+			{e: acq("scout", "b", 1, 2000*ms), holder: "a", token: 1, expiry: 1100 * ms, err: ErrHeld},
+			{e: acq("free", "b", 1, 2000*ms), granted: true, holder: "b", token: 4, expiry: 1100 * ms},
+		}},
+		{"malformed entries change nothing", []step{
+			{e: Entry{Op: Acquire, Name: "scout", Holder: "a", TTL: 10 * ms, Term: 1}, err: ErrBadEntry},
+			{e: Entry{Op: Acquire, Name: "", Holder: "a", TTL: time.Second, Term: 1}, err: ErrBadEntry},
+			{e: Entry{Op: Renew, Name: "scout", Holder: "a", TTL: time.Second, Term: 1}, err: ErrBadEntry},
+			{e: Entry{Op: Acquire, Name: "scout", Holder: "a", TTL: time.Second}, err: ErrBadEntry},
+			{e: Entry{Op: 9, Term: 1}, err: ErrBadEntry},
+			{e: acq("scout", "a", 1, 0), granted: true, holder: "a", token: 6, expiry: 1000 * ms},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var m Machine
+			for i, s := range c.steps {
+				r := m.Apply(uint64(i+1), s.e)
+				if !errors.Is(r.Err, s.err) || (s.err == nil && r.Err != nil) {
+					t.Fatalf("step %d (%v): error %v, want %v", i+1, s.e.Op, r.Err, s.err)
+				}
+				got := step{e: s.e, granted: r.Granted, holder: r.Lease.Holder, token: r.Lease.Token,
+					expiry: r.Lease.Expiry, err: s.err}
+				if d := cmp.Diff(s, got, cmp.AllowUnexported(step{}), cmp.Comparer(func(a, b error) bool {
+					return a == b })); d != "" {
+					t.Fatalf("step %d (%v): (-want +got)\n%s", i+1, s.e.Op, d)
+				}
+			}
+		})
+	}
+}
+
+func TestTokensOnlyGrow(t *testing.T) {
+	var m Machine
+	var last uint64
+	now := time.Duration(0)
+	for i := uint64(1); i <= 200; i++ {
+		holder := []string{"a", "b", "c"}[i%3]
+		now += 700 * ms
+		r := m.Apply(i, acq("scout", holder, 1+i/50, now))
+		if r.Granted {
+			if r.Lease.Token <= last {
+				t.Fatalf("entry %d: token %d after %d", i, r.Lease.Token, last)
+			}
+			last = r.Lease.Token
+		}
+	}
+	if m.Granted() == 0 {
+		t.Fatal("nothing was granted")
+	}
+}
+
+func TestApplyRefusesAnIndexThatDoesNotGrow(t *testing.T) {
+	var m Machine
+	m.Apply(5, acq("scout", "a", 1, 0))
+	if r := m.Apply(5, acq("scout", "b", 1, 5000*ms)); !errors.Is(r.Err, ErrOldIndex) {
+		t.Fatalf("got %v", r.Err)
+	}
+	if l, ok := m.Holder("scout", 10*ms); !ok || l.Holder != "a" {
+		t.Fatalf("holder %v %v", l, ok)
+	}
+}
+
+func TestHolderConfigCheck(t *testing.T) {
+	cases := []struct {
+		cfg HolderConfig
+		ok  bool
+	}{
+		{HolderConfig{TTL: 2 * time.Second, Drift: 0.01, Margin: 200 * ms}, true},
+		{HolderConfig{TTL: 2 * time.Second, Drift: 0.01, Margin: 40 * ms}, false},
+		{HolderConfig{TTL: 2 * time.Second, Drift: 0.2, Margin: 900 * ms}, false},
+		{HolderConfig{TTL: 100 * ms, Drift: 0, Margin: 10 * ms}, false},
+		{HolderConfig{TTL: 2 * time.Second, Drift: 0, Margin: time.Second}, false},
+	}
+	for _, c := range cases {
+		if err := c.cfg.Check(); (err == nil) != c.ok {
+			t.Errorf("%+v: %v", c.cfg, err)
+		}
+	}
+}
+
+func TestHolding(t *testing.T) {
+	h, err := NewHolding(HolderConfig{TTL: time.Second, Drift: 0.01, Margin: 100 * ms})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := h.Act(0); !errors.Is(err, ErrNotHeld) {
+		t.Fatalf("acts before a grant: %v", err)
+	}
+	h.Granted(100*ms, 4) // until 100 + 990 - 100 = 990
+	if tok, err := h.Act(989 * ms); err != nil || tok != 4 {
+		t.Fatalf("act at 989 ms: %d %v", tok, err)
+	}
+	if _, err := h.Act(990 * ms); err == nil {
+		t.Fatal("acts at its end")
+	}
+	if h.RenewDue(300*ms) || !h.RenewDue(434*ms) {
+		t.Fatal("renewal due at the wrong time")
+	}
+	h.Granted(50*ms, 4) // an older request's answer
+	if h.Until() != 990*ms {
+		t.Fatalf("an older answer moved the end to %v", h.Until())
+	}
+	h.Granted(500*ms, 4)
+	if h.Until() != 1390*ms {
+		t.Fatalf("renewal: until %v", h.Until())
+	}
+	h.Granted(600*ms, 3) // an older token comes back late
+	if h.Token() != 4 {
+		t.Fatalf("token went back to %d", h.Token())
+	}
+	h.Lost(3)
+	if _, err := h.Act(600 * ms); err != nil {
+		t.Fatal("losing an older token stopped the newer one")
+	}
+	h.Lost(4)
+	if _, err := h.Act(600 * ms); err == nil {
+		t.Fatal("acts after it lost the lease")
+	}
+}
+
+func TestFence(t *testing.T) {
+	var f Fence
+	for _, c := range []struct {
+		res   string
+		token uint64
+		ok    bool
+	}{{"a", 3, true}, {"a", 3, true}, {"a", 2, false}, {"b", 1, true}, {"a", 9, true}, {"a", 3, false}} {
+		if err := f.Admit(c.res, c.token); (err == nil) != c.ok || (err != nil && !errors.Is(err, ErrStale)) {
+			t.Errorf("%s %d: %v", c.res, c.token, err)
+		}
+	}
+	if f.Newest("a") != 9 || f.Refused() != 2 {
+		t.Fatalf("newest %d refused %d", f.Newest("a"), f.Refused())
+	}
+}
