Drive the leases through raft; frame fleet messages; a seeded fault layer for links

Change: internal/memory/consensus drives go.etcd.io/raft/v3's RawNode without goroutines, clock or sockets: only the leader proposes, stamping entries with its term and monotonic clock, and a new leader stamps first; CheckQuorum and PreVote on, proposal forwarding off. internal/control/leases encodes entries for the log (version, bounds; fuzzed). internal/wire/fleet frames consensus messages and lease asks (length bounded to 1 MiB, known kinds, members only, a message may not speak for another sender). internal/testbed/faults carries frames between members with drop, duplicate, delay with jitter, one-way cuts, partitions and heal, each link seeded on its own.

The fault layer replays drops and duplicates alike by seed.

--- /dev/null
+++ b/internal/control/leases/codec.go
@@ -0,0 +1,80 @@
+package leases
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// An entry travels in the replicated log as
+//
+//	1 byte   format version (1)
+//	1 byte   Op
+//	8 bytes  proposal: who proposed it and which of its proposals this is, for answering the proposer
+//	8 bytes  Term
+//	8 bytes  Now, in nanoseconds
+//	8 bytes  TTL, in nanoseconds
+//	8 bytes  Token
+//	1 byte   length of Name, then Name
+//	1 byte   length of Holder, then Holder
+//
+// Numbers are big-endian. The log's own checksums guard the bytes; this format guards their meaning.
+const (
+	codecVersion = 1
+	codecHead    = 2 + 8*5
+	// MaxEncoded bounds an encoded entry, in bytes.
+	MaxEncoded = codecHead + 2 + 2*MaxName
+)
+
+// ErrCodec is what Decode says of bytes that are no entry of this format.
+var ErrCodec = errors.New("not a lease entry")
+
+// Encode appends an entry and the proposal it answers to b.
+func Encode(b []byte, proposal uint64, e Entry) []byte {
+	b = append(b, codecVersion, byte(e.Op))
+	b = binary.BigEndian.AppendUint64(b, proposal)
+	b = binary.BigEndian.AppendUint64(b, e.Term)
+	b = binary.BigEndian.AppendUint64(b, uint64(e.Now))
+	b = binary.BigEndian.AppendUint64(b, uint64(e.TTL))
+	b = binary.BigEndian.AppendUint64(b, e.Token)
+	b = append(b, byte(len(e.Name)))
+	b = append(b, e.Name...)
+	b = append(b, byte(len(e.Holder)))
+	return append(b, e.Holder...)
+}
+
+// Decode reads what Encode wrote. It checks the form, not the sense: Apply checks that.
+func Decode(b []byte) (proposal uint64, e Entry, err error) {
+	if len(b) < codecHead+2 || len(b) > MaxEncoded {
+		return 0, Entry{}, fmt.Errorf("%d bytes: %w", len(b), ErrCodec)
+	}
+	if b[0] != codecVersion {
+		return 0, Entry{}, fmt.Errorf("format version %d, want %d: %w", b[0], codecVersion, ErrCodec)
+	}
+	e.Op = Op(b[1])
+	proposal = binary.BigEndian.Uint64(b[2:])
+	e.Term = binary.BigEndian.Uint64(b[10:])
+	e.Now = time.Duration(binary.BigEndian.Uint64(b[18:]))
+	e.TTL = time.Duration(binary.BigEndian.Uint64(b[26:]))
+	e.Token = binary.BigEndian.Uint64(b[34:])
+	rest := b[codecHead:]
+	name, rest, ok := cut(rest)
+	if !ok {
+		return 0, Entry{}, fmt.Errorf("name runs past the end: %w", ErrCodec)
+	}
+	holder, rest, ok := cut(rest)
+	if !ok || len(rest) != 0 {
+		return 0, Entry{}, fmt.Errorf("holder runs past the end, or bytes after it: %w", ErrCodec)
+	}
+	e.Name, e.Holder = string(name), string(holder)
+	return proposal, e, nil
+}
+
+func cut(b []byte) (field, rest []byte, ok bool) {
+	if len(b) < 1 || len(b) < 1+int(b[0]) {
+		return nil, nil, false
+	}
+	n := int(b[0])
+	return b[1 : 1+n], b[1+n:], true
+}
--- /dev/null
+++ b/internal/control/leases/codec_test.go
@@ -0,0 +1,55 @@
+package leases
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestCodecRoundTrip(t *testing.T) {
+	for _, e := range []Entry{
+		acq("scout/cell-3", "n17", 4, 1234*ms),
+		renew("scout/cell-3", "n17", 99, 4, 2*time.Hour),
+		release("drain", "n1", 7, 1, 0),
+		stamp(12, 5*ms),
+	} {
+		p, got, err := Decode(Encode(nil, 0xfeed, e))
+		if err != nil || p != 0xfeed {
+			t.Fatalf("%v: %v, proposal %x", e, err, p)
+		}
+		if d := cmp.Diff(e, got); d != "" {
+			t.Fatalf("(-want +got)\n%s", d)
+		}
+	}
+}
+
+func TestCodecRefusesWhatIsNoEntry(t *testing.T) {
+	good := Encode(nil, 1, acq("scout", "n1", 1, 0))
+	bad := map[string][]byte{
+		"empty":     nil,
+		"truncated": good[:len(good)-1],
+		"longer":    append(append([]byte(nil), good...), 0),
+		"version":   append([]byte{9}, good[1:]...),
+		"name over": func() []byte { b := append([]byte(nil), good...); b[codecHead] = 200; return b }(),
+	}
+	for name, b := range bad {
+		if _, _, err := Decode(b); !errors.Is(err, ErrCodec) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(nil, 1, acq("scout", "n1", 1, 0)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, e, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if _, e2, err := Decode(Encode(nil, p, e)); err != nil || e2 != e {
+			t.Fatalf("%v does not round-trip: %v", e, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/memory/consensus/node_test.go
@@ -0,0 +1,182 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+
+	"yokemast/internal/control/leases"
+)
+
+// group is three voters in one process, with a seeded network between them that drops and cuts.
+type group struct {
+	t      *testing.T
+	nodes  map[uint64]*Node
+	clock  map[uint64]time.Duration // each node's own, from its own origin
+	down   map[uint64]bool          // cut off from all: sends and receives nothing
+	queue  []*raftpb.Message
+	rng    *rand.Rand
+	drop   float64
+	outs   map[uint64][]Outcome
+	rounds int
+}
+
+func newGroup(t *testing.T, seed uint64, drop float64) *group {
+	g := &group{t: t, nodes: map[uint64]*Node{}, clock: map[uint64]time.Duration{}, down: map[uint64]bool{},
+		rng: rand.New(rand.NewPCG(seed, 7)), drop: drop, outs: map[uint64][]Outcome{}}
+	for id := uint64(1); id <= 3; id++ {
+		n, err := New(Config{ID: id, Voters: []uint64{1, 2, 3}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.nodes[id] = n
+		g.clock[id] = time.Duration(id) * 7 * time.Second // origins far apart
+	}
+	return g
+}
+
+// round is one tick of 100 ms at every node, then every message delivered or dropped.
+func (g *group) round() {
+	g.rounds++
+	for id, n := range g.nodes {
+		g.clock[id] += 100 * time.Millisecond
+		n.Tick()
+	}
+	for i := 0; i < 4; i++ {
+		for id, n := range g.nodes {
+			msgs, outs := n.Process(g.clock[id])
+			g.outs[id] = append(g.outs[id], outs...)
+			for _, m := range msgs {
+				if g.down[m.GetFrom()] || g.down[m.GetTo()] || g.rng.Float64() < g.drop {
+					continue
+				}
+				g.queue = append(g.queue, m)
+			}
+		}
+		q := g.queue
+		g.queue = nil
+		for _, m := range q {
+			if err := g.nodes[m.GetTo()].Step(m); err != nil {
+				g.t.Fatal(err)
+			}
+		}
+	}
+}
+
+func (g *group) leader() uint64 {
+	for id, n := range g.nodes {
+		if !g.down[id] && n.Leader() == id {
+			return id
+		}
+	}
+	return 0
+}
+
+func (g *group) until(what string, limit int, ok func() bool) {
+	for i := 0; i < limit; i++ {
+		if ok() {
+			return
+		}
+		g.round()
+	}
+	g.t.Fatalf("%s: not within %d rounds", what, limit)
+}
+
+// ask proposes at the leader and waits for its outcome.
+func (g *group) ask(e leases.Entry) leases.Result {
+	var lead uint64
+	g.until("a leader", 100, func() bool { lead = g.leader(); return lead != 0 })
+	p, err := g.nodes[lead].Propose(g.clock[lead], e)
+	if err != nil {
+		g.t.Fatalf("propose at %d: %v", lead, err)
+	}
+	var res *leases.Result
+	g.until("the outcome", 100, func() bool {
+		for _, o := range g.outs[lead] {
+			if o.Proposal == p {
+				r := o.Result
+				res = &r
+			}
+		}
+		return res != nil
+	})
+	return *res
+}
+
+func TestLeaseThroughTheLog(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			g := newGroup(t, seed, 0.1)
+			acquire := func(holder string) leases.Entry {
+				return leases.Entry{Op: leases.Acquire, Name: "scout", Holder: holder, TTL: 2 * time.Second}
+			}
+			first := g.ask(acquire("n1"))
+			if !first.Granted {
+				t.Fatalf("seed %d: first acquire %+v", seed, first)
+			}
+			if r := g.ask(acquire("n2")); !errors.Is(r.Err, leases.ErrHeld) {
+				t.Fatalf("seed %d: a held lease went to another: %+v", seed, r)
+			}
+			// the leader is cut off; a new one gives the lease its full time anew
+			old := g.leader()
+			g.down[old] = true
+			g.until("a new leader", 200, func() bool { l := g.leader(); return l != 0 && l != old })
+			start := g.rounds
+			var second leases.Result
+			for i := 0; i < 60; i++ {
+				second = g.ask(acquire("n2"))
+				if second.Granted {
+					break
+				}
+				g.round()
+			}
+			if !second.Granted || second.Lease.Token <= first.Lease.Token {
+				t.Fatalf("seed %d: after the leader's loss: %+v (first token %d)", seed, second, first.Lease.Token)
+			}
+			// 2 s at 100 ms a round: not before the new term's stamp plus the whole time to live
+			if waited := g.rounds - start; waited < 19 {
+				t.Fatalf("seed %d: granted to another %d rounds after the new leader", seed, waited)
+			}
+			// every live voter has applied the same grant
+			g.until("voters agree", 100, func() bool {
+				for id, n := range g.nodes {
+					if g.down[id] {
+						continue
+					}
+					if l, ok := n.Machine().Holder("scout", n.Machine().Leases()[0].Expiry-1); !ok || l.Token != second.Lease.Token {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
+}
+
+func TestProposeAtAFollower(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	g.until("a leader", 100, func() bool { return g.leader() != 0 })
+	for id, n := range g.nodes {
+		if id == g.leader() {
+			continue
+		}
+		_, err := n.Propose(0, leases.Entry{Op: leases.Acquire, Name: "x", Holder: "a", TTL: time.Second})
+		var nl ErrNotLeader
+		if !errors.As(err, &nl) || nl.Leader != g.leader() {
+			t.Fatalf("follower %d: %v", id, err)
+		}
+	}
+}
+
+func TestNewRefusesABadConfig(t *testing.T) {
+	for _, c := range []Config{{ID: 0, Voters: []uint64{1}}, {ID: 4, Voters: []uint64{1, 2, 3}}, {ID: 1 << 16,
+		Voters: []uint64{1 << 16}}} {
+		if _, err := New(c); err == nil {
+			t.Errorf("%+v was taken", c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/testbed/faults/faults.go
@@ -0,0 +1,191 @@
+// Package faults is the fault layer that tests put between processes of the gateway on loopback: every link from one
+// member to another runs through a proxy that reads the fleet's frames (package fleet) and drops, delays, duplicates
+// and reorders them, cuts a link one way, partitions the members into sides, and heals. Decisions for a link come from
+// its own generator, seeded from the layer's seed, the link and the number of the connection, so that one link's
+// faults replay alike whatever the others do.
+package faults
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Plan is what happens to frames on a link that is not cut. Probabilities are per frame, within [0, 1].
+type Plan struct {
+	Drop   float64
+	Dup    float64
+	Delay  time.Duration // every frame waits this long
+	Jitter time.Duration // and up to this much more, at random: frames overtake each other
+}
+
+// Counts is what the layer did, for a test's figures.
+type Counts struct {
+	Passed, Dropped, Duplicated, Cut uint64
+}
+
+// Layer holds the links' state. Its methods are safe for concurrent use.
+type Layer struct {
+	seed uint64
+
+	mu    sync.Mutex
+	plan  Plan
+	cut   map[[2]uint16]bool // from, to
+	conns map[[2]uint16]uint64
+	n     Counts
+}
+
+// New makes a layer with its seed and a plan for all links.
+func New(seed uint64, plan Plan) *Layer {
+	return &Layer{seed: seed, plan: plan, cut: map[[2]uint16]bool{}, conns: map[[2]uint16]uint64{}}
+}
+
+// SetPlan changes the plan of all links from now on.
+func (l *Layer) SetPlan(p Plan) { l.mu.Lock(); l.plan = p; l.mu.Unlock() }
+
+// Cut stops frames from one member to another; the other way stays open.
+func (l *Layer) Cut(from, to uint16) { l.mu.Lock(); l.cut[[2]uint16{from, to}] = true; l.mu.Unlock() }
+
+// Partition cuts every link between members of different sides, both ways.
+func (l *Layer) Partition(sides ...[]uint16) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, a := range sides {
+		for j, b := range sides {
+			if i == j {
+				continue
+			}
+			for _, x := range a {
+				for _, y := range b {
+					l.cut[[2]uint16{x, y}] = true
+				}
+			}
+		}
+	}
+}
+
+// Heal opens every link.
+func (l *Layer) Heal() { l.mu.Lock(); l.cut = map[[2]uint16]bool{}; l.mu.Unlock() }
+
+// Counts is what the layer did so far.
+func (l *Layer) Counts() Counts { l.mu.Lock(); defer l.mu.Unlock(); return l.n }
+
+// Serve accepts connections on ln that member from opens to member to, dials target for each, and carries frames
+// both ways through the faults until ctx ends.
+func (l *Layer) Serve(ctx context.Context, ln net.Listener, from, to uint16, target string) error {
+	go func() { <-ctx.Done(); ln.Close() }()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("fault layer %d->%d: %w", from, to, err)
+		}
+		l.mu.Lock()
+		n := l.conns[[2]uint16{from, to}]
+		l.conns[[2]uint16{from, to}]++
+		l.mu.Unlock()
+		go l.carry(ctx, c, from, to, target, n)
+	}
+}
+
+func (l *Layer) carry(ctx context.Context, c net.Conn, from, to uint16, target string, n uint64) {
+	defer c.Close()
+	var d net.Dialer
+	t, err := d.DialContext(ctx, "tcp", target)
+	if err != nil {
+		return
+	}
+	defer t.Close()
+	done := make(chan struct{}, 2)
+	go func() { l.pipe(c, t, from, to, n); done <- struct{}{} }()
+	go func() { l.pipe(t, c, to, from, n); done <- struct{}{} }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// pipe carries frames from src to dst with the faults of link from->to.
+func (l *Layer) pipe(src io.Reader, dst net.Conn, from, to uint16, n uint64) {
+	rng := rand.New(rand.NewPCG(l.seed, uint64(from)<<48|uint64(to)<<32|n))
+	var wmu sync.Mutex
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	write := func(b []byte) {
+		wmu.Lock()
+		_, _ = dst.Write(b)
+		wmu.Unlock()
+	}
+	for {
+		var h [4]byte
+		if _, err := io.ReadFull(src, h[:]); err != nil {
+			dst.Close()
+			return
+		}
+		size := binary.BigEndian.Uint32(h[:])
+		if size > 1<<21 {
+			dst.Close() // not a frame: the layer does not make up what it cannot read
+			return
+		}
+		frame := make([]byte, 4+size)
+		copy(frame, h[:])
+		if _, err := io.ReadFull(src, frame[4:]); err != nil {
+			dst.Close()
+			return
+		}
+		l.mu.Lock()
+		plan, cut := l.plan, l.cut[[2]uint16{from, to}]
+		drop, dup := rng.Float64() < plan.Drop, rng.Float64() < plan.Dup
+		wait := plan.Delay
+		if plan.Jitter > 0 {
+			wait += time.Duration(rng.Int64N(int64(plan.Jitter)))
+		}
+		switch {
+		case cut:
+			l.n.Cut++
+		case drop:
+			l.n.Dropped++
+		default:
+			l.n.Passed++
+			if dup {
+				l.n.Duplicated++
+			}
+		}
+		l.mu.Unlock()
+		if cut || drop {
+			continue
+		}
+		copies := 1
+		if dup {
+			copies = 2
+		}
+		for i := 0; i < copies; i++ {
+			if wait == 0 {
+				write(frame)
+				continue
+			}
+			wg.Add(1)
+			time.AfterFunc(wait, func() { defer wg.Done(); write(frame) })
+		}
+	}
+}
+
+// ErrNoFreePort is what Listen says when loopback has no port to give.
+var ErrNoFreePort = errors.New("no free port on loopback")
+
+// Listen opens a listener on a free loopback port for a link's proxy.
+func Listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrNoFreePort, err)
+	}
+	return ln, nil
+}
