--- /dev/null
+++ b/internal/disk/raftlog/bolt_test.go
@@ -0,0 +1,5 @@
+package raftlog
+
+import bolt "go.etcd.io/bbolt"
+
+type boltTx = bolt.Tx
--- a/internal/memory/consensus/node.go
+++ b/internal/memory/consensus/node.go
@@ -26,6 +26,15 @@
 	Voters         []uint64 // this node's ID among them
 	ElectionTicks  int      // default 10
 	HeartbeatTicks int      // default 1
+
+	// Storage is what a voter kept before it stopped (package raftlog loads it), with Restart set; nil for a new
+	// voter, which is bootstrapped with Voters.
+	Storage *raft.MemoryStorage
+	Restart bool
+	// Keep makes the hard state and new entries survive a crash; it returns once they are on disk, and Process
+	// sends nothing before. Nil keeps them in memory only: such a voter must never come back under its ID, as it
+	// would have forgotten its vote.
+	Keep func(hard *raftpb.HardState, entries []*raftpb.Entry) error
 }
 
 // ErrNotLeader is what Propose says on a node that does not lead; Leader names the one it knows of (0: none).
@@ -59,6 +68,8 @@
 	lead    uint64
 	stamped uint64 // the term in which this node last proposed its stamp
 	bad     uint64 // committed entries that were no lease entry
+	keep    func(*raftpb.HardState, []*raftpb.Entry) error
+	broken  error // a Keep that failed: the node sends nothing more
 }
 
 // New starts a voter of a new group.
@@ -81,7 +92,13 @@
 	if cfg.HeartbeatTicks == 0 {
 		cfg.HeartbeatTicks = 1
 	}
-	storage := raft.NewMemoryStorage()
+	storage := cfg.Storage
+	if storage == nil {
+		if cfg.Restart {
+			return nil, fmt.Errorf("consensus node %d: a restart without storage", cfg.ID)
+		}
+		storage = raft.NewMemoryStorage()
+	}
 	raw, err := raft.NewRawNode(&raft.Config{
 		ID:              cfg.ID,
 		ElectionTick:    cfg.ElectionTicks,
@@ -98,10 +115,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("consensus node %d: %w", cfg.ID, err)
 	}
-	if err := raw.Bootstrap(peers); err != nil {
-		return nil, fmt.Errorf("consensus node %d: bootstrap: %w", cfg.ID, err)
+	if !cfg.Restart {
+		if err := raw.Bootstrap(peers); err != nil {
+			return nil, fmt.Errorf("consensus node %d: bootstrap: %w", cfg.ID, err)
+		}
 	}
-	return &Node{id: cfg.ID, raw: raw, storage: storage, pending: make(map[uint64]bool)}, nil
+	return &Node{id: cfg.ID, raw: raw, storage: storage, pending: make(map[uint64]bool), keep: cfg.Keep}, nil
 }
 
 // Tick moves the node's logical clock one tick on.
@@ -145,7 +164,7 @@
 // gives the messages to send and the outcomes of this node's proposals. A node that has just become leader proposes
 // its stamp here.
 func (n *Node) Process(now time.Duration) (msgs []*raftpb.Message, outs []Outcome) {
-	for n.raw.HasReady() {
+	for n.broken == nil && n.raw.HasReady() {
 		rd := n.raw.Ready()
 		if rd.SoftState != nil {
 			n.lead = rd.SoftState.Lead
@@ -157,6 +176,14 @@
 			_ = n.storage.SetHardState(rd.HardState)
 		}
 		_ = n.storage.Append(rd.Entries)
+		if n.keep != nil {
+			if err := n.keep(rd.HardState, rd.Entries); err != nil {
+				// guards against a vote or an entry that a peer counts on but this voter would forget: with the
+				// disk gone (full, failing) it stops speaking
+				n.broken = fmt.Errorf("consensus node %d: keep: %w", n.id, err)
+				return nil, outs
+			}
+		}
 		msgs = append(msgs, rd.Messages...)
 		for _, ent := range rd.CommittedEntries {
 			outs = n.apply(ent, outs)
@@ -164,7 +191,7 @@
 		n.raw.Advance(rd)
 	}
 	st := n.raw.BasicStatus()
-	if st.RaftState == raft.StateLeader && n.stamped != st.GetTerm() {
+	if n.broken == nil && st.RaftState == raft.StateLeader && n.stamped != st.GetTerm() {
 		n.stamped = st.GetTerm()
 		if _, err := n.Propose(now, leases.Entry{Op: leases.Stamp}); err == nil {
 			m, o := n.Process(now)
@@ -213,6 +240,9 @@
 // Machine is the lease machine as this node has applied it; it must not be changed.
 func (n *Node) Machine() *leases.Machine { return &n.machine }
 
+// Err is why the node stopped speaking: its Keep failed. Nil while it works.
+func (n *Node) Err() error { return n.broken }
+
 // Bad counts committed entries that were no lease entry.
 func (n *Node) Bad() uint64 { return n.bad }
 
