Prove the leases with five processes and faults: pause, cut and kill the holder

Change: yokemast lease-voter runs one voter (lifecycle.RunLeaseVoter: raft through internal/memory/consensus, frames over TCP, asks forwarded to the leader, the holder's view, acts under the lease sent as frames of the new kind KindAct); serve does not start it, as this platform allows only 256-byte datagrams between gateways. The fault layer can slow one link (Slow). TestProofLeases starts five voters, every link between them and to a stand-in resource through the fault layer (5% of frames dropped, 1 to 5 ms of delay), then, in the seed's order, pauses the holder with SIGSTOP while acts it sent just before are held 4 s on their way, cuts it off from the voters, and kills it.

Replay: YOKEMAST_LEASE_SEED=N go test ./cmd/yokemast -run TestProofLeases.

--- a/cmd/yokemast/main.go
+++ b/cmd/yokemast/main.go
@@ -20,6 +20,8 @@
 	Cells   cellsCmd   `cmd:"" help:"Look at the cells of a running gateway, and move tenants."`
 	Pools   poolsCmd   `cmd:"" help:"Show how a running gateway's clients share host connections."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+
+	LeaseVoter leaseVoterCmd `cmd:"" name:"lease-voter" help:"Run one voter of the fleet's leases, holding a lease for a task (not on this platform)."`
 }
 
 type configFlag struct {
--- /dev/null
+++ b/cmd/yokemast/proof_leases_test.go
@@ -0,0 +1,286 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"yokemast/internal/control/leases"
+	"yokemast/internal/testbed/faults"
+	"yokemast/internal/wire/fleet"
+)
+
+// act is what the stand-in resource saw: an act under the lease, with its token, and whether its fence admitted it.
+type act struct {
+	at       time.Time
+	holder   uint16
+	token    uint64
+	admitted bool
+}
+
+// resource stands in for whatever a fleet-wide task acts on: it keeps a fence, unless the test takes it out.
+type resource struct {
+	mu    sync.Mutex
+	fence leases.Fence
+	on    bool
+	acts  []act
+}
+
+func (r *resource) serve(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			rd := fleet.NewReader(c, func(uint16) bool { return true })
+			for {
+				f, err := rd.Read()
+				if err != nil || f.Kind != fleet.KindAct {
+					return
+				}
+				_, tok, _ := strings.Cut(string(f.Payload), " ")
+				token, _ := strconv.ParseUint(tok, 10, 64)
+				r.mu.Lock()
+				ok := true
+				if r.on {
+					ok = r.fence.Admit("scout", token) == nil
+				}
+				r.acts = append(r.acts, act{at: time.Now(), holder: f.From, token: token, admitted: ok})
+				r.mu.Unlock()
+			}
+		}()
+	}
+}
+
+func (r *resource) snapshot() []act {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]act(nil), r.acts...)
+}
+
+// check is the rule: among admitted acts, in the order they arrived, a token never goes back and one token is one
+// holder's. It gives the number of handoffs.
+func check(acts []act) (handoffs int, err error) {
+	var newest uint64
+	by := map[uint64]uint16{}
+	for i, a := range acts {
+		if !a.admitted {
+			continue
+		}
+		if a.token < newest {
+			return handoffs, fmt.Errorf("act %d: holder %d acted with token %d after token %d had acted", i, a.holder,
+				a.token, newest)
+		}
+		if h, ok := by[a.token]; ok && h != a.holder {
+			return handoffs, fmt.Errorf("act %d: token %d used by %d and %d", i, a.token, h, a.holder)
+		}
+		by[a.token] = a.holder
+		if a.token > newest {
+			if newest != 0 {
+				handoffs++
+			}
+			newest = a.token
+		}
+	}
+	return handoffs, nil
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+type leaseFleet struct {
+	procs map[uint16]*exec.Cmd
+	net   *faults.Layer // between voters
+	acts  *faults.Layer // from voters to the resource
+	res   *resource
+}
+
+// startLeaseFleet starts n voters of the real program, each link between two of them and each link to the
+// resource through the fault layer.
+func startLeaseFleet(t *testing.T, ctx context.Context, seed uint64, n int, fence bool) *leaseFleet {
+	f := &leaseFleet{procs: map[uint16]*exec.Cmd{}, res: &resource{on: fence},
+		net:  faults.New(seed, faults.Plan{Drop: 0.05, Delay: time.Millisecond, Jitter: 4 * time.Millisecond}),
+		acts: faults.New(seed+1, faults.Plan{})}
+	rl, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { rl.Close() })
+	go f.res.serve(rl)
+	listen := map[uint16]string{}
+	for id := uint16(1); id <= uint16(n); id++ {
+		listen[id] = freeAddr(t)
+	}
+	via := func(layer *faults.Layer, from, to uint16, target string) string {
+		ln, err := faults.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		go layer.Serve(ctx, ln, from, to, target)
+		return ln.Addr().String()
+	}
+	for id := uint16(1); id <= uint16(n); id++ {
+		args := []string{"lease-voter", "--id", fmt.Sprint(id), "--listen", listen[id], "--resource",
+			via(f.acts, id, 0, rl.Addr().String())}
+		for other := uint16(1); other <= uint16(n); other++ {
+			if other != id {
+				args = append(args, "--peer", fmt.Sprintf("%d=%s", other, via(f.net, id, other, listen[other])))
+			}
+		}
+		cmd := program(ctx, args...)
+		log := &logged{}
+		cmd.Stdout, cmd.Stderr = log, log
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		f.procs[id] = cmd
+		t.Cleanup(func() {
+			_ = cmd.Process.Signal(syscall.SIGCONT)
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+			if t.Failed() {
+				t.Logf("voter %d:\n%s", id, log)
+			}
+		})
+	}
+	return f
+}
+
+// holder is the holder of the newest admitted act; 0 before any.
+func (f *leaseFleet) holder() (uint16, uint64) {
+	acts := f.res.snapshot()
+	for i := len(acts) - 1; i >= 0; i-- {
+		if acts[i].admitted {
+			return acts[i].holder, acts[i].token
+		}
+	}
+	return 0, 0
+}
+
+func (f *leaseFleet) waitNewer(t *testing.T, token uint64, within time.Duration) time.Duration {
+	start := time.Now()
+	for time.Since(start) < within {
+		if _, tok := f.holder(); tok > token {
+			return time.Since(start)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("no newer token than %d within %v", token, within)
+	return 0
+}
+
+// playLeases plays one seed: the holder is paused with acts of its own on their way, cut off from the voters, and
+// killed, one after another in the seed's order.
+func playLeases(t *testing.T, seed uint64, fence bool) (acts []act, handoffs int, worst time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := startLeaseFleet(t, ctx, seed, 5, fence)
+	f.waitNewer(t, 0, patience)
+	rng := rand.New(rand.NewPCG(seed, 11))
+	plays := []string{"pause", "cut", "kill"}
+	rng.Shuffle(len(plays), func(i, j int) { plays[i], plays[j] = plays[j], plays[i] })
+	for _, play := range plays {
+		time.Sleep(time.Duration(200+rng.IntN(300)) * time.Millisecond)
+		h, tok := f.holder()
+		var took time.Duration
+		switch play {
+		case "pause":
+			// what it sent just before the pause arrives long after, when another holds the lease
+			f.acts.Slow(h, 0, 4*time.Second)
+			time.Sleep(60 * time.Millisecond) // three acts on their way
+			_ = f.procs[h].Process.Signal(syscall.SIGSTOP)
+			took = f.waitNewer(t, tok, patience)
+			time.Sleep(4 * time.Second)
+			_ = f.procs[h].Process.Signal(syscall.SIGCONT)
+			f.acts.Slow(h, 0, 0)
+		case "cut":
+			var rest []uint16
+			for id := range f.procs {
+				if id != h {
+					rest = append(rest, id)
+				}
+			}
+			f.net.Partition([]uint16{h}, rest)
+			took = f.waitNewer(t, tok, patience)
+			time.Sleep(time.Duration(500+rng.IntN(500)) * time.Millisecond)
+			f.net.Heal()
+		case "kill":
+			_ = f.procs[h].Process.Kill()
+			took = f.waitNewer(t, tok, patience)
+		}
+		t.Logf("seed %d: %s of holder %d: a newer token acted after %v", seed, play, h, took.Round(time.Millisecond))
+		if took > worst {
+			worst = took
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	acts = f.res.snapshot()
+	handoffs, err := check(acts)
+	if err != nil {
+		t.Logf("replay: YOKEMAST_LEASE_SEED=%d go test ./cmd/yokemast -run TestProofLeases", seed)
+		if fence {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		t.Logf("seed %d, without the fence: %v", seed, err)
+		return acts, -1, worst
+	}
+	return acts, handoffs, worst
+}
+
+func leaseSeeds() []uint64 {
+	if s, err := strconv.ParseUint(os.Getenv("YOKEMAST_LEASE_SEED"), 10, 64); err == nil {
+		return []uint64{s}
+	}
+	return []uint64{1, 2}
+}
+
+// TestProofLeases starts five voters of the real program with the project's fault layer between them and between
+// them and the resource, pauses, cuts off and kills the holder, and checks that the resource never admitted an act of
+// an older holder after a newer one's.
+func TestProofLeases(t *testing.T) {
+	for _, seed := range leaseSeeds() {
+		t.Logf("seed %d; replay: YOKEMAST_LEASE_SEED=%d go test ./cmd/yokemast -run TestProofLeases", seed, seed)
+		acts, handoffs, worst := playLeases(t, seed, true)
+		refused := 0
+		for _, a := range acts {
+			if !a.admitted {
+				refused++
+			}
+		}
+		if handoffs < 3 {
+			t.Fatalf("seed %d: the lease passed %d times for three losses of its holder", seed, handoffs)
+		}
+		if refused == 0 {
+			t.Fatalf("seed %d: the paused holder's late acts were not refused: the fence was never tried", seed)
+		}
+		t.Logf("figure lease_handoffs=%d lease_acts=%d lease_refused_stale=%d lease_worst_handoff_ms=%d (seed %d)",
+			handoffs, len(acts), refused, worst.Milliseconds(), seed)
+	}
+}
+
+// TestProofLeasesWithoutTheFence takes the resource's fence out and wants the checker to see an older holder act
+// after a newer one: the proof above can fail.
+func TestProofLeasesWithoutTheFence(t *testing.T) {
+	seed := leaseSeeds()[0]
+	_, handoffs, _ := playLeases(t, seed, false)
+	if handoffs != -1 {
+		t.Fatalf("seed %d: without the fence the checker found nothing", seed)
+	}
+}
--- a/internal/testbed/faults/faults.go
+++ b/internal/testbed/faults/faults.go
@@ -38,12 +38,14 @@
 	plan  Plan
 	cut   map[[2]uint16]bool // from, to
 	conns map[[2]uint16]uint64
+	slow  map[[2]uint16]time.Duration
 	n     Counts
 }
 
 // New makes a layer with its seed and a plan for all links.
 func New(seed uint64, plan Plan) *Layer {
-	return &Layer{seed: seed, plan: plan, cut: map[[2]uint16]bool{}, conns: map[[2]uint16]uint64{}}
+	return &Layer{seed: seed, plan: plan, cut: map[[2]uint16]bool{}, conns: map[[2]uint16]uint64{},
+		slow: map[[2]uint16]time.Duration{}}
 }
 
 // SetPlan changes the plan of all links from now on.
@@ -70,6 +72,13 @@
 	}
 }
 
+// Slow delays every frame from one member to another by this much more, from now on; 0 ends it.
+func (l *Layer) Slow(from, to uint16, by time.Duration) {
+	l.mu.Lock()
+	l.slow[[2]uint16{from, to}] = by
+	l.mu.Unlock()
+}
+
 // Heal opens every link.
 func (l *Layer) Heal() { l.mu.Lock(); l.cut = map[[2]uint16]bool{}; l.mu.Unlock() }
 
@@ -144,7 +153,7 @@
 		l.mu.Lock()
 		plan, cut := l.plan, l.cut[[2]uint16{from, to}]
 		drop, dup := rng.Float64() < plan.Drop, rng.Float64() < plan.Dup
-		wait := plan.Delay
+		wait := plan.Delay + l.slow[[2]uint16{from, to}]
 		if plan.Jitter > 0 {
 			wait += time.Duration(rng.Int64N(int64(plan.Jitter)))
 		}
--- a/internal/wire/fleet/frame.go
+++ b/internal/wire/fleet/frame.go
@@ -7,7 +7,8 @@
 //	4 bytes  length of what follows, at most MaxFrame
 //	1 byte   kind
 //	2 bytes  the sender's member id
-//	...      the payload: for KindRaft a raftpb.Message in protocol buffers, for the others a lease entry
+//	...      the payload: for KindRaft a raftpb.Message in protocol buffers, for asks a lease entry, for answers
+//	         the proposal, 1 byte held (1) or not (0) and the token, for acts the lease's name and the token
 //
 // Numbers are big-endian. A reader checks the length before it reads the rest, the kind, that the sender is a member
 // and, for consensus messages, that the message says it comes from the sender; a frame that fails any check ends the
@@ -29,6 +30,7 @@
 	KindRaft   Kind = 1 // a message of the consensus library, voter to voter
 	KindAsk    Kind = 2 // a lease entry that a gateway asks a voter to propose
 	KindAnswer Kind = 3 // a voter's answer to an ask
+	KindAct    Kind = 4 // an act under a lease, to the side acted on: the lease's name, a space, the token
 )
 
 // MaxFrame bounds a frame after its length, in bytes: the consensus library's messages are held to 64 KiB of
@@ -81,7 +83,7 @@
 		return Frame{}, fmt.Errorf("frame head: %w", unexpected(err))
 	}
 	f := Frame{Kind: Kind(h[4]), From: binary.BigEndian.Uint16(h[5:])}
-	if f.Kind < KindRaft || f.Kind > KindAnswer {
+	if f.Kind < KindRaft || f.Kind > KindAct {
 		return Frame{}, fmt.Errorf("kind %d from %d: %w", f.Kind, f.From, ErrFrame)
 	}
 	if !r.members(f.From) {
--- a/internal/wire/fleet/frame_test.go
+++ b/internal/wire/fleet/frame_test.go
@@ -76,7 +76,7 @@
 			if err != nil {
 				return
 			}
-			if !members(fr.From) || fr.Kind < KindRaft || fr.Kind > KindAnswer {
+			if !members(fr.From) || fr.Kind < KindRaft || fr.Kind > KindAct {
 				t.Fatalf("took %+v", fr)
 			}
 			_, _ = Raft(fr)
