Send frames twice now and then in the lease proof

Need: the issue asks for duplicated frames among the faults; the proof dropped and reordered them only.

--- a/cmd/yokemast/proof_leases_test.go
+++ b/cmd/yokemast/proof_leases_test.go
@@ -116,7 +116,7 @@
 // resource through the fault layer.
 func startLeaseFleet(t *testing.T, ctx context.Context, seed uint64, n int, fence bool) *leaseFleet {
 	f := &leaseFleet{procs: map[uint16]*exec.Cmd{}, res: &resource{on: fence},
-		net:  faults.New(seed, faults.Plan{Drop: 0.05, Delay: time.Millisecond, Jitter: 4 * time.Millisecond}),
+		net:  faults.New(seed, faults.Plan{Drop: 0.05, Dup: 0.02, Delay: time.Millisecond, Jitter: 4 * time.Millisecond}),
 		acts: faults.New(seed+1, faults.Plan{})}
 	rl, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
