A deposed leader forgets its unanswered proposals, so it never refuses all as busy

Cause, found reading the change again: Node.pending kept every proposal until its outcome, but a leader that loses its term never sees the outcomes of proposals that the new leader drops. After 4,096 of them it would answer every proposal ErrBusy for good, and the voter's maps in lifecycle (mine, asked, theirs) would grow the same way.

Change: the node drops pending proposals when its term moves on (node.go, forget; one that commits all the same is applied, not answered, and its proposer asks again after ttl/3); lifecycle drops proposals and asks older than ttl and bounds the table of others' asks.

Measured: TestADeposedLeaderForgetsItsProposals: 10 proposals at a leader cut off, then a new leader and the old one following: 0 pending; with forget taken out, 10. The other consensus tests pass.

--- a/internal/lifecycle/lease.go
+++ b/internal/lifecycle/lease.go
@@ -171,6 +171,17 @@
 			if waiting >= 0 && t-waiting > c.Lease.TTL/3 {
 				waiting = -1 // the request or its answer was lost
 			}
+			// guards against tables that grow without end with proposals and asks that a change of leader lost
+			for _, m := range []map[uint64]time.Duration{mine, asked} {
+				for p, sent := range m {
+					if t-sent > c.Lease.TTL {
+						delete(m, p)
+					}
+				}
+			}
+			if len(theirs) > 4096 {
+				clear(theirs)
+			}
 			_, actErr := hold.Act(t)
 			if waiting < 0 && (actErr != nil || hold.RenewDue(t)) {
 				e := entry()
--- a/internal/memory/consensus/node.go
+++ b/internal/memory/consensus/node.go
@@ -65,6 +65,7 @@
 	machine leases.Machine
 	seq     uint64
 	pending map[uint64]bool
+	pendAt  uint64 // the term in which the pending proposals were made
 	lead    uint64
 	stamped uint64 // the term in which this node last proposed its stamp
 	bad     uint64 // committed entries that were no lease entry
@@ -144,6 +145,9 @@
 	if st.RaftState != raft.StateLeader {
 		return 0, ErrNotLeader{Leader: st.Lead}
 	}
+	if st.GetTerm() != n.pendAt {
+		n.forget(st.GetTerm())
+	}
 	if len(n.pending) >= maxPending {
 		return 0, ErrBusy
 	}
@@ -191,6 +195,9 @@
 		n.raw.Advance(rd)
 	}
 	st := n.raw.BasicStatus()
+	if st.GetTerm() != n.pendAt {
+		n.forget(st.GetTerm())
+	}
 	if n.broken == nil && st.RaftState == raft.StateLeader && n.stamped != st.GetTerm() {
 		n.stamped = st.GetTerm()
 		if _, err := n.Propose(now, leases.Entry{Op: leases.Stamp}); err == nil {
@@ -201,6 +208,17 @@
 	return msgs, outs
 }
 
+// forget drops the proposals of an older term. Guards against a leader that was deposed filling its table with
+// proposals that will never be answered, and then refusing every new one with ErrBusy; one that is committed all the
+// same is applied but not answered, and its proposer asks again after its own time-out.
+func (n *Node) forget(term uint64) {
+	clear(n.pending)
+	n.pendAt = term
+}
+
+// Pending counts proposals waiting for their outcome.
+func (n *Node) Pending() int { return len(n.pending) }
+
 func (n *Node) apply(ent *raftpb.Entry, outs []Outcome) []Outcome {
 	switch ent.GetType() {
 	case raftpb.EntryType_EntryConfChange:
--- a/internal/memory/consensus/node_test.go
+++ b/internal/memory/consensus/node_test.go
@@ -180,3 +180,22 @@
 		}
 	}
 }
+
+func TestADeposedLeaderForgetsItsProposals(t *testing.T) {
+	g := newGroup(t, 3, 0)
+	g.until("a leader", 100, func() bool { return g.leader() != 0 })
+	old := g.leader()
+	g.down[old] = true
+	for i := 0; i < 10; i++ {
+		if _, err := g.nodes[old].Propose(g.clock[old], leases.Entry{Op: leases.Acquire, Name: fmt.Sprint("t", i),
+			Holder: "a", TTL: time.Second}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.until("a new leader", 200, func() bool { l := g.leader(); return l != 0 && l != old })
+	g.down[old] = false
+	g.until("the old leader follows", 200, func() bool { return g.nodes[old].Leader() != old && g.nodes[old].Leader() != 0 })
+	if n := g.nodes[old].Pending(); n != 0 {
+		t.Fatalf("a deposed leader keeps %d proposals that will never be answered", n)
+	}
+}
