Test that the margin covers the clocks' drift; the lease model keeps its tick in its state

Need: reading the change again, no test failed when the holder's margin was taken out: the search did not reach the case within its bound. The model also kept its tick in a package variable.

Change: TestTheMarginCoversDrift plays the bound's worst clocks (holder 1% slow, leader 1% fast, ttl 2 s) with the real Machine and Holding: margins of 200 and 41 ms stop the holder first, none lets the two overlap. The tick lives in each model state.

--- a/internal/control/leases/leases_test.go
+++ b/internal/control/leases/leases_test.go
@@ -237,3 +237,26 @@
 		t.Fatalf("newest %d refused %d", f.Newest("a"), f.Refused())
 	}
 }
+
+// TestTheMarginCoversDrift plays the worst clocks of the bound: the holder's runs slow, the leader's fast, the stamp
+// comes at the holder's sending. The holder must stop before the voters let the lease pass; without the margin it
+// does not.
+func TestTheMarginCoversDrift(t *testing.T) {
+	const drift = 0.01
+	ttl := 2 * time.Second
+	for _, c := range []struct {
+		margin   time.Duration
+		overlaps bool
+	}{{200 * ms, false}, {41 * ms, false}, {0, true}} {
+		h := &Holding{cfg: HolderConfig{TTL: ttl, Drift: drift, Margin: c.margin}}
+		var m Machine
+		r := m.Apply(1, Entry{Op: Acquire, Name: "scout", Holder: "a", TTL: ttl, Term: 1, Now: 0})
+		h.Granted(0, r.Lease.Token)
+		// real time at which each side changes its mind, in nanoseconds of real time
+		holderStops := float64(h.Until()) / (1 - drift)
+		votersFree := float64(r.Lease.Expiry) / (1 + drift)
+		if overlaps := holderStops >= votersFree; overlaps != c.overlaps {
+			t.Errorf("margin %v: holder stops at %.0f ns, voters free at %.0f ns", c.margin, holderStops, votersFree)
+		}
+	}
+}
--- a/internal/control/leases/model_test.go
+++ b/internal/control/leases/model_test.go
@@ -55,18 +55,16 @@
 	replies []reply
 	hold    [2]Holding
 	sends   [2]int
+	tick    time.Duration // of real time per step
 	// the processes' clocks: two clients, two leaders
 	rate   [4]float64
 	offset [4]time.Duration
 }
 
 func (s *modelState) clock(p int) time.Duration {
-	return s.offset[p] + time.Duration(float64(time.Duration(s.t)*tickOf)*s.rate[p])
+	return s.offset[p] + time.Duration(float64(time.Duration(s.t)*s.tick)*s.rate[p])
 }
 
-// tickOf is set by explore for clock; a model runs at one size at a time.
-var tickOf time.Duration
-
 func (s *modelState) clone() *modelState {
 	c := *s
 	c.machine.leases = make(map[string]*Lease, len(s.machine.leases))
@@ -211,14 +209,13 @@
 }
 
 func explore(cfg modelCfg, limit int) exploreResult {
-	tickOf = cfg.tick
 	var frontier []*modelState
 	// the two leaders run at one rate: what matters is how a client's clock runs against theirs
 	for _, r0 := range cfg.rates {
 		for _, r1 := range cfg.rates {
 			for _, r2 := range cfg.rates {
 				for _, o := range cfg.offsets {
-					s := &modelState{term: 1, rate: [4]float64{r0, r1, r2, r2},
+					s := &modelState{term: 1, tick: cfg.tick, rate: [4]float64{r0, r1, r2, r2},
 						offset: [4]time.Duration{0, 0, o, cfg.offsets[len(cfg.offsets)-1] - o}}
 					for c := range s.hold {
 						s.hold[c] = Holding{cfg: HolderConfig{TTL: cfg.ttl, Drift: cfg.drift, Margin: cfg.margin}}
@@ -294,7 +291,7 @@
 
 func describe(s *modelState) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "real time %v, term %d, rates %v, offsets %v\n", time.Duration(s.t)*tickOf, s.term, s.rate,
+	fmt.Fprintf(&b, "real time %v, term %d, rates %v, offsets %v\n", time.Duration(s.t)*s.tick, s.term, s.rate,
 		s.offset)
 	for c := 0; c < 2; c++ {
 		fmt.Fprintf(&b, "client %d: token %d until %v, clock %v\n", c, s.hold[c].Token(), s.hold[c].Until(), s.clock(c))
