Lease voter counts grants, losses and leader changes, and can log its request history

An ask answered through another voter now keeps its entry, so a refused renewal there marks the token lost as a local one does (before, it passed an empty entry and the loss went unnoticed until the lease ran out, which was safe but slow).

--- a/cmd/yokemast/proof_leases_test.go
+++ b/cmd/yokemast/proof_leases_test.go
@@ -49,8 +49,10 @@
 				if err != nil || f.Kind != fleet.KindAct {
 					return
 				}
-				_, tok, _ := strings.Cut(string(f.Payload), " ")
-				token, _ := strconv.ParseUint(tok, 10, 64)
+				var token uint64
+				if fs := strings.Fields(string(f.Payload)); len(fs) >= 2 {
+					token, _ = strconv.ParseUint(fs[1], 10, 64)
+				}
 				r.mu.Lock()
 				ok := true
 				if r.on {
--- a/internal/lifecycle/lease.go
+++ b/internal/lifecycle/lease.go
@@ -29,6 +29,31 @@
 	Task     string        // the lease's name
 	Resource string        // where acts under the lease go, as fleet frames of kind KindAct
 	ActEvery time.Duration // how often the holder acts
+	// ClockRate is how fast this voter's lease clock runs against true time, for proving that the margin covers
+	// drift: 1 (or 0) in use; the proof sets one voter within the drift bound and one beyond it.
+	ClockRate float64
+	// History logs each request for the lease and its answer ("lease request"), with the wall time of its sending
+	// and of its answer, for a linearizability check of the lease; about ten lines a second a voter.
+	History bool
+}
+
+// voterCounts are what a voter counts, logged every 10 s and at its end.
+type voterCounts struct {
+	grants, losses, leaders, refusedFrames, refusedAsks, acts, lostRequests uint64
+}
+
+func (n voterCounts) fields() []zap.Field {
+	return []zap.Field{zap.Uint64("grants", n.grants), zap.Uint64("losses", n.losses),
+		zap.Uint64("leader_changes", n.leaders), zap.Uint64("refused_frames", n.refusedFrames),
+		zap.Uint64("refused_asks", n.refusedAsks), zap.Uint64("acts", n.acts),
+		zap.Uint64("unanswered_requests", n.lostRequests)}
+}
+
+// request is one request for the lease on its way: its sending on the lease clock and on the wall, and what it asked.
+type request struct {
+	sent time.Duration
+	wall int64 // Unix ns
+	e    leases.Entry
 }
 
 // answer is the voters' answer to an ask: the asker's proposal, then 1 byte granted or held (1) or not (0), then the
@@ -89,16 +114,21 @@
 		default: // a peer that does not read loses frames, as it would on a lossy link
 		}
 	}
-	start := time.Now()
-	now := func() time.Duration { return time.Since(start) }
+	start, rate := time.Now(), c.ClockRate
+	if rate <= 0 {
+		rate = 1
+	}
+	now := func() time.Duration { return time.Duration(float64(time.Since(start)) * rate) }
 	var (
-		mine    = map[uint64]time.Duration{} // local proposals: their sending on this clock
-		asked   = map[uint64]time.Duration{} // asks sent to a leader, by their number here
-		theirs  = map[uint64]ask{}           // proposals made for another voter's ask
+		mine    = map[uint64]request{} // local proposals
+		asked   = map[uint64]request{} // asks sent to a leader, by their number here
+		theirs  = map[uint64]ask{}     // proposals made for another voter's ask
 		seq     uint64
 		waiting time.Duration = -1 // when the outstanding request was sent
 		lead    uint64
+		counts  voterCounts
 	)
+	defer func() { log.Info("lease counters", counts.fields()...) }()
 	entry := func() leases.Entry {
 		if _, err := hold.Act(now()); err == nil {
 			return leases.Entry{Op: leases.Renew, Name: c.Task, Holder: fmt.Sprint(c.ID), Token: hold.Token(),
@@ -106,21 +136,33 @@
 		}
 		return leases.Entry{Op: leases.Acquire, Name: c.Task, Holder: fmt.Sprint(c.ID), TTL: c.Lease.TTL}
 	}
-	result := func(sent time.Duration, granted bool, token uint64, e leases.Entry) {
+	result := func(r request, granted bool, token uint64) {
 		waiting = -1
+		if c.History {
+			log.Info("lease request", zap.String("lease", c.Task), zap.Bool("renew", r.e.Op == leases.Renew),
+				zap.Uint64("asked_token", r.e.Token), zap.Bool("granted", granted), zap.Uint64("token", token),
+				zap.Int64("call_ns", r.wall), zap.Int64("return_ns", time.Now().UnixNano()))
+		}
 		if granted {
 			before := hold.Token()
-			hold.Granted(sent, token)
+			hold.Granted(r.sent, token)
 			if hold.Token() != before {
+				counts.grants++
 				log.Info("lease granted", zap.String("lease", c.Task), zap.Uint64("token", token))
 			}
 			return
 		}
-		if e.Op == leases.Renew {
-			hold.Lost(e.Token)
-			log.Info("lease lost", zap.String("lease", c.Task), zap.Uint64("token", e.Token))
+		if r.e.Op == leases.Renew && r.e.Token == hold.Token() && hold.Until() > 0 {
+			counts.losses++
+			log.Info("lease lost", zap.String("lease", c.Task), zap.Uint64("token", r.e.Token),
+				zap.String("reason", "renewal refused"))
+		}
+		if r.e.Op == leases.Renew {
+			hold.Lost(r.e.Token)
 		}
 	}
+	counting := time.NewTicker(10 * time.Second)
+	defer counting.Stop()
 	ticker := time.NewTicker(c.Tick)
 	defer ticker.Stop()
 	acting := time.NewTicker(c.ActEvery)
@@ -130,10 +172,17 @@
 		case <-ctx.Done():
 			ln.Close()
 			return g.Wait()
+		case <-counting.C:
+			log.Info("lease counters", counts.fields()...)
+			continue
 		case <-acting.C:
 			if tok, err := hold.Act(now()); err == nil {
+				// the act carries the wall time of its sending, so that whoever receives it can tell two holders
+				// acting at once from a late delivery
 				select {
-				case acts <- fleet.Append(nil, fleet.KindAct, uint16(c.ID), fmt.Appendf(nil, "%s %d", c.Task, tok)):
+				case acts <- fleet.Append(nil, fleet.KindAct, uint16(c.ID),
+					fmt.Appendf(nil, "%s %d %d", c.Task, tok, time.Now().UnixNano())):
+					counts.acts++
 				default:
 				}
 			}
@@ -144,11 +193,13 @@
 				if m, err := fleet.Raft(f); err == nil {
 					_ = node.Step(m)
 				} else {
+					counts.refusedFrames++
 					log.Warn("fleet frame refused", zap.Error(err))
 				}
 			case fleet.KindAsk:
 				p, e, err := leases.Decode(f.Payload)
 				if err != nil {
+					counts.refusedAsks++
 					log.Warn("lease ask refused", zap.Uint16("from", f.From), zap.Error(err))
 					break
 				}
@@ -160,9 +211,9 @@
 					break
 				}
 				p := binary.BigEndian.Uint64(f.Payload)
-				if sent, ok := asked[p]; ok {
+				if r, ok := asked[p]; ok {
 					delete(asked, p)
-					result(sent, f.Payload[8] == 1, binary.BigEndian.Uint64(f.Payload[9:]), leases.Entry{})
+					result(r, f.Payload[8] == 1, binary.BigEndian.Uint64(f.Payload[9:]))
 				}
 			}
 		case <-ticker.C:
@@ -170,11 +221,12 @@
 			t := now()
 			if waiting >= 0 && t-waiting > c.Lease.TTL/3 {
 				waiting = -1 // the request or its answer was lost
+				counts.lostRequests++
 			}
 			// guards against tables that grow without end with proposals and asks that a change of leader lost
-			for _, m := range []map[uint64]time.Duration{mine, asked} {
-				for p, sent := range m {
-					if t-sent > c.Lease.TTL {
+			for _, m := range []map[uint64]request{mine, asked} {
+				for p, r := range m {
+					if t-r.sent > c.Lease.TTL {
 						delete(m, p)
 					}
 				}
@@ -185,17 +237,19 @@
 			_, actErr := hold.Act(t)
 			if waiting < 0 && (actErr != nil || hold.RenewDue(t)) {
 				e := entry()
+				r := request{sent: t, wall: time.Now().UnixNano(), e: e}
 				if p, err := node.Propose(t, e); err == nil {
-					mine[p], waiting = t, t
+					mine[p], waiting = r, t
 				} else if nl := (consensus.ErrNotLeader{}); errors.As(err, &nl) && nl.Leader != 0 {
 					seq++
-					asked[seq], waiting = t, t
+					asked[seq], waiting = r, t
 					send(nl.Leader, fleet.Append(nil, fleet.KindAsk, uint16(c.ID), leases.Encode(nil, seq, e)))
 				}
 			}
 		}
 		msgs, outs := node.Process(now())
 		if l := node.Leader(); l != lead {
+			counts.leaders++
 			log.Info("lease leader", zap.Uint64("leader", l), zap.Uint64("term", node.Term()))
 			lead = l
 		}
@@ -206,9 +260,9 @@
 		}
 		for _, o := range outs {
 			held := o.Result.Err == nil && o.Result.Lease.Holder == o.Entry.Holder
-			if sent, ok := mine[o.Proposal]; ok {
+			if r, ok := mine[o.Proposal]; ok {
 				delete(mine, o.Proposal)
-				result(sent, held, o.Result.Lease.Token, o.Entry)
+				result(r, held, o.Result.Lease.Token)
 			}
 			if a, ok := theirs[o.Proposal]; ok {
 				delete(theirs, o.Proposal)
