--- a/cmd/yokemast/lease.go
+++ b/cmd/yokemast/lease.go
@@ -29,10 +29,16 @@
 	Task     string        `help:"The lease's name." default:"scout"`
 	Resource string        `help:"Where acts under the lease go, over TCP." required:""`
 	ActEvery time.Duration `help:"How often the holder acts." default:"20ms"`
+	History  bool          `help:"Log each lease request and its answer with wall times, for a linearizability check."`
+	// ClockRate exists for proofs of the drift bound; the default keeps the true rate.
+	ClockRate float64 `help:"How fast this voter's lease clock runs against true time, 0.5 to 2; for proofs only." default:"1"`
 }
 
 // Run runs the voter until SIGTERM or SIGINT.
 func (c *leaseVoterCmd) Run() error {
+	if c.ClockRate < 0.5 || c.ClockRate > 2 {
+		return fmt.Errorf("--clock-rate %v: want 0.5 to 2", c.ClockRate)
+	}
 	peers := map[uint64]string{}
 	for _, p := range c.Peer {
 		id, addr, ok := strings.Cut(p, "=")
@@ -52,5 +58,5 @@
 	log.Info("lease voter ready", zap.Uint64("id", c.ID))
 	return lifecycle.RunLeaseVoter(ctx, lifecycle.LeaseVoter{ID: c.ID, Peers: peers, Listen: c.Listen, Dir: c.Dir,
 		Tick: c.Tick, Lease: leases.HolderConfig{TTL: c.TTL, Drift: c.Drift, Margin: c.Margin}, Task: c.Task,
-		Resource: c.Resource, ActEvery: c.ActEvery}, log.With(zap.Uint64("voter", c.ID)))
+		Resource: c.Resource, ActEvery: c.ActEvery, History: c.History, ClockRate: c.ClockRate}, log.With(zap.Uint64("voter", c.ID)))
 }
