Second address with drain and resume; one state machine for start, drain and end

Change: internal/control/service holds the process's state (starting, serving, draining, ending, and how far an heir is) in place of the flags in the start and the front; internal/wire/admin answers GET /_ready and POST /_lameduck/on|off on the second address; the empty query is answered with 57P03 while drained, connections end between requests after 0.35 s.

--- /dev/null
+++ b/cmd/yokemast/admin_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"yokemast/internal/testbed/hosts"
+)
+
+// withAdmin gives the configuration a second address, which comes back in address.
+func withAdmin(address *string) func(string) string {
+	*address = strings.Replace(ownAddress(), ":5432", ":8081", 1)
+	return func(c string) string { return strings.Replace(c, `"listen":`, `"admin":"`+*address+`","listen":`, 1) }
+}
+
+// call makes one call and gives its status.
+func call(t testing.TB, method, address, path string) int {
+	t.Helper()
+	req, _ := http.NewRequest(method, "http://"+address+path, nil)
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: transport, Timeout: patience}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// waitClosed waits until the gateway has ended a connection on which nothing is owed.
+func waitClosed(t testing.TB, c net.Conn) {
+	t.Helper()
+	if n, err := c.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+		t.Fatalf("the connection gave %d bytes and %v, not its end", n, err)
+	}
+}
+
+func TestCalls(t *testing.T) {
+	var admin string
+	edit := withAdmin(&admin)
+	start(t, edit, newHost(t, "h1", "leader", nil))
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{{"GET", "/_ready", 200}, {"POST", "/_ready", 405}, {"GET", "/_lameduck/on", 405}, {"GET", "/", 404}, {"POST", "/_lameduck", 404},
+		{"POST", "/_lameduck/off", 204}, {"POST", "/_lameduck/on", 204}, {"GET", "/_ready", 503}, {"POST", "/_lameduck/on", 204},
+		{"POST", "/_lameduck/off", 204}, {"GET", "/_ready", 200}} {
+		if got := call(t, c.method, admin, c.path); got != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
+		}
+	}
+}
+
+// Callers that connect and say nothing, or begin and don't end, must not keep an honest one waiting.
+func TestSilentCallersKeepNobodyOut(t *testing.T) {
+	var admin string
+	edit := withAdmin(&admin)
+	start(t, edit, newHost(t, "h1", "leader", nil))
+	for i := range 40 {
+		c, err := net.Dial("tcp", admin)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			_, _ = io.WriteString(c, "GET /_ready HTTP/1.1\r\nHost: x\r\n")
+		}
+	}
+	for range 20 {
+		if got := call(t, "GET", admin, "/_ready"); got != 200 {
+			t.Fatal(got)
+		}
+	}
+}
+
+func TestDrainAndBack(t *testing.T) {
+	var admin string
+	edit := withAdmin(&admin)
+	hold := make(chan struct{})
+	h := newHost(t, "h1", "leader", nil)
+	slow := newHost(t, "h2", "follower", func(_ int, q string) []byte {
+		if strings.Contains(q, "slow") {
+			<-hold
+		}
+		return nil
+	})
+	g := start(t, edit, h, slow)
+	idle, busy := g.client(), g.client()
+	busy.Send(read("slow", comment("view", "")))
+	for end := time.Now().Add(patience); !asked(slow, "slow") && !asked(h, "slow"); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the request does not reach a host")
+		}
+	}
+	if got := call(t, "POST", admin, "/_lameduck/on"); got != 204 {
+		t.Fatal(got)
+	}
+	if got := g.client().Ask(""); got != "57P03" && got != "57P03, closed" {
+		t.Errorf("drained, the empty query is answered %q", got)
+	}
+	waitClosed(t, idle)
+	close(hold)
+	if got := busy.Answer(); !strings.HasPrefix(got, "row ") {
+		t.Errorf("what was under way is answered %q", got)
+	}
+	waitClosed(t, busy)
+	if got := call(t, "POST", admin, "/_lameduck/off"); got != 204 {
+		t.Fatal(got)
+	}
+	back := g.client()
+	if got := back.Ask(""); got != "empty" {
+		t.Errorf("after the drain the empty query is answered %q", got)
+	}
+	if got := back.Ask(read("k", comment("view", ""))); !strings.HasPrefix(got, "row ") {
+		t.Errorf("after the drain a read is answered %q", got)
+	}
+	time.Sleep(500 * time.Millisecond) // longer than the drain would have kept it
+	if got := back.Ask(""); got != "empty" {
+		t.Errorf("a client that came after the drain is answered %q", got)
+	}
+}
+
+func asked(h *hosts.Host, text string) bool {
+	for _, q := range h.Asked() {
+		if strings.Contains(q, text) {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/yokemast/main.go
+++ b/cmd/yokemast/main.go
@@ -42,6 +42,7 @@
 	Name      string `help:"The gateway's name, in place of the configuration's." env:"ROUTER_NAME"`
 	Listen    string `help:"Where clients connect, in place of the configuration's." env:"ROUTER_LISTEN"`
 	Discovery string `help:"Discovery's address, in place of the configuration's." env:"ROUTER_DISCOVERY"`
+	Admin     string `help:"Where staff call, in place of the configuration's." env:"ROUTER_ADMIN"`
 }
 
 // Run serves.
@@ -50,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.Override(s.Name, s.Listen, s.Discovery); err != nil {
+	if err := c.Override(s.Name, s.Listen, s.Discovery, s.Admin); err != nil {
 		return err
 	}
 	own, err := s.operator()
@@ -66,7 +67,7 @@
 		c, err := lifecycle.LoadConfig(s.Config)
 		if err == nil {
 			// Discovery as the file has it: the environment still names the address of the start.
-			err = c.Override(s.Name, s.Listen, "")
+			err = c.Override(s.Name, s.Listen, "", s.Admin)
 		}
 		return c, err
 	}
--- /dev/null
+++ b/internal/control/service/service_test.go
@@ -0,0 +1,117 @@
+package service
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var times = Times{FrontAway: 350 * ms, Shed: 2950 * ms, LastAnswer: 3550 * ms, End: 3620 * ms, Linger: 10 * time.Second}
+
+type step struct {
+	at  time.Duration
+	ev  Event
+	bad bool
+}
+
+func TestWhatHolds(t *testing.T) {
+	const on = 1000 * ms
+	for name, c := range map[string]struct {
+		steps []step
+		at    time.Duration
+		want  View
+	}{
+		"starting": {nil, on, View{}},
+		"serving":  {[]step{{0, Ready, false}}, on, View{Phase: Serving, Yes: true, Accept: true}},
+		"told to drain before it was ready": {[]step{{0, Drain, false}, {1 * ms, Ready, false}}, 100 * ms,
+			View{Phase: Draining, Accept: true, Next: 350 * ms}},
+		"a drain says no at once and keeps connections until the front has noticed": {[]step{{0, Ready, false}, {on, Drain, false}},
+			on, View{Phase: Draining, Accept: true, Next: on + 350*ms}},
+		"then it ends them": {[]step{{0, Ready, false}, {on, Drain, false}}, on + 350*ms,
+			View{Phase: Draining, Accept: true, Shed: true}},
+		"on twice counts from the first": {[]step{{0, Ready, false}, {on, Drain, false}, {on + 300*ms, Drain, false}}, on + 350*ms,
+			View{Phase: Draining, Accept: true, Shed: true}},
+		"off in the middle": {[]step{{0, Ready, false}, {on, Drain, false}, {on + 100*ms, Resume, false}}, on + 350*ms,
+			View{Phase: Serving, Yes: true, Accept: true}},
+		"off without on":          {[]step{{0, Ready, false}, {on, Resume, false}}, on, View{Phase: Serving, Yes: true, Accept: true}},
+		"on and off before ready": {[]step{{0, Drain, false}, {1 * ms, Resume, false}}, on, View{}},
+		"off before ready":        {[]step{{0, Resume, false}}, on, View{}},
+		"off after SIGTERM": {[]step{{0, Ready, false}, {on, Terminate, false}, {on + ms, Resume, true}}, on + ms,
+			View{Phase: Ending, Yes: true, Accept: true, Last: on + 3550*ms, Next: on + 2950*ms}},
+		"SIGTERM serves on": {[]step{{0, Ready, false}, {on, Terminate, false}}, on + 2949*ms,
+			View{Phase: Ending, Yes: true, Accept: true, Last: on + 3550*ms, Next: on + 2950*ms}},
+		"then it ends connections": {[]step{{0, Ready, false}, {on, Terminate, false}}, on + 2950*ms,
+			View{Phase: Ending, Yes: true, Shed: true, Idle: true, Last: on + 3550*ms, Next: on + 3620*ms}},
+		"and then itself": {[]step{{0, Ready, false}, {on, Terminate, false}}, on + 3620*ms,
+			View{Phase: Ending, Yes: true, Shed: true, Idle: true, Over: true, Last: on + 3550*ms}},
+		"SIGTERM while drained": {[]step{{0, Ready, false}, {on, Drain, false}, {on + 400*ms, Terminate, false}}, on + 400*ms,
+			View{Phase: Ending, Accept: true, Shed: true, Last: on + 3950*ms, Next: on + 3350*ms}},
+		"a drain after SIGTERM changes nothing": {[]step{{0, Ready, false}, {on, Terminate, false}, {on + ms, Drain, false}}, on + ms,
+			View{Phase: Ending, Yes: true, Accept: true, Last: on + 3550*ms, Next: on + 2950*ms}},
+		"an heir shares the limits": {[]step{{0, Ready, false}, {on, HeirCame, false}}, on,
+			View{Phase: Serving, Heir: Came, Yes: true, Accept: true, Shared: true}},
+		"a ready heir gets the clients": {[]step{{0, Ready, false}, {on, HeirCame, false}, {on, HeirReady, false}}, on,
+			View{Phase: Serving, Heir: Took, Yes: true, Shed: true, Pass: true, Shared: true, Next: on + 10*time.Second}},
+		"an heir that dies gives them back": {[]step{{0, Ready, false}, {on, HeirCame, false}, {on, HeirReady, false}, {on + ms, HeirLost, false}},
+			on + ms, View{Phase: Serving, Yes: true, Accept: true}},
+		"SIGTERM with an heir ends as soon as all is answered": {[]step{{0, Ready, false}, {0, HeirReady, false}, {on, Terminate, false}}, on,
+			View{Phase: Ending, Heir: Took, Yes: true, Shed: true, Pass: true, Shared: true, Idle: true, Last: on + 3550*ms, Next: on + 2950*ms}},
+		"nobody sends SIGTERM": {[]step{{0, Ready, false}, {0, HeirReady, false}}, 10 * time.Second,
+			View{Phase: Serving, Heir: Took, Yes: true, Shed: true, Pass: true, Shared: true, Idle: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(times)
+			for _, st := range c.steps {
+				if err := s.Handle(st.at, st.ev); (err != nil) != st.bad {
+					t.Fatalf("%s at %s: %v", st.ev, st.at, err)
+				}
+			}
+			if d := cmp.Diff(c.want, s.View(c.at)); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+// Whatever comes in whatever order, the view keeps what is owed.
+func TestViewKeepsItsWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := New(times), time.Duration(0)
+		var drainedAt, endAt time.Duration
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * ms
+			ev := Event(rapid.IntRange(0, len(events)-1).Draw(t, "event"))
+			before := s.View(now)
+			_ = s.Handle(now, ev)
+			v := s.View(now)
+			if v.Phase == Draining && before.Phase != Draining {
+				drainedAt = now
+			}
+			if v.Phase == Ending && before.Phase != Ending {
+				endAt = now
+			}
+			switch {
+			case before.Phase == Ending && v.Phase != Ending:
+				t.Fatal("a process that ends was taken back")
+			case v.Phase == Draining && v.Yes:
+				t.Fatal("yes while draining")
+			case v.Phase == Draining && now >= drainedAt+times.FrontAway && !v.Shed:
+				t.Fatal("a drain keeps connections")
+			case v.Phase == Ending && now >= endAt+times.End && !v.Over:
+				t.Fatal("it does not end in time")
+			case v.Phase != Ending && v.Over:
+				t.Fatal("it ends without SIGTERM")
+			case v.Next != 0 && v.Next <= now:
+				t.Fatal("the next change lies in the past")
+			case v.Next != 0 && cmp.Equal(before, v) && cmp.Equal(v, s.View(v.Next)):
+				t.Fatal("nothing changes at the time named")
+			case v.Pass && v.Accept:
+				t.Fatal("two processes accept")
+			}
+		}
+	})
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -19,6 +19,7 @@
 // Config is all that a gateway is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // the second address, where staff call; "": there is none
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -57,9 +58,9 @@
 	}
 	root := gjson.ParseBytes(b)
 	c := Config{Name: root.Get("name").Str, Listen: root.Get("listen").Str, Discovery: root.Get("discovery").Str,
-		Cores: root.Get("limits.cores").Num, MemoryMB: int(root.Get("limits.memory_mb").Int()),
+		Admin: root.Get("admin").Str, Cores: root.Get("limits.cores").Num, MemoryMB: int(root.Get("limits.memory_mb").Int()),
 		Sockets: int(root.Get("limits.sockets").Int())}
-	if err := c.Override("", "", ""); err != nil {
+	if err := c.Override("", "", "", ""); err != nil {
 		return c, err
 	}
 	if !(c.Cores > 0) {
@@ -119,11 +120,11 @@
 }
 
 // Override puts what is not empty in place of what the configuration holds, and checks the addresses.
-func (c *Config) Override(name, listen, discovery string) error {
+func (c *Config) Override(name, listen, discovery, admin string) error {
 	for _, f := range []struct {
 		to    *string
 		value string
-	}{{&c.Name, name}, {&c.Listen, listen}, {&c.Discovery, discovery}} {
+	}{{&c.Name, name}, {&c.Listen, listen}, {&c.Discovery, discovery}, {&c.Admin, admin}} {
 		if f.value != "" {
 			*f.to = f.value
 		}
@@ -134,5 +135,10 @@
 	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
+	if c.Admin != "" {
+		if _, err := netip.ParseAddrPort(c.Admin); err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+	}
 	return nil
 }
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -21,9 +21,11 @@
 	"yokemast/balance"
 	"yokemast/internal/control/hearsay"
 	"yokemast/internal/control/pooling"
+	"yokemast/internal/control/service"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/operator"
+	"yokemast/internal/wire/admin"
 	"yokemast/internal/wire/backend"
 	"yokemast/internal/wire/control"
 	"yokemast/internal/wire/discovery"
@@ -33,18 +35,7 @@
 
 const (
 	// readyWithin is how long a start waits for discovery before it makes do with the list it was given.
-	readyWithin = time.Second
-	// killAfter is how long after SIGTERM, on top of the longest deadline, SIGKILL comes at the earliest; a deadline
-	// over longestCounted counts as that.
-	killAfter      = 700 * time.Millisecond
-	longestCounted = 3 * time.Second
-	// answerAhead is how long before that the last answer is due, and endAhead the end of the process.
-	answerAhead = 150 * time.Millisecond
-	endAhead    = 80 * time.Millisecond
-	// drainAhead is how long before the last answer connections are ended between requests. Until then clients are
-	// served as before: they go on using the connections they have, and nobody takes this gateway's place so soon.
-	drainAhead = 600 * time.Millisecond
-
+	readyWithin           = time.Second
 	defaultConnIdle       = 30 * time.Second
 	defaultConnectTimeout = 250 * time.Millisecond
 	idlePart              = 0.8                   // of the hosts' own limit
@@ -102,11 +93,21 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer listener.Close()
+	duty := newConductor(clock, c.Settings.Balance.Classes, log, counts)
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
 	sockets := c.Sockets - spareSockets
+	if c.Admin != "" {
+		calls, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", c.Admin)
+		if err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+		defer calls.Close()
+		sockets -= admin.Descriptors
+		group.Go(func() error { return admin.Serve(ctx, calls, duty, log, counts) })
+	}
 	clients := min(int(float64(sockets)*clientPart), c.MemoryMB*clientsPerMB)
 	limits, prepared, wait := pooling.Limits{Rest: backend.DefaultRest}, 0, time.Duration(0)
 	var made []*frontend.Pool
@@ -124,12 +125,13 @@
 		MaxConns:       min(sockets-clients, c.MemoryMB*hostsPerMB), User: user, Database: database}, x)
 	front := frontend.New(frontend.Config{Clock: clock, Log: log, Counters: counts, MaxConns: clients, KeepIdle: c.Sockets / keepPart,
 		Share: c.Sockets / sharePart,
-		Pool:  pool, MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance)}, x)
+		Pool:  pool, MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance), Yes: duty.Ready}, x)
 	if len(c.Known.Members) > 0 {
 		x.Members(true, c.Known.Members)
 	}
 	ready := sync.OnceFunc(func() {
 		log.Info("ready", zap.String("name", c.Name), zap.String("listen", c.Listen))
+		_ = duty.tell(service.Ready)
 		front.Ready()
 	})
 	watcher := discovery.NewWatcher(c.Discovery)
@@ -167,9 +169,7 @@
 		defer close(served)
 		return front.Serve(ctx, listener)
 	})
-	ending := make(chan struct{})
 	group.Go(func() error {
-		end := sync.OnceFunc(func() { close(ending) })
 		for {
 			select {
 			case <-ctx.Done():
@@ -183,34 +183,27 @@
 					configure(x, own, reload.Operator, log, counts)
 				default:
 					log.Info("ending", zap.Stringer("signal", sig))
-					end()
+					_ = duty.tell(service.Terminate)
 				}
 			}
 		}
 	})
 	group.Go(func() error {
 		defer stop()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ending:
-		}
-		answers, end := ends(c.Settings.Balance.Classes)
-		x.Ending(clock.Now() + answers)
-		front.Ending()
-		over := time.After(end)
-		select {
-		case <-ctx.Done():
-		case <-time.After(answers - drainAhead):
-		}
-		listener.Close()
-		front.Drain()
-		select {
-		case <-ctx.Done():
-		case <-served:
-		case <-over:
-			log.Warn("ending with requests unanswered")
-		}
+		duty.run(ctx, served, func(v service.View) {
+			if v.Last > 0 {
+				x.Ending(v.Last)
+				front.Ending()
+			}
+			if !v.Accept && v.Phase == service.Ending {
+				listener.Close()
+			}
+			if v.Shed {
+				front.Drain()
+			} else {
+				front.Keep()
+			}
+		})
 		return nil
 	})
 	return group.Wait()
@@ -278,16 +271,6 @@
 	return out
 }
 
-// ends says how long after SIGTERM the last answer is due and when the process must have ended.
-func ends(classes []balance.Class) (answers, end time.Duration) {
-	var longest time.Duration
-	for _, class := range classes {
-		longest = max(longest, class.Deadline)
-	}
-	kill := min(longest, longestCounted) + killAfter
-	return kill - answerAhead, kill - endAhead
-}
-
 // move follows the configuration to another discovery. Hosts, sessions and requests stay as they are: the list of the
 // new one is merged into what is known. All else that a configuration says holds from the start to the end.
 func move(w *discovery.Watcher, reload func() (Config, error), log *zap.Logger, counts *counters.Set) {
--- /dev/null
+++ b/internal/lifecycle/service.go
@@ -0,0 +1,129 @@
+package lifecycle
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yokemast/balance"
+	"yokemast/internal/control/service"
+	"yokemast/internal/memory/counters"
+	"yokemast/internal/memory/exchange"
+)
+
+const (
+	// frontAway is how long after a no the front still opens connections, 0.2 s, and the tenth of a second between two of
+	// its questions, with some room for its own delays.
+	frontAway = 350 * time.Millisecond
+	// killAfter is how long after SIGTERM, on top of the longest deadline, SIGKILL comes at the earliest; a deadline
+	// over longestCounted counts as that.
+	killAfter      = 700 * time.Millisecond
+	longestCounted = 3 * time.Second
+	// answerAhead is how long before that the last answer is due, and endAhead the end of the process.
+	answerAhead = 150 * time.Millisecond
+	endAhead    = 80 * time.Millisecond
+	// shedAhead is how long before the last answer connections are ended between requests. Until then clients are
+	// served as before: they go on using the connections they have, and nobody takes this gateway's place so soon.
+	shedAhead = 600 * time.Millisecond
+	// linger is how long a process whose heir took the clients stays by: SIGTERM comes within 6 s of the heir's yes.
+	linger = 10 * time.Second
+)
+
+// timesOf gives the platform's times for these classes.
+func timesOf(classes []balance.Class) service.Times {
+	var longest time.Duration
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	kill := min(longest, longestCounted) + killAfter
+	return service.Times{FrontAway: frontAway, Shed: kill - answerAhead - shedAhead, LastAnswer: kill - answerAhead, End: kill - endAhead,
+		Linger: linger}
+}
+
+// conductor keeps the state of the process and has it carried out. Asking it never waits for what is carried out.
+type conductor struct {
+	clock  exchange.Clock
+	log    *zap.Logger
+	counts *counters.Set
+
+	mu      sync.Mutex
+	state   *service.State
+	view    atomic.Pointer[service.View]
+	changed chan struct{}
+}
+
+func newConductor(clock exchange.Clock, classes []balance.Class, log *zap.Logger, counts *counters.Set) *conductor {
+	c := &conductor{clock: clock, log: log, counts: counts, state: service.New(timesOf(classes)), changed: make(chan struct{}, 1)}
+	c.look()
+	return c
+}
+
+// tell takes an event; what it changes holds when tell returns, and is carried out soon after.
+func (c *conductor) tell(e service.Event) error {
+	c.mu.Lock()
+	err := c.state.Handle(c.clock.Now(), e)
+	c.mu.Unlock()
+	if err != nil {
+		c.log.Warn("not followed", zap.Stringer("event", e), zap.Error(err))
+		return err
+	}
+	v := c.look()
+	if e != service.Ready { // that has a line of its own
+		c.log.Info("service", zap.Stringer("event", e), zap.Stringer("phase", v.Phase), zap.Stringer("heir", v.Heir), zap.Bool("yes", v.Yes))
+	}
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (c *conductor) look() service.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.state.View(c.clock.Now())
+	c.view.Store(&v)
+	return v
+}
+
+// Ready says whether the process says yes.
+func (c *conductor) Ready() bool { return c.view.Load().Yes }
+
+// Drain sends the clients away.
+func (c *conductor) Drain() error {
+	c.counts.Drains.Add(1)
+	return c.tell(service.Drain)
+}
+
+// Resume takes them back.
+func (c *conductor) Resume() error {
+	c.counts.Resumes.Add(1)
+	return c.tell(service.Resume)
+}
+
+// run has each view carried out until the process is to end. served is closed when nobody is served any more.
+func (c *conductor) run(ctx context.Context, served <-chan struct{}, carryOut func(service.View)) {
+	for {
+		v := c.look()
+		carryOut(v)
+		if v.Over {
+			c.log.Warn("ending with requests unanswered")
+			return
+		}
+		var next <-chan time.Time
+		if v.Next > 0 {
+			next = time.After(v.Next - c.clock.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-served:
+			return
+		case <-c.changed:
+		case <-next:
+		}
+	}
+}
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -33,6 +33,8 @@
 	Moves                                          [5]Count // tenants' moves that came to each stage
 	Told, Untold, Heard, HeardBad, TellErrors      Count    // datagrams told; notes that had no room; notes heard; datagrams not read; errors of the socket
 	PreparedHits, PreparedMisses                   Count    // statements that a host connection had, and had to prepare
+	Calls, CallsNo, CallersDropped                 Count    // at the second address: calls, those answered with no, callers that made room
+	Drains, Resumes                                Count    // words of staff that were followed
 	Panics, Timers                                 Count
 }
 
@@ -64,6 +66,8 @@
 		{"prepared_hits", &s.PreparedHits}, {"prepared_misses", &s.PreparedMisses},
 		{"peers_told", &s.Told}, {"peers_untold", &s.Untold}, {"peers_heard", &s.Heard}, {"peers_bad", &s.HeardBad},
 		{"peer_errors", &s.TellErrors},
+		{"calls", &s.Calls}, {"calls_no", &s.CallsNo}, {"callers_dropped", &s.CallersDropped},
+		{"drains", &s.Drains}, {"resumes", &s.Resumes},
 		{"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	} {
 		out = append(out, zap.Int64(c.name, c.count.Get()))
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -60,6 +60,7 @@
 	Pool     func(user, database string) *Pool // of general sessions; nil, or nil of it: only the platform's statements are taken
 	MaxBytes int64                             // of large statements held at a time
 	ComeBack time.Duration                     // when a client that found no room may try again; 0: no advice
+	Yes      func() bool                       // once ready: whether the empty query is answered with yes; must not wait
 }
 
 // Server serves clients.
@@ -75,6 +76,7 @@
 	keys     map[pg.Key]*session // of general sessions: what a cancel request names
 	draining bool
 	ending   chan struct{} // closed when no new clients are to be expected
+	endOnce  sync.Once
 }
 
 // New makes a server.
@@ -278,19 +280,34 @@
 	s.cfg.Counters.ClientsOpen.Add(-1)
 }
 
-// Ending lets clients keep their connections from now on, idle or not: they would get no new ones. It is called once.
-func (s *Server) Ending() { close(s.ending) }
+// Ending lets clients keep their connections from now on, idle or not: they would get no new ones.
+func (s *Server) Ending() { s.endOnce.Do(func() { close(s.ending) }) }
 
-// Drain ends every session as soon as it is between requests.
+// Drain ends every session as soon as it is between requests, and those that come, until Keep.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.draining {
+		return
+	}
 	s.draining = true
 	for c := range s.sessions {
 		c.drain()
 	}
 }
 
+// Keep lets sessions stay again. Those that have been ended by Drain already are gone.
+func (s *Server) Keep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = false
+	for c := range s.sessions {
+		if !c.leaving {
+			c.keep()
+		}
+	}
+}
+
 // budget bounds the bytes of large statements, so that they always fit into memory.
 type budget struct {
 	mu   sync.Mutex
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// keep takes a drain back, if the session has not ended by it yet.
+func (c *session) keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining = false; c.midway {
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Time{})
+	c.timed = false
+	if !c.said {
+		c.readBy(startWithin)
+		c.timed = true
+	}
+}
+
 // readBy sets the deadline for reading.
 func (c *session) readBy(within time.Duration) { _ = c.conn.SetReadDeadline(time.Now().Add(within)) }
 
@@ -393,6 +408,10 @@
 		case <-ctx.Done():
 			return false
 		}
+		if !c.s.cfg.Yes() {
+			e := &pg.Error{Code: pg.CodeCannotConnectNow, Message: "drained: the gateway takes no new clients"}
+			return c.write(pg.AppendReady(pg.AppendError(nil, e)))
+		}
 		return c.write(pg.AppendReady(pg.Append(nil, pg.EmptyQueryResponse)))
 	}
 	answer := make(chan exchange.Answer, 1)
