New settings are taken whole at SIGHUP, the stricter word counting for a grace

Change: internal/control/reload holds whole versions: for 1.2 s both the old and the new hold, the stricter word of a class counting, then the newest alone; a request keeps its class. The module takes Retune. A file that is to take another's place is held against its shape (keys, types), and deadlines and attempts must be positive, else nothing of it is taken. Way not taken: the newest at once, which fails what was sent under a class that vanishes and repeats what a stricter one forbids.

Balance and control tests pass. One test of this change (a request under way whose class vanishes) fails still and is next.

--- a/balance/api.go
+++ b/balance/api.go
@@ -88,8 +88,8 @@
 	DroppedStayOpen bool // a member that left unlisted as draining may still be used
 }
 
-// checked returns the settings with absent ones filled in; the error names the one that makes no sense.
-func (s Settings) checked() (Settings, error) {
+// Checked returns the settings with absent ones filled in; the error names the one that makes no sense.
+func (s Settings) Checked() (Settings, error) {
 	for _, f := range []struct {
 		name string
 		v    float64
@@ -126,6 +126,9 @@
 	if s.Tick == 0 {
 		s.Tick = time.Millisecond
 	}
+	if !s.RetryAfter {
+		s.MaxRetryAfter = 0
+	}
 	return s, nil
 }
 
@@ -166,6 +169,10 @@
 	Servers map[string]bool // those it may read from; nil: all, with no reserve there. Any cell may use the primary
 }
 
+// Retune hands the router new settings, whole. A request under way keeps the class that it came with; limits, as the
+// number of attempts, hold for it too. They are to be as Checked gives them.
+type Retune struct{ Settings Settings }
+
 // Cells hands the router all cells there are. What is out or waits keeps its cell as it was.
 type Cells struct{ List []Cell }
 
@@ -216,6 +223,9 @@
 	Garbled // what came back can't be read; it says nothing of the member but that it lives
 )
 
+// NeverRan says that the attempt had no effect and will have none.
+func (x Result) NeverRan() bool { return x == Full || x == NoConnection || x == NotSent || x == Miss }
+
 // Outcome ends an attempt; each Send gets exactly one.
 type Outcome struct {
 	ID       string
@@ -253,7 +263,7 @@
 // Gone says that a request's client left; nothing more is owed.
 type Gone struct{ ID string }
 
-// Event is one of Members, ListLost, Cells, Request, Outcome, ProbeResult, Heard, Timer,
+// Event is one of Members, ListLost, Cells, Retune, Request, Outcome, ProbeResult, Heard, Timer,
 // Gone.
 type Event any
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,7 +1,6 @@
 package balance
 
 // The decisions, all of them, with their state and constants. The interface is in api.go.
-//
 // The ordinary path: writes, and a while a session's reads, to the primary; other reads to a draw among
 // the replicas inside the bound, else the primary; what errs is set aside. docs/design.md has the rest.
 
@@ -75,23 +74,22 @@
 
 type member struct {
 	Member
-	group             *group
-	toldAt            time.Duration // when this router heard that it drains or is gone
-	drained           bool          // was listed as draining
-	role              Role          // by the newest answer
-	roleAt, cutAt     time.Duration
-	pos               time.Duration // known log position; only ever grows
-	revived           time.Duration // first heard of after its death was seen: a start not told yet
-	out               []*request    // attempts out, oldest first
-	of                map[*cell]int // how many of them each cell has
-	quietFrom         time.Duration // start of the present silence with work out
-	downUntil         time.Duration // blacklisted
-	dead              bool          // a probe failed and nothing was heard since
-	timeouts, fails   int           // since its last answer
-	probedAt          time.Duration
-	probeOut, suspect bool    // suspect: was blacklisted and has shown no life since
-	share             float64 // smoothed answer time as a share of the aim
-	limit             float64 // attempts this router keeps out here at most
+	group                   *group
+	toldAt                  time.Duration // when this router heard that it drains or is gone
+	drained                 bool          // was listed as draining
+	role                    Role          // by the newest answer
+	roleAt, cutAt           time.Duration
+	pos                     time.Duration // known log position; only ever grows
+	revived                 time.Duration // first heard of after its death was seen: a start not told yet
+	out                     []*request    // attempts out, oldest first
+	of                      map[*cell]int // how many of them each cell has
+	quietFrom               time.Duration // start of the present silence with work out
+	downUntil               time.Duration // blacklisted
+	timeouts, fails         int           // since its last answer
+	probedAt                time.Duration
+	probeOut, suspect, dead bool    // blacklisted, no life since; a probe failed, nothing heard since
+	share                   float64 // smoothed answer time as a share of the aim
+	limit                   float64 // attempts this router keeps out here at most
 }
 
 type group struct {
@@ -131,6 +129,7 @@
 	s                  Settings
 	rng                *rand.Rand
 	now, beatDue       time.Duration
+	listed             Cells
 	cells              map[int]*cell      // the one for requests of none is cell 0
 	all                sharers            // of a primary
 	shared             map[string]sharers // of a replica
@@ -153,15 +152,20 @@
 
 // New makes a router; the error names the setting that makes no sense.
 func New(s Settings, seed uint64) (*Router, error) {
-	s, err := s.checked()
+	s, err := s.Checked()
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		cells: map[int]*cell{}, members: map[string]*member{}, groups: map[int]*group{},
-		reqs: map[string]*request{}, seqs: map[int64]*request{}, seq: firstSeq,
-		tenants: map[string]*tenant{}, sessions: map[string]time.Duration{}}
-	r.onCells(Cells{})
+	r := &Router{rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), members: map[string]*member{},
+		groups: map[int]*group{}, reqs: map[string]*request{}, seqs: map[int64]*request{}, seq: firstSeq,
+		sessions: map[string]time.Duration{}}
+	r.take(s)
+	return r, nil
+}
+
+// take puts settings in force. What is under way keeps the class that it came with.
+func (r *Router) take(s Settings) {
+	r.s, r.bound, r.tenants, r.quota = s, 0, map[string]*tenant{}, 0
 	for _, c := range s.Classes {
 		if c.Need == Bounded && (r.bound == 0 || c.Bound < r.bound) {
 			r.bound = c.Bound
@@ -174,7 +178,7 @@
 		}
 	}
 	r.bound = cmp.Or(r.bound, pinWindow)
-	return r, nil
+	r.onCells(r.listed)
 }
 
 // Handle takes one event and appends what to do about it to acts.
@@ -193,6 +197,8 @@
 		r.do(After{time.Second + time.Duration(r.rng.Int64N(int64(time.Second))), tagWatch})
 	case Cells:
 		r.onCells(e)
+	case Retune:
+		r.take(e.Settings)
 	case Request:
 		r.onRequest(e)
 	case Outcome:
@@ -226,10 +232,9 @@
 			l.Weight = leastWeight // none, or nonsense: drawn where no other is
 		}
 		m := r.members[l.Server]
-		if m == nil {
-			if l.State == Left {
-				continue
-			}
+		if m == nil && l.State == Left {
+			continue
+		} else if m == nil {
 			g := r.group(l.Group)
 			m = &member{group: g, of: map[*cell]int{}, limit: firstLimit, probedAt: r.now - time.Hour}
 			r.members[l.Server] = m
@@ -264,16 +269,19 @@
 
 func (r *Router) onCells(e Cells) {
 	old := r.cells
-	r.cells, r.all, r.shared = map[int]*cell{}, sharers{}, map[string]sharers{}
+	r.listed, r.cells, r.all, r.shared = e, map[int]*cell{}, sharers{}, map[string]sharers{}
 	for _, c := range append([]Cell{{}}, e.List...) {
 		n := old[c.ID]
 		if n == nil {
-			n = &cell{classes: map[string]*class{}, bad: map[int]*[2]float64{}}
-			for _, cls := range r.s.Classes {
+			n = &cell{bad: map[int]*[2]float64{}}
+		}
+		known := n.classes
+		n.Cell, n.classes, r.cells[c.ID] = c, map[string]*class{}, n
+		for _, cls := range r.s.Classes {
+			if n.classes[cls.Name] = known[cls.Name]; known[cls.Name] == nil || known[cls.Name].Class != cls {
 				n.classes[cls.Name] = &class{cls, cls.Aim / 4}
 			}
 		}
-		n.Cell, r.cells[c.ID] = c, n
 		r.all = r.all.with(n)
 		for server := range c.Servers {
 			r.shared[server] = r.shared[server].with(n)
@@ -458,11 +466,7 @@
 func (r *Router) giveUp(q *request) {
 	c := q.cls
 	if q.at == nil && q.ranAt == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
-		a := Refuse{ID: q.ID}
-		if r.s.RetryAfter {
-			a.RetryAfter = min(cmp.Or(q.Over, 500*time.Millisecond), r.s.MaxRetryAfter)
-		}
-		r.do(a)
+		r.do(Refuse{q.ID, min(cmp.Or(q.Over, 500*ms), r.s.MaxRetryAfter)})
 	} else {
 		r.do(Fail{q.ID})
 	}
@@ -796,7 +800,6 @@
 			}
 		}
 		m.downUntil, m.suspect, m.timeouts, m.fails = 0, false, 0, 0
-		q.cls.took += (e.Took - q.cls.took) / 16
 		if q.cls.Need == Write && q.Session != "" && !r.s.TokensCarried {
 			r.remember(q.Session, e.Position)
 		}
@@ -817,7 +820,7 @@
 	case OK, Failed, Garbled, Full, Miss:
 		r.lives(m)
 	}
-	if q.ranAt == 0 && !neverRan(e.Result) {
+	if q.ranAt == 0 && !e.Result.NeverRan() {
 		q.ranAt = q.sentAt
 	}
 	part, _ := r.part(q.cell, m, m.limit)
@@ -848,12 +851,13 @@
 	}
 }
 
-func neverRan(x Result) bool { return x == Full || x == NoConnection || x == NotSent || x == Miss }
-
 // judge moves the number of attempts kept out at m (what waits here can still be turned away) and the part of
 // bad ends there, if they are blamed on the cell.
 func (r *Router) judge(m *member, c *cell, cls *class, result Result, took time.Duration, blamed bool) {
 	cut, answered := 0.0, result == OK || result == TimedOut
+	if result == OK {
+		cls.took += (took - cls.took) / 16
+	}
 	switch {
 	case result == Full:
 		cut = 0.7
@@ -897,9 +901,6 @@
 		}
 	}
 	if cls := r.cells[0].classes[e.Class]; cls != nil {
-		if e.Result == OK {
-			cls.took += (e.Took - cls.took) / 16
-		}
 		r.judge(m, r.cells[0], cls, e.Result, e.Took, true)
 	}
 	r.release(m.group)
@@ -944,13 +945,12 @@
 }
 
 func (r *Router) onTimer(tag int64) {
-	switch {
+	switch q := r.seqs[tag]; {
 	case tag == tagWatch:
 		r.do(Watch{})
-	case tag != tagBeat && r.seqs[tag] != nil:
-		r.giveUp(r.seqs[tag])
-	case tag != tagBeat:
-	default:
+	case q != nil:
+		r.giveUp(q)
+	case tag == tagBeat:
 		r.beating = false
 		r.waiting = slices.DeleteFunc(r.waiting, func(g *group) bool {
 			r.seek(g)
--- a/cmd/yokemast/main.go
+++ b/cmd/yokemast/main.go
@@ -15,7 +15,7 @@
 )
 
 type cli struct {
-	Serve   serveCmd   `cmd:"" help:"Run the gateway until SIGTERM. SIGHUP takes discovery and the operator's file anew, SIGUSR1 logs the counters."`
+	Serve   serveCmd   `cmd:"" help:"Run the gateway until SIGTERM. SIGHUP takes discovery, the settings and the operator's file anew, SIGUSR1 logs the counters."`
 	Check   checkCmd   `cmd:"" help:"Read a configuration and say whether a gateway could start from it."`
 	Cells   cellsCmd   `cmd:"" help:"Look at the cells of a running gateway, and move tenants."`
 	Pools   poolsCmd   `cmd:"" help:"Show how a running gateway's clients share host connections."`
@@ -63,8 +63,8 @@
 		return fmt.Errorf("log: %w", err)
 	}
 	defer func() { _ = log.Sync() }()
-	reload := func() (lifecycle.Config, error) {
-		c, err := lifecycle.LoadConfig(s.Config)
+	reload := func(old lifecycle.Config) (lifecycle.Config, error) {
+		c, err := old.ReloadConfig(s.Config)
 		if err == nil {
 			// Discovery as the file has it: the environment still names the address of the start.
 			err = c.Override(s.Name, s.Listen, "", s.Admin)
--- /dev/null
+++ b/cmd/yokemast/retune_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// reload gives the gateway another configuration and waits until it has said what it makes of it.
+func (g *gateway) reload(text string) {
+	g.t.Helper()
+	said := func() int {
+		return strings.Count(g.log.String(), "configuration read anew") + strings.Count(g.log.String(), "configuration is not used")
+	}
+	before := said()
+	if err := os.WriteFile(g.path, []byte(text), 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+	if err := g.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		g.t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); said() == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("SIGHUP is not followed: %s", g.log)
+		}
+	}
+}
+
+func TestNewSettings(t *testing.T) {
+	g := start(t, nil, newHost(t, "h1", "leader", nil), newHost(t, "h2", "follower", nil))
+	old, _ := os.ReadFile(g.path)
+	c := g.client()
+	ask := func(class string) string { return c.Ask(read("k", comment(class, ""))) }
+	if got := ask("glance"); got != "42704" {
+		t.Fatalf("a class that is not there yet: %q", got)
+	}
+	// own gives way to glance.
+	g.reload(strings.Replace(string(old), `"name":"own"`, `"name":"glance"`, 1))
+	g.waitLog(`"settings taken"`)
+	if got := ask("glance"); !strings.HasPrefix(got, "row") {
+		t.Errorf("a class that appears: %q", got)
+	}
+	if got := ask("own"); !strings.HasPrefix(got, "row") {
+		t.Errorf("a class that vanishes, in the grace: %q", got)
+	}
+	g.waitLog(`"settings settled"`)
+	if got := ask("own"); got != "42704" {
+		t.Errorf("a class that has vanished: %q", got)
+	}
+	if got := ask("glance"); !strings.HasPrefix(got, "row") {
+		t.Errorf("a class that has appeared: %q", got)
+	}
+}
+
+func TestBrokenSettingsAreNotTaken(t *testing.T) {
+	g := start(t, nil, newHost(t, "h1", "leader", nil), newHost(t, "h2", "follower", nil))
+	old, _ := os.ReadFile(g.path)
+	good := strings.Replace(string(old), `"name":"own"`, `"name":"glance"`, 1)
+	c := g.client()
+	for name, text := range map[string]string{
+		"empty":            "",
+		"cut off":          good[:len(good)-10],
+		"a key lost":       strings.Replace(good, `"maxRetryAfter":1000000000,`, "", 1),
+		"a class's key":    strings.Replace(good, `"effect":"fragile",`, "", 1),
+		"no deadline":      strings.Replace(good, `"giveUp":20000000000`, `"giveUp":0`, 1),
+		"deadline a word":  strings.Replace(good, `"giveUp":20000000000`, `"giveUp":"20s"`, 1),
+		"attempts below 0": strings.Replace(good, `"maxAttempts":10`, `"maxAttempts":-1`, 1),
+		"no attempts":      strings.Replace(good, `"maxAttempts":10`, `"maxAttempts":0`, 1),
+		"unknown effect":   strings.Replace(good, `"effect":"fragile"`, `"effect":"other"`, 1),
+	} {
+		if text == good {
+			t.Fatalf("%s: the file is not broken", name)
+		}
+		g.reload(text)
+		if got := c.Ask(read("k", comment("glance", ""))); got != "42704" {
+			t.Errorf("%s: the new class is answered %q", name, got)
+		}
+		if got := c.Ask(read("k", comment("own", ""))); !strings.HasPrefix(got, "row") {
+			t.Errorf("%s: the old class is answered %q", name, got)
+		}
+	}
+	if n := strings.Count(g.log.String(), "configuration is not used"); n != 9 {
+		t.Errorf("%d files were not used, want 9: %s", n, g.log)
+	}
+}
+
+// A request that is under way keeps the class it came with, whatever becomes of that.
+func TestARequestKeepsItsClass(t *testing.T) {
+	hold := make(chan struct{})
+	g := start(t, nil, newHost(t, "h1", "leader", func(_ int, q string) []byte {
+		if strings.Contains(q, "INSERT") {
+			<-hold
+		}
+		return nil
+	}))
+	old, _ := os.ReadFile(g.path)
+	c := g.client()
+	c.Send(write("k", "9f", comment("order", "")))
+	time.Sleep(50 * time.Millisecond)
+	g.reload(strings.Replace(string(old), `"name":"order"`, `"name":"buy"`, 1))
+	g.waitLog(`"settings settled"`)
+	close(hold)
+	if got := c.Answer(); !strings.HasPrefix(got, "row") {
+		t.Errorf("a request of a class that has vanished: %q", got)
+	}
+}
--- a/internal/control/hearsay/hearsay.go
+++ b/internal/control/hearsay/hearsay.go
@@ -65,13 +65,19 @@
 
 // New makes a state.
 func New(cfg Config) *State {
-	s := &State{cfg: cfg, classes: map[string]int{}, hosts: map[uint32]string{}, budget: cfg.Burst}
-	for i, c := range cfg.Classes {
+	s := &State{cfg: cfg, hosts: map[uint32]string{}, budget: cfg.Burst}
+	s.Classes(cfg.Classes)
+	return s
+}
+
+// Classes takes the classes anew, in the order that all gateways share.
+func (s *State) Classes(list []balance.Class) {
+	s.cfg.Classes, s.classes = list, map[string]int{}
+	for i, c := range list {
 		if i < noClass {
 			s.classes[c.Name] = i
 		}
 	}
-	return s
 }
 
 func hash(host string) uint32 { return uint32(xxhash.Sum64String(host) >> 40) }
--- a/internal/control/pooling/pool.go
+++ b/internal/control/pooling/pool.go
@@ -87,6 +87,9 @@
 	return most
 }
 
+// SetIdle changes how long a connection may idle.
+func (p *Pools) SetIdle(d time.Duration) { p.limits.Idle = d }
+
 // Take chooses a connection to a host: of those that have rested the one used last, or a new one. alive says whether an idle one
 // is still good; those that are not are in dead, and closed. With Open, close is a connection to be closed for it, if not 0.
 func (p *Pools) Take(now time.Duration, name string, alive func(id int) bool) (c Choice, id int, dead []int) {
--- /dev/null
+++ b/internal/control/reload/reload_test.go
@@ -0,0 +1,116 @@
+package reload
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"yokemast/balance"
+)
+
+const (
+	ms    = time.Millisecond
+	grace = 1200 * ms
+)
+
+func settings(attempts int, classes ...balance.Class) balance.Settings {
+	return balance.Settings{MaxAttempts: attempts, Classes: classes}
+}
+
+func class(name string, e balance.Effect, bound time.Duration) balance.Class {
+	return balance.Class{Name: name, Need: balance.Bounded, Effect: e, Bound: bound, Deadline: time.Second}
+}
+
+func names(s balance.Settings) (out []string) {
+	for _, c := range s.Classes {
+		out = append(out, c.Name)
+	}
+	return out
+}
+
+func TestWhatIsInForce(t *testing.T) {
+	v := New(settings(10, class("a", balance.Safe, 500*ms), class("b", balance.Safe, 500*ms)), grace)
+	if v.Take(0, settings(10, class("a", balance.Safe, 500*ms), class("b", balance.Safe, 500*ms))) {
+		t.Error("the same again is a change")
+	}
+	if !v.Take(1000*ms, settings(3, class("a", balance.Unsafe, 300*ms), class("c", balance.Safe, 100*ms))) {
+		t.Error("another version is no change")
+	}
+	want := settings(3, class("a", balance.Unsafe, 300*ms), class("c", balance.Safe, 100*ms), class("b", balance.Safe, 500*ms))
+	if d := cmp.Diff(want, v.InForce()); d != "" {
+		t.Errorf("in the grace: %s", d)
+	}
+	if v.Settle(2199*ms) || !v.Settle(2200*ms) || v.Settle(2200*ms) {
+		t.Error("it does not settle once, after the grace")
+	}
+	if got := names(v.InForce()); !slices.Equal(got, []string{"a", "c"}) {
+		t.Errorf("after the grace: %q", got)
+	}
+	// What grows laxer holds from the end of the grace on.
+	v.Take(3000*ms, settings(9, class("a", balance.Safe, 900*ms), class("c", balance.Safe, 100*ms)))
+	if a := v.InForce().Classes[0]; a.Effect != balance.Unsafe || a.Bound != 300*ms || v.InForce().MaxAttempts != 3 {
+		t.Errorf("in the grace the laxer word holds: %+v", a)
+	}
+	v.Settle(4200 * ms)
+	if a := v.InForce().Classes[0]; a.Effect != balance.Safe || a.Bound != 900*ms || v.InForce().MaxAttempts != 9 {
+		t.Errorf("after the grace: %+v", a)
+	}
+}
+
+// Whatever versions come at whatever times, what is in force breaks none that a request may have been sent under: those
+// that held within the last grace, and the newest.
+func TestNoVersionIsBroken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) balance.Settings {
+			s := settings(rapid.IntRange(1, 10).Draw(t, label+" attempts"))
+			for i := range rapid.IntRange(1, 4).Draw(t, label+" classes") {
+				s.Classes = append(s.Classes, class(fmt.Sprint("k", i), balance.Effect(rapid.IntRange(0, 2).Draw(t, "effect")),
+					time.Duration(rapid.IntRange(1, 9).Draw(t, "bound"))*100*ms))
+			}
+			return s
+		}
+		type told struct {
+			at time.Duration
+			s  balance.Settings
+		}
+		first := draw("first")
+		history, now, v := []told{{-grace, first}}, time.Duration(0), New(first, grace)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 15).Draw(t, "pause")) * 100 * ms
+			v.Settle(now)
+			if rapid.Bool().Draw(t, "reload") {
+				s := draw("next")
+				v.Take(now, s)
+				history = append(history, told{now, s})
+			}
+			newest := len(history) - 1
+			for i, h := range history {
+				// A version binds until a grace after the one behind it was told.
+				if i < newest && history[i+1].at+grace <= now {
+					continue
+				}
+				for _, c := range h.s.Classes {
+					j := slices.IndexFunc(v.InForce().Classes, func(o balance.Class) bool { return o.Name == c.Name })
+					if j < 0 {
+						t.Fatalf("class %s of a version told at %s is not taken at %s", c.Name, h.at, now)
+					}
+					if o := v.InForce().Classes[j]; o.Effect < c.Effect || o.Bound > c.Bound || o.Deadline > c.Deadline {
+						t.Fatalf("%+v is laxer than %+v, told at %s, now %s", o, c, h.at, now)
+					}
+				}
+				if v.InForce().MaxAttempts > h.s.MaxAttempts {
+					t.Fatalf("%d attempts, %d allowed", v.InForce().MaxAttempts, h.s.MaxAttempts)
+				}
+			}
+			if at, ok := v.Due(); !ok || at <= now {
+				if v.Settle(now); !cmp.Equal(v.InForce(), history[newest].s) {
+					t.Fatal("after the grace not the newest version holds alone")
+				}
+			}
+		}
+	})
+}
--- a/internal/control/service/service.go
+++ b/internal/control/service/service.go
@@ -106,6 +106,9 @@
 // New makes the state of a process that starts.
 func New(t Times) *State { return &State{times: t} }
 
+// Retime changes the platform's times, as new settings may.
+func (s *State) Retime(t Times) { s.times = t }
+
 // Handle takes an event. An event that changes nothing is no error; one that can't be followed is.
 func (s *State) Handle(now time.Duration, e Event) error {
 	switch e {
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -11,7 +11,6 @@
 
 	"github.com/tidwall/gjson"
 
-	"yokemast/balance"
 	"yokemast/internal/wire/discovery"
 	"yokemast/internal/wire/settings"
 )
@@ -26,6 +25,7 @@
 	Known                   discovery.List
 	Peers                   Peers
 	Settings                settings.Settings
+	shape                   *settings.Shape
 }
 
 // Peers is where gateways meet. It is empty where they may not, or where there is only one.
@@ -38,15 +38,28 @@
 	leastMemoryMB = 32
 )
 
+// freeKeys are those that a configuration may lack that is read anew: nothing of them is used then.
+var freeKeys = []string{"known", "admin", "seed"}
+
 // LoadConfig reads and checks a configuration; the error names the field at fault.
 func LoadConfig(path string) (Config, error) {
+	return load(path, func(Config, []byte) error { return nil })
+}
+
+// ReloadConfig reads a configuration that is to take this one's place; the error names the field at fault.
+func (c Config) ReloadConfig(path string) (Config, error) { return load(path, c.replacedBy) }
+
+func load(path string, fits func(Config, []byte) error) (Config, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
 	c, err := ParseConfig(b)
+	if err == nil {
+		err = fits(c, b)
+	}
 	if err != nil {
-		return c, fmt.Errorf("config: %w", err)
+		return c, fmt.Errorf("config: %s: %w", path, err)
 	}
 	return c, nil
 }
@@ -93,12 +106,23 @@
 	if c.Peers, err = peersOf(root, c.Settings); err != nil {
 		return c, err
 	}
-	if _, err = balance.New(c.Settings.Balance, c.Seed); err != nil {
+	if c.Settings.Balance, err = c.Settings.Balance.Checked(); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
+	c.shape = settings.ShapeOf(root, freeKeys...)
 	return c, nil
 }
 
+// replacedBy says why a configuration can't take the place of this one; nil: it can. A file that was cut off or lost a key
+// can still be read, with zeros for what it lacks.
+func (c Config) replacedBy(_ Config, raw []byte) error {
+	root := gjson.ParseBytes(raw)
+	if err := c.shape.Fits(root); err != nil {
+		return err
+	}
+	return settings.Positive(root.Get("settings"))
+}
+
 // peersOf reads the addresses of the tier. A tier without any just does without.
 func peersOf(root gjson.Result, s settings.Settings) (p Peers, err error) {
 	listen, all := root.Get("peer_listen").Str, root.Get("peers_all").Str
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -54,12 +54,6 @@
 	user, database        = "backend", "store"
 )
 
-// Reload reads the files anew. Operator gives nil where there is no operator's file.
-type Reload struct {
-	Config   func() (Config, error)
-	Operator func() (*operator.File, error)
-}
-
 // Serve runs a gateway until SIGTERM or SIGINT, or until a part of it can't go on. At SIGHUP it takes the address of
 // discovery and the cells from what reload gives. own is the operator's file, nil without one.
 func Serve(c Config, own *operator.File, reload Reload, log *zap.Logger) error {
@@ -118,11 +112,11 @@
 			return fmt.Errorf("%s: %w", own.Path, err)
 		}
 	}
+	connect, idle := connections(c.Settings)
 	hosts := backend.New(ctx, group, backend.Config{Clock: clock, Log: log, Counters: counts, Pools: limits, Prepared: prepared, Wait: wait, Seed: c.Seed,
 		ColdTime:       c.Settings.Balance.ColdTime,
-		ConnectTimeout: orElse(c.Settings.ConnectTimeout, defaultConnectTimeout),
-		IdleTimeout:    time.Duration(float64(orElse(c.Settings.ConnIdle, defaultConnIdle)) * idlePart),
-		MaxConns:       min(sockets-clients, c.MemoryMB*hostsPerMB), User: user, Database: database}, x)
+		ConnectTimeout: connect, IdleTimeout: idle,
+		MaxConns: min(sockets-clients, c.MemoryMB*hostsPerMB), User: user, Database: database}, x)
 	front := frontend.New(frontend.Config{Clock: clock, Log: log, Counters: counts, MaxConns: clients, KeepIdle: c.Sockets / keepPart,
 		Share: c.Sockets / sharePart,
 		Pool:  pool, MaxBytes: int64(memory * statementPart), ComeBack: advice(c.Settings.Balance), Yes: duty.Ready}, x)
@@ -164,6 +158,7 @@
 		}
 		return nil
 	})
+	again := reloading{c: c, own: own, from: reload, watcher: watcher, x: x, hosts: hosts, front: front, duty: duty, log: log, counts: counts}
 	served := make(chan struct{})
 	group.Go(func() error {
 		defer close(served)
@@ -179,8 +174,7 @@
 				case syscall.SIGUSR1:
 					log.Info("counters", counts.Fields()...)
 				case syscall.SIGHUP:
-					move(watcher, reload.Config, log, counts)
-					configure(x, own, reload.Operator, log, counts)
+					again.read()
 				default:
 					log.Info("ending", zap.Stringer("signal", sig))
 					_ = duty.tell(service.Terminate)
@@ -271,45 +265,6 @@
 	return out
 }
 
-// move follows the configuration to another discovery. Hosts, sessions and requests stay as they are: the list of the
-// new one is merged into what is known. All else that a configuration says holds from the start to the end.
-func move(w *discovery.Watcher, reload func() (Config, error), log *zap.Logger, counts *counters.Set) {
-	c, err := reload()
-	if err != nil {
-		counts.BadReloads.Add(1)
-		log.Error("the new configuration is not used", zap.Error(err))
-		return
-	}
-	counts.Reloads.Add(1)
-	log.Info("configuration read anew", zap.String("discovery", c.Discovery))
-	w.Move(c.Discovery)
-}
-
-// configure takes the operator's file anew; one that makes no sense is not used in any part.
-func configure(x *exchange.Exchange, old *operator.File, reload func() (*operator.File, error), log *zap.Logger, counts *counters.Set) {
-	f, err := reload()
-	switch {
-	case err != nil:
-		counts.BadOperators.Add(1)
-		log.Error("the new operator's file is not used", zap.Error(err))
-	case f != nil:
-		counts.Operators.Add(1)
-		log.Info("operator's file read anew", zap.Bool("cells", f.Cells != nil))
-		if f.Control != old.Control {
-			log.Warn("the control socket stays as it was until the next start")
-		}
-		x.Configure(f.Cells)
-	}
-}
-
-// advice is the come-back time of a client that found no room.
-func advice(s balance.Settings) time.Duration {
-	if !s.RetryAfter {
-		return 0
-	}
-	return min(comeBack, s.MaxRetryAfter)
-}
-
 func orElse(d, otherwise time.Duration) time.Duration {
 	if d > 0 {
 		return d
--- a/internal/lifecycle/service.go
+++ b/internal/lifecycle/service.go
@@ -74,11 +74,23 @@
 	if e != service.Ready { // that has a line of its own
 		c.log.Info("service", zap.Stringer("event", e), zap.Stringer("phase", v.Phase), zap.Stringer("heir", v.Heir), zap.Bool("yes", v.Yes))
 	}
+	c.wake()
+	return nil
+}
+
+// retime takes the classes of new settings: SIGKILL waits for the longest deadline.
+func (c *conductor) retime(classes []balance.Class) {
+	c.mu.Lock()
+	c.state.Retime(timesOf(classes))
+	c.mu.Unlock()
+	c.wake()
+}
+
+func (c *conductor) wake() {
 	select {
 	case c.changed <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 func (c *conductor) look() service.View {
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"yokemast/balance"
 	"yokemast/internal/control/cells"
 	"yokemast/internal/control/hearsay"
+	"yokemast/internal/control/reload"
 	"yokemast/internal/memory/counters"
 )
 
@@ -117,6 +118,8 @@
 	drainMargin = 20 * time.Millisecond
 	// comeBack is when a client may try a group again that no list has named yet.
 	comeBack = 500 * time.Millisecond
+	// settleAfter is how long after they were given new settings are binding, by the operators' word.
+	settleAfter = 1200 * time.Millisecond
 	// forgetAfter is how long a host that left is remembered, later than the module forgets it: a fleet that is
 	// replaced again and again must not fill memory.
 	forgetAfter = 2 * time.Minute
@@ -151,35 +154,37 @@
 	wake  chan struct{}
 
 	// All below belongs to Run.
-	hosts  Hosts
-	router *balance.Router
-	open   map[string]*open
-	groups map[int]bool
-	list   map[string]Member
-	told   map[string]time.Duration // since when a host drains or is gone
-	timers timers
-	acts   []balance.Action
-	seq    uint64        // of timers
-	endBy  time.Duration // the gateway ends; 0: it does not
-	cells  *cells.State  // nil: there are none
-	lookAt time.Duration // when the cells are next told what the module believes
-	seen   []balance.Seen
-	heard  []balance.Heard
+	hosts    Hosts
+	router   *balance.Router
+	versions *reload.Versions
+	open     map[string]*open
+	groups   map[int]bool
+	list     map[string]Member
+	told     map[string]time.Duration // since when a host drains or is gone
+	timers   timers
+	acts     []balance.Action
+	seq      uint64        // of timers
+	endBy    time.Duration // the gateway ends; 0: it does not
+	cells    *cells.State  // nil: there are none
+	lookAt   time.Duration // when the cells are next told what the module believes
+	seen     []balance.Seen
+	heard    []balance.Heard
 }
 
 // New makes an exchange; the error names the setting that makes no sense.
 func New(cfg Config) (*Exchange, error) {
-	router, err := balance.New(cfg.Settings, cfg.Seed)
+	s, err := cfg.Settings.Checked()
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), classes: map[string]*balance.Class{},
+	router, err := balance.New(s, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), versions: reload.New(s, settleAfter),
 		open: map[string]*open{}, groups: map[int]bool{}, list: map[string]Member{},
 		told: map[string]time.Duration{}}
-	for i := range cfg.Settings.Classes {
-		c := &cfg.Settings.Classes[i]
-		x.classes[c.Name] = c
-	}
+	x.use(s)
 	return x, nil
 }
 
@@ -240,6 +245,7 @@
 			batch[i] = posted{}
 		}
 		x.due(x.cfg.Clock.Now())
+		x.settle(x.cfg.Clock.Now())
 		x.tell(x.cfg.Clock.Now())
 		x.look(x.cfg.Clock.Now())
 		if len(batch) > 0 {
@@ -254,6 +260,9 @@
 				wait = min(wait, max(at-x.cfg.Clock.Now(), 0))
 			}
 		}
+		if at, ok := x.versions.Due(); ok {
+			wait = min(wait, max(at-x.cfg.Clock.Now(), 0))
+		}
 		if x.cells != nil {
 			wait = min(wait, max(x.lookAt-x.cfg.Clock.Now(), 0))
 		}
@@ -297,6 +306,8 @@
 		x.members(e)
 	case ending:
 		x.endBy = e.by
+	case retuning:
+		x.retune(e.settings)
 	case configuring:
 		x.configure(e.cells)
 	case asking:
--- /dev/null
+++ b/internal/memory/exchange/retune.go
@@ -0,0 +1,50 @@
+package exchange
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"yokemast/balance"
+)
+
+type retuning struct{ settings balance.Settings }
+
+// Retune takes new settings, whole. They are to be as Checked gives them.
+func (x *Exchange) Retune(s balance.Settings) { x.post(retuning{s}) }
+
+func (x *Exchange) retune(s balance.Settings) {
+	if x.versions.Take(x.cfg.Clock.Now(), s) {
+		x.force("taken")
+	}
+}
+
+// settle puts the newest version in force alone once it is binding.
+func (x *Exchange) settle(now time.Duration) {
+	if x.versions.Settle(now) {
+		x.force("settled")
+	}
+}
+
+// force has what is in force now used everywhere. Requests that are open keep the class that they came with.
+func (x *Exchange) force(what string) {
+	s := x.versions.InForce()
+	x.use(s)
+	if x.cfg.Hearsay != nil {
+		x.cfg.Hearsay.Classes(s.Classes)
+	}
+	x.decide(balance.Retune{Settings: s})
+	names := make([]string, 0, len(s.Classes))
+	for _, c := range s.Classes {
+		names = append(names, c.Name)
+	}
+	x.cfg.Log.Info("settings "+what, zap.Strings("classes", names), zap.Int("attempts", s.MaxAttempts), zap.Int("open", len(x.open)))
+}
+
+// use notes the settings that hold for what comes.
+func (x *Exchange) use(s balance.Settings) {
+	x.cfg.Settings, x.classes = s, map[string]*balance.Class{}
+	for i := range s.Classes {
+		x.classes[s.Classes[i].Name] = &s.Classes[i]
+	}
+}
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,6 +84,8 @@
 
 	work chan *attempt // to a worker that has nothing to do
 
+	connect atomic.Int64 // nanoseconds for a connection to come up: Config.ConnectTimeout, or what Retune said
+
 	mu       sync.Mutex
 	hosts    map[string]*host
 	attempts map[key]*attempt
@@ -117,6 +120,7 @@
 		limits.Total = cfg.MaxConns
 	}
 	b.pools = pooling.NewPools(limits, cfg.Seed)
+	b.connect.Store(int64(cfg.ConnectTimeout))
 	group.Go(b.reap)
 	return b
 }
@@ -143,6 +147,17 @@
 	}
 }
 
+// Retune changes how long a connection may take to come up, how long it may idle, and how long a host that starts is cold.
+func (b *Backend) Retune(connect, idle, cold time.Duration) {
+	b.connect.Store(int64(connect))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.ColdTime = cold
+	b.pools.SetIdle(idle)
+}
+
+func (b *Backend) connectTimeout() time.Duration { return time.Duration(b.connect.Load()) }
+
 // Forget lets go of a host that is gone for good.
 func (b *Backend) Forget(server string) {
 	b.mu.Lock()
@@ -263,7 +278,7 @@
 			p.Took = b.cfg.Clock.Now() - start
 			b.to.Probed(p)
 		}()
-		until := start + b.cfg.ConnectTimeout
+		until := start + b.connectTimeout()
 		for range probeTries {
 			c, err := b.take(func() context.Context { return b.ctx }, server, until)
 			if err != nil {
@@ -425,7 +440,8 @@
 // dial opens a connection and starts a session on it. One that does not come up in time has never been there.
 func (b *Backend) dial(ctx context.Context, address string, until time.Duration) (*conn, error) {
 	now := b.cfg.Clock.Now()
-	left := min(b.cfg.ConnectTimeout, until-now)
+	most := b.connectTimeout()
+	left := min(most, until-now)
 	if left <= 0 {
 		return nil, errExpired
 	}
@@ -446,7 +462,7 @@
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
 		return nil, errNoRoom // this machine's fault, not the host's
 	}
-	if b.cfg.Clock.Now() >= until && left < b.cfg.ConnectTimeout {
+	if b.cfg.Clock.Now() >= until && left < most {
 		return nil, errExpired // the attempt's time ran out first: that says nothing of the host
 	}
 	if err == nil {
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,6 +71,8 @@
 	ready chan struct{}
 	bytes *budget
 
+	comeBack atomic.Int64 // nanoseconds: Config.ComeBack, or what Retune said
+
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	leaving  int                 // of them, on their way out
@@ -81,10 +84,17 @@
 
 // New makes a server.
 func New(cfg Config, x Exchange) *Server {
-	return &Server{cfg: cfg, x: x, ready: make(chan struct{}), ending: make(chan struct{}), bytes: &budget{left: cfg.MaxBytes},
+	s := &Server{cfg: cfg, x: x, ready: make(chan struct{}), ending: make(chan struct{}), bytes: &budget{left: cfg.MaxBytes},
 		sessions: map[*session]struct{}{}, keys: map[pg.Key]*session{}}
+	s.Retune(cfg.ComeBack)
+	return s
 }
 
+// Retune changes when a client that found no room may try again; 0: no advice.
+func (s *Server) Retune(comeBack time.Duration) { s.comeBack.Store(int64(comeBack)) }
+
+func (s *Server) advice() time.Duration { return time.Duration(s.comeBack.Load()) }
+
 // Ready lets the empty query be answered: the front takes the gateway in when it is.
 func (s *Server) Ready() { close(s.ready) }
 
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -145,7 +145,7 @@
 	}
 	if length > largeBody {
 		if !c.s.bytes.take(length) {
-			return refuse(pg.Refusal("no memory for the statement", c.s.cfg.ComeBack))
+			return refuse(pg.Refusal("no memory for the statement", c.s.advice()))
 		}
 		g.held += length
 	}
@@ -189,7 +189,7 @@
 	}
 	if !c.s.bytes.take(2 * piece) {
 		c.skipping = true
-		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.cfg.ComeBack)})
+		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.advice())})
 	}
 	defer c.s.bytes.give(2 * piece)
 	rest := relay.NewStream(length - names)
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -222,7 +222,7 @@
 	if !c.start(lingerFor) {
 		return
 	}
-	e := pg.Refusal("too many connections", c.s.cfg.ComeBack)
+	e := pg.Refusal("too many connections", c.s.advice())
 	e.Fatal = true
 	if c.write(pg.AppendError(nil, e)) {
 		c.linger()
@@ -346,7 +346,7 @@
 	case length > pg.MaxMessage:
 		return c.skip(length, command{err: bad(pg.CodeProtocolViolation, "message too long")}, command{sync: true})
 	case length > largeBody && !c.s.bytes.take(length):
-		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.cfg.ComeBack)},
+		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.advice())},
 			command{sync: true})
 	case length > largeBody:
 		cmd.held = length
