Upgrade: the next process is handed the sockets, the knowledge and the clients

Both addresses are opened with SO_REUSEPORT for an heir that finds no elder that answers.

Seen on the way: the elder did not answer its heir, and the heir went on after 2 s by an address of its own (log: no handover, i/o timeout; no heir, context canceled); the survey of the hosts was posted to the exchange and had no case there.

Tests start real processes: 40 idle clients, one connecting and one with a write under way cross two upgrades; heir dies, elder dies or hangs, a third waits, SIGTERM comes early, what is left is torn.

--- a/balance/api.go
+++ b/balance/api.go
@@ -85,7 +85,8 @@
 	OverloadFactor  float64
 	ColdShare       float64
 	ColdTime        time.Duration
-	DroppedStayOpen bool // a member that left unlisted as draining may still be used
+	DroppedStayOpen bool          // a member that left unlisted as draining may still be used
+	Floor           time.Duration // with remembered tokens: until then sessions may have written through an earlier process
 }
 
 // Checked returns the settings with absent ones filled in; the error names the one that makes no sense.
@@ -276,6 +277,10 @@
 	Warmth         float64 // the least part of its capacity that it has, 0 to 1
 	Usable         bool    // open for reads and not set aside
 	Primary, Known bool    // believed to be the primary; a position of it is known
+	Role           Role    // by its newest answer
+	RoleAt         time.Duration
+	Position       time.Duration // 0: not known
+	Started        time.Duration // its last start, told or seen; 0: long ago
 }
 
 // Send starts an attempt; attempts of a request count from 0.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -110,17 +110,15 @@
 	cls                     *class
 	cell                    *cell
 	group                   *group
-	arrived                 time.Duration
 	wrote                   time.Duration // the session's last write; 0: none
-	worth                   float64
 	attempts                int
 	at                      *member // where the attempt out is; nil: none out
-	sentAt                  time.Duration
+	arrived, sentAt         time.Duration
 	limit                   time.Duration // that attempt's time-out, 0: the client's
 	ranAt                   time.Duration // when the first attempt was sent that may have run
 	tried, failed           []*member     // sent to; answered with an error
 	parked, withdrawn, done bool
-	luck                    float64       // drawn once: below what is thinned out, it is
+	worth, luck             float64       // luck is drawn once: below what is thinned out, it is
 	notBefore               time.Duration // it does not ask the primary again before this
 }
 
@@ -177,7 +175,7 @@
 			r.quota += t.PerSec
 		}
 	}
-	r.bound = cmp.Or(r.bound, pinWindow)
+	r.bound, r.floor = cmp.Or(r.bound, pinWindow), max(r.floor, s.Floor)
 	r.onCells(r.listed)
 }
 
@@ -323,7 +321,7 @@
 	r.now = now
 	for _, m := range r.members {
 		see(Seen{m.Server, m.group.id, m.limit, len(m.out), r.warmth(m), r.open(m, false) && r.alive(m),
-			m == r.believed(m.group), m.pos > 0})
+			m == r.believed(m.group), m.pos > 0, m.role, m.roleAt, m.pos, max(m.Started, m.revived)})
 	}
 }
 
--- /dev/null
+++ b/cmd/yokemast/upgrade_test.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/hosts"
+	"yokemast/internal/wire/pg"
+)
+
+// upgradable starts a gateway with a second address, in a folder that its next processes share.
+func upgradable(t testing.TB, all ...*hosts.Host) (g *gateway, admin string) {
+	t.Setenv("TMPDIR", t.TempDir())
+	edit := withAdmin(&admin)
+	return start(t, edit, all...), admin
+}
+
+// next starts another process of the gateway, with a second address of its own.
+func (g *gateway) next() (n *gateway, admin string) {
+	g.t.Helper()
+	admin = strings.Replace(ownAddress(), ":5432", ":8081", 1)
+	n = &gateway{t: g.t, log: &logged{}, agent: g.agent, path: g.path, address: g.address}
+	n.cmd = program(context.Background(), "serve", "--config", g.path)
+	n.cmd.Env = append(n.cmd.Env, "ROUTER_DISCOVERY="+g.agent.Listener.Addr().String(), "ROUTER_ADMIN="+admin)
+	n.cmd.Stderr = n.log
+	if err := n.cmd.Start(); err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() {
+		_ = n.cmd.Process.Kill()
+		_ = n.cmd.Wait()
+		if s := n.log.String(); strings.Contains(s, "DATA RACE") || strings.Contains(s, "panicked") {
+			g.t.Errorf("the next process: %s", s)
+		}
+	})
+	return n, admin
+}
+
+// waitReady waits until the process says yes at its second address.
+func (g *gateway) waitReady(admin string) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
+		if c, err := net.Dial("tcp", admin); err == nil {
+			c.Close()
+			if call(g.t, "GET", admin, "/_ready") == 200 {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			g.t.Fatalf("it does not become ready: %s", g.log)
+		}
+	}
+}
+
+// ended waits for the end of a process, which must be one by itself.
+func (g *gateway) ended() {
+	g.t.Helper()
+	done := make(chan error, 1)
+	go func() { done <- g.cmd.Wait() }()
+	select {
+	case err := <-done:
+		if err != nil {
+			g.t.Fatalf("%v: %s", err, g.log)
+		}
+	case <-time.After(patience):
+		g.t.Fatalf("it does not end: %s", g.log)
+	}
+}
+
+// A host that holds reads of "slow" until it is told.
+func holding(t testing.TB) (h *hosts.Host, release func()) {
+	hold := make(chan struct{})
+	h = newHost(t, "h1", "leader", nil)
+	h.Script = func(_ int, q string) []byte {
+		if strings.Contains(q, "'slow'") {
+			<-hold
+		}
+		return h.Row(q)
+	}
+	return h, func() { close(hold) }
+}
+
+func TestUpgradeKeepsEveryConnection(t *testing.T) {
+	h, release := holding(t)
+	old, _ := upgradable(t, h)
+	var idle []*clients.Client
+	for range 40 {
+		idle = append(idle, old.client())
+	}
+	fresh := old.dial() // connected, and has said nothing yet
+	busy := old.client()
+	busy.Send(write("slow", "9f", comment("order", "")))
+	for end := time.Now().Add(patience); !asked(h, "slow"); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the write does not reach its host")
+		}
+	}
+	heir, admin := old.next()
+	heir.waitReady(admin)
+	old.waitLog(`"heir ready"`)
+	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range idle {
+		if got := c.Ask(read(fmt.Sprint("k", i), comment("view", ""))); got != fmt.Sprintf("row k%d", i) {
+			t.Errorf("a client that was idle is answered %q", got)
+		}
+	}
+	if c := old.client(); c.Ask(read("n", comment("view", ""))) != "row n" {
+		t.Error("a new client is not served")
+	}
+	release()
+	if got := busy.Answer(); got != "row slow" {
+		t.Errorf("a write under way is answered %q", got)
+	}
+	_, _ = fresh.Write(startup())
+	if got := fresh.Answer(); got != "ready" {
+		t.Errorf("a client that had connected is answered %q", got)
+	}
+	if got := fresh.Ask(read("f", comment("view", ""))); got != "row f" {
+		t.Errorf("a client that had connected is answered %q", got)
+	}
+	old.ended()
+	heir.waitLog(`"elder gone"`)
+	if got := busy.Ask(read("b", comment("view", ""))); got != "row b" {
+		t.Errorf("the one that had been busy is answered %q", got)
+	}
+	// And once more: the heir has an heir.
+	third, admin := heir.next()
+	third.waitReady(admin)
+	heir.waitLog(`"heir ready"`)
+	if got := idle[0].Ask(read("x", comment("view", ""))); got != "row x" {
+		t.Errorf("after a second upgrade a client is answered %q", got)
+	}
+}
+
+func TestUpgradesThatGoWrong(t *testing.T) {
+	t.Run("the heir dies once it serves", func(t *testing.T) {
+		old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
+		heir, admin := old.next()
+		heir.waitReady(admin)
+		old.waitLog(`"heir ready"`)
+		_ = heir.cmd.Process.Kill()
+		old.waitLog(`"heir lost"`)
+		if got := old.client().Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("the old process answers %q", got)
+		}
+		again, admin := old.next()
+		again.waitReady(admin)
+		if got := old.client().Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("the next heir answers %q", got)
+		}
+	})
+	t.Run("the old one dies in the middle", func(t *testing.T) {
+		old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
+		heir, admin := old.next()
+		heir.waitReady(admin)
+		_ = old.cmd.Process.Kill()
+		heir.waitLog(`"elder gone"`)
+		if got := old.client().Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("the heir answers %q", got)
+		}
+	})
+	t.Run("the old one hangs", func(t *testing.T) {
+		old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
+		if err := old.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		heir, admin := old.next()
+		heir.waitReady(admin) // by an address of its own
+		heir.waitLog(`"no handover"`)
+		_ = old.cmd.Process.Kill()
+		heir.waitLog(`"elder gone"`)
+		if got := old.client().Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("the heir answers %q", got)
+		}
+		third, admin := heir.next() // it has found its place
+		third.waitReady(admin)
+		third.waitLog(`"took over"`)
+	})
+	t.Run("a third waits", func(t *testing.T) {
+		h, release := holding(t)
+		old, _ := upgradable(t, h)
+		busy := old.client()
+		busy.Send(read("slow", comment("view", "")))
+		for end := time.Now().Add(patience); !asked(h, "slow"); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the read does not reach its host")
+			}
+		}
+		heir, admin := old.next()
+		heir.waitReady(admin)
+		old.waitLog(`"heir ready"`)
+		third, admin := old.next()
+		time.Sleep(200 * time.Millisecond)
+		if s := third.log.String(); strings.Contains(s, `"ready"`) {
+			t.Errorf("a third process serves during an upgrade: %s", s)
+		}
+		_ = old.cmd.Process.Signal(syscall.SIGTERM)
+		release()
+		if got := busy.Answer(); got != "row slow" {
+			t.Errorf("a read under way is answered %q", got)
+		}
+		old.ended()
+		third.waitReady(admin)
+		third.waitLog(`"took over"`)
+		heir.waitLog(`"heir ready"`)
+	})
+	t.Run("SIGTERM comes before the heir is ready", func(t *testing.T) {
+		old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
+		c := old.client()
+		if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		old.waitLog(`"ending"`)
+		heir, admin := old.next()
+		heir.waitReady(admin)
+		if got := c.Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("a client of the old one is answered %q", got)
+		}
+		old.ended()
+	})
+	t.Run("what is left is no socket", func(t *testing.T) {
+		dir := t.TempDir()
+		t.Setenv("TMPDIR", dir)
+		var admin string
+		edit := withAdmin(&admin)
+		g := start(t, edit, newHost(t, "h1", "leader", nil))
+		_ = g.cmd.Process.Kill()
+		_, _ = g.cmd.Process.Wait()
+		left, _ := filepath.Glob(filepath.Join(dir, "yokemast-*"))
+		if len(left) != 2 {
+			t.Fatalf("%q is left", left)
+		}
+		for _, f := range left {
+			if strings.HasSuffix(f, ".sock") {
+				_ = os.Remove(f)
+				if err := os.WriteFile(f, []byte("torn"), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		heir, admin := g.next()
+		heir.waitReady(admin)
+		third, admin := heir.next()
+		third.waitReady(admin)
+		third.waitLog(`"took over"`)
+	})
+}
+
+func startup() []byte { return pg.AppendStartup(nil, "backend", "store") }
--- a/internal/control/pooling/pool.go
+++ b/internal/control/pooling/pool.go
@@ -87,6 +87,20 @@
 	return most
 }
 
+// SetTotal changes how many may be open. Idle connections above that are to be closed; those in use are when they are given
+// back.
+func (p *Pools) SetTotal(n int) (end []int) {
+	p.limits.Total = n
+	for p.total > n {
+		id := p.evict(&pool{open: p.limits.Least})
+		if id == 0 {
+			break
+		}
+		end = append(end, id)
+	}
+	return end
+}
+
 // SetIdle changes how long a connection may idle.
 func (p *Pools) SetIdle(d time.Duration) { p.limits.Idle = d }
 
@@ -209,7 +223,7 @@
 	end := h.ends[id]
 	delete(h.ends, id)
 	h.used--
-	if !clean || h.closed || end > 0 && now >= end || h.open > p.most(h) {
+	if !clean || h.closed || end > 0 && now >= end || h.open > p.most(h) || p.total > p.limits.Total {
 		h.open--
 		p.total--
 		return false
--- a/internal/control/service/service.go
+++ b/internal/control/service/service.go
@@ -8,7 +8,8 @@
 //	                            Resume          (from any)
 //
 // An heir is a second process of the same gateway, started to follow this one. It comes, is ready or is lost in any phase;
-// from when it is ready it gets the clients, and this process keeps only what it has taken.
+// from when it is ready it gets the clients, and this process keeps only what it has taken. To the heir this process is its
+// elder.
 package service
 
 import (
@@ -54,10 +55,12 @@
 	Terminate              // SIGTERM
 	HeirCame
 	HeirReady
-	HeirLost // it died, or never became ready
+	HeirLost   // it died, or never became ready
+	ElderFound // this process is to follow another
+	ElderGone  // which has ended
 )
 
-var events = [...]string{"ready", "drain", "resume", "terminate", "heir came", "heir ready", "heir lost"}
+var events = [...]string{"ready", "drain", "resume", "terminate", "heir came", "heir ready", "heir lost", "elder found", "elder gone"}
 
 func (e Event) String() string { return events[e] }
 
@@ -97,6 +100,7 @@
 	phase   Phase
 	ready   bool // it was, once
 	heir    Heir
+	elder   bool
 	since   time.Duration // of the drain
 	endAt   time.Duration // when SIGTERM came
 	tookAt  time.Duration // when the heir took the clients
@@ -145,6 +149,10 @@
 		}
 	case HeirLost:
 		s.heir = None
+	case ElderFound:
+		s.elder = true
+	case ElderGone:
+		s.elder = false
 	default:
 		return fmt.Errorf("service: unknown event %d", e)
 	}
@@ -153,7 +161,8 @@
 
 // View says what holds at a time.
 func (s *State) View(now time.Duration) View {
-	v := View{Phase: s.phase, Heir: s.heir, Yes: s.phase == Serving, Accept: s.phase != Starting, Shared: s.heir != None}
+	// Before it is ready a process takes clients who then wait for it, but not while its elder serves them.
+	v := View{Phase: s.phase, Heir: s.heir, Yes: s.phase == Serving, Accept: s.ready || !s.elder, Shared: s.heir != None || s.elder}
 	next := func(at time.Duration) bool { // says whether the time has come, and notes it as the next otherwise
 		if now >= at {
 			return true
--- /dev/null
+++ b/internal/disk/handover/handover.go
@@ -0,0 +1,139 @@
+// Package handover is the format of what one process of a gateway leaves to the next: what it knows of the hosts. Knowledge
+// that can't be read whole, or is of another version, is none: the next process then starts from discovery alone.
+//
+// It is a head of 16 bytes (4 bytes "ymho", version, 2 bytes of nothing, length of the body, CRC-32C of the body; big-endian)
+// and a body in JSON. Times are Unix times in milliseconds, 0 for none; positions are rounded down, starts up.
+package handover
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"yokemast/balance"
+)
+
+const (
+	magic    = "ymho"
+	version  = 1
+	headSize = 16
+	// MaxBytes bounds a handover: some thousands of hosts. A longer one is torn or none.
+	MaxBytes = 4 << 20
+	// oldest is how old a handover may be: it is given from process to process, so that a late one is stuck somewhere.
+	oldest = 10 * time.Second
+)
+
+// Host is what was known of one.
+type Host struct {
+	Server, Address string
+	Group           int
+	State           balance.State
+	Listed          bool // as the primary
+	Weight          float64
+	Started         time.Duration // told or seen, whichever is later; 0: long ago
+	Role            balance.Role
+	RoleAt          time.Duration // when it had it
+	Position        time.Duration // of its log; 0: not known
+	Alive           bool          // not set aside
+}
+
+// Knowledge is all that is handed over.
+type Knowledge struct {
+	At       time.Duration // when it was put together
+	Revision int64         // of the list; below 0: none
+	Newest   time.Duration // of the writes of sessions that were remembered; 0: none were
+	Hosts    []Host
+}
+
+// The JSON names, in one place for both directions.
+type body struct {
+	At       int64  `json:"at"`
+	Revision int64  `json:"revision"`
+	Newest   int64  `json:"newest"`
+	Hosts    []host `json:"hosts"`
+}
+
+type host struct {
+	Server   string  `json:"id"`
+	Address  string  `json:"address"`
+	Group    int     `json:"group"`
+	State    int     `json:"state"`
+	Listed   bool    `json:"listed"`
+	Weight   float64 `json:"weight"`
+	Started  int64   `json:"started"`
+	Role     int     `json:"role"`
+	RoleAt   int64   `json:"role_at"`
+	Position int64   `json:"position"`
+	Alive    bool    `json:"alive"`
+}
+
+func down(d time.Duration) int64 { return d.Milliseconds() }
+func up(d time.Duration) int64   { return (d + time.Millisecond - 1).Milliseconds() }
+func of(ms int64) time.Duration  { return time.Duration(ms) * time.Millisecond }
+
+// Encode gives the handover.
+func Encode(k Knowledge) ([]byte, error) {
+	b := body{At: down(k.At), Revision: k.Revision, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts))}
+	for _, h := range k.Hosts {
+		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(h.Started), int(h.Role),
+			down(h.RoleAt), down(h.Position), h.Alive})
+	}
+	text, err := json.Marshal(b)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return append(head(text), text...), nil
+}
+
+func head(text []byte) []byte {
+	out := append(make([]byte, 0, headSize+len(text)), magic...)
+	out = binary.BigEndian.AppendUint16(out, version)
+	out = binary.BigEndian.AppendUint16(out, 0)
+	out = binary.BigEndian.AppendUint32(out, uint32(len(text)))
+	return binary.BigEndian.AppendUint32(out, crc32.Checksum(text, crc32.MakeTable(crc32.Castagnoli)))
+}
+
+// Errors of a handover that is not used.
+var (
+	ErrTorn    = errors.New("handover: torn")
+	ErrVersion = errors.New("handover: another version")
+	ErrOld     = errors.New("handover: too old, or from the future")
+	ErrHost    = errors.New("handover: a host that makes no sense")
+)
+
+// Decode reads a handover that was put together a moment before now.
+func Decode(now time.Duration, b []byte) (Knowledge, error) {
+	switch {
+	case len(b) < headSize || len(b) > MaxBytes || string(b[:4]) != magic:
+		return Knowledge{}, fmt.Errorf("%w: %d bytes", ErrTorn, len(b))
+	case binary.BigEndian.Uint16(b[4:]) != version:
+		return Knowledge{}, fmt.Errorf("%w: %d, this program's is %d", ErrVersion, binary.BigEndian.Uint16(b[4:]), version)
+	}
+	text := b[headSize:]
+	if string(head(text)) != string(b[:headSize]) || !gjson.ValidBytes(text) {
+		return Knowledge{}, fmt.Errorf("%w: length or checksum", ErrTorn)
+	}
+	root := gjson.ParseBytes(text)
+	k := Knowledge{At: of(root.Get("at").Int()), Revision: root.Get("revision").Int(), Newest: of(root.Get("newest").Int())}
+	if k.At > now+time.Second || k.At < now-oldest {
+		return Knowledge{}, fmt.Errorf("%w: by %s", ErrOld, now-k.At)
+	}
+	for i, e := range root.Get("hosts").Array() {
+		h := Host{Server: e.Get("id").Str, Address: e.Get("address").Str, Group: int(e.Get("group").Int()),
+			State: balance.State(e.Get("state").Int()), Listed: e.Get("listed").Bool(), Weight: e.Get("weight").Num,
+			Started: of(e.Get("started").Int()), Role: balance.Role(e.Get("role").Int()), RoleAt: of(e.Get("role_at").Int()),
+			Position: of(e.Get("position").Int()), Alive: e.Get("alive").Bool()}
+		// What lies ahead would pass stale data as fresh for good.
+		if h.Server == "" || h.State < balance.Active || h.State > balance.Left || h.Role < balance.Unknown || h.Role > balance.Replica ||
+			h.Position > now || h.RoleAt > now || h.Position < 0 || h.RoleAt < 0 || h.Started < 0 {
+			return Knowledge{}, fmt.Errorf("%w: hosts.%d", ErrHost, i)
+		}
+		k.Hosts = append(k.Hosts, h)
+	}
+	return k, nil
+}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -89,3 +89,10 @@
 func connections(s settings.Settings) (connect, idle time.Duration) {
 	return orElse(s.ConnectTimeout, defaultConnectTimeout), time.Duration(float64(orElse(s.ConnIdle, defaultConnIdle)) * idlePart)
 }
+
+func orElse(d, otherwise time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return otherwise
+}
--- a/internal/lifecycle/service.go
+++ b/internal/lifecycle/service.go
@@ -116,11 +116,15 @@
 	return c.tell(service.Resume)
 }
 
-// run has each view carried out until the process is to end. served is closed when nobody is served any more.
-func (c *conductor) run(ctx context.Context, served <-chan struct{}, carryOut func(service.View)) {
+// run has each view carried out until the process is to end. empty says that nobody is served; when that changes, wake is to
+// be called.
+func (c *conductor) run(ctx context.Context, empty func() bool, carryOut func(service.View)) {
 	for {
 		v := c.look()
 		carryOut(v)
+		if v.Idle && empty() {
+			return
+		}
 		if v.Over {
 			c.log.Warn("ending with requests unanswered")
 			return
@@ -132,8 +136,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-served:
-			return
 		case <-c.changed:
 		case <-next:
 		}
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -34,6 +34,7 @@
 	Told, Untold, Heard, HeardBad, TellErrors      Count    // datagrams told; notes that had no room; notes heard; datagrams not read; errors of the socket
 	PreparedHits, PreparedMisses                   Count    // statements that a host connection had, and had to prepare
 	Calls, CallsNo, CallersDropped                 Count    // at the second address: calls, those answered with no, callers that made room
+	ClientsPassed, ClientsAdopted                  Count    // connections given to the next process, and taken from the one before
 	Drains, Resumes                                Count    // words of staff that were followed
 	Panics, Timers                                 Count
 }
@@ -67,6 +68,7 @@
 		{"peers_told", &s.Told}, {"peers_untold", &s.Untold}, {"peers_heard", &s.Heard}, {"peers_bad", &s.HeardBad},
 		{"peer_errors", &s.TellErrors},
 		{"calls", &s.Calls}, {"calls_no", &s.CallsNo}, {"callers_dropped", &s.CallersDropped},
+		{"clients_passed", &s.ClientsPassed}, {"clients_adopted", &s.ClientsAdopted},
 		{"drains", &s.Drains}, {"resumes", &s.Resumes},
 		{"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	} {
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -169,6 +169,7 @@
 	lookAt   time.Duration // when the cells are next told what the module believes
 	seen     []balance.Seen
 	heard    []balance.Heard
+	newest   time.Duration // of sessions\' writes
 }
 
 // New makes an exchange; the error names the setting that makes no sense.
@@ -306,6 +307,10 @@
 		x.members(e)
 	case ending:
 		x.endBy = e.by
+	case surveying:
+		e.done <- x.survey()
+	case inheriting:
+		x.inherit(e.knowledge)
 	case retuning:
 		x.retune(e.settings)
 	case configuring:
@@ -420,6 +425,9 @@
 		return // of a request that a panic cut off
 	}
 	o.out = false
+	if e.Result == balance.OK && o.Write {
+		x.wrote(x.cfg.Clock.Now(), e.Position)
+	}
 	if e.Result == balance.OK {
 		x.answer(o, Answer{Kind: Served, Value: e.Value}, &x.cfg.Counters.Served)
 	}
--- /dev/null
+++ b/internal/memory/exchange/handover.go
@@ -0,0 +1,77 @@
+package exchange
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"yokemast/balance"
+	"yokemast/internal/disk/handover"
+)
+
+type surveying struct{ done chan handover.Knowledge }
+
+type inheriting struct{ knowledge handover.Knowledge }
+
+// Survey says what is known of the hosts, for a process that follows this one. The list's revision is not known here.
+func (x *Exchange) Survey(ctx context.Context) (handover.Knowledge, error) {
+	s := surveying{make(chan handover.Knowledge, 1)}
+	x.post(s)
+	select {
+	case k := <-s.done:
+		return k, nil
+	case <-ctx.Done():
+		return handover.Knowledge{}, ctx.Err()
+	}
+}
+
+// Inherit takes what an earlier process of this gateway knew.
+func (x *Exchange) Inherit(k handover.Knowledge) { x.post(inheriting{k}) }
+
+func (x *Exchange) survey() handover.Knowledge {
+	now := x.cfg.Clock.Now()
+	k := handover.Knowledge{At: now, Revision: -1, Newest: max(x.newest, x.cfg.Settings.Floor)}
+	x.router.Look(now, func(s balance.Seen) {
+		m, listed := x.list[s.Server]
+		if !listed || m.State == balance.Left {
+			return
+		}
+		k.Hosts = append(k.Hosts, handover.Host{Server: s.Server, Address: m.Address, Group: m.Group, State: m.State, Listed: m.Primary,
+			Weight: m.Weight, Started: s.Started, Role: s.Role, RoleAt: s.RoleAt, Position: s.Position, Alive: s.Usable || s.Primary})
+	})
+	slices.SortFunc(k.Hosts, func(a, b handover.Host) int { return strings.Compare(a.Server, b.Server) })
+	return k
+}
+
+// inherit hands the module the list, and what was known of each host as another router's word: a role and a position count by
+// their time, and a host that was set aside is probed before it is used.
+func (x *Exchange) inherit(k handover.Knowledge) {
+	list := make([]Member, 0, len(k.Hosts))
+	for _, h := range k.Hosts {
+		list = append(list, Member{Address: h.Address, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
+			Primary: h.Listed, Weight: h.Weight, Started: h.Started}})
+	}
+	x.members(members{whole: true, list: list})
+	for _, h := range k.Hosts {
+		n := balance.Heard{Server: h.Server, Result: balance.OK, Role: h.Role, Position: h.Position, At: h.RoleAt}
+		if !h.Alive {
+			n.Result = balance.NoConnection
+		}
+		x.decide(n)
+	}
+	if s := x.cfg.Settings; !s.TokensCarried && k.Newest > s.Floor {
+		// What each session wrote stays behind: to a read of any, the last write of all counts as its own.
+		s.Floor = k.Newest
+		x.cfg.Settings = s
+		x.decide(balance.Retune{Settings: s})
+	}
+}
+
+// wrote notes the last write that the module remembers of any session.
+func (x *Exchange) wrote(now, commit time.Duration) {
+	if commit == 0 {
+		commit = now
+	}
+	x.newest = max(x.newest, commit)
+}
--- a/internal/memory/exchange/retune.go
+++ b/internal/memory/exchange/retune.go
@@ -29,6 +29,7 @@
 // force has what is in force now used everywhere. Requests that are open keep the class that they came with.
 func (x *Exchange) force(what string) {
 	s := x.versions.InForce()
+	s.Floor = x.cfg.Settings.Floor // no file says that
 	x.use(s)
 	if x.cfg.Hearsay != nil {
 		x.cfg.Hearsay.Classes(s.Classes)
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -158,6 +158,13 @@
 
 func (b *Backend) connectTimeout() time.Duration { return time.Duration(b.connect.Load()) }
 
+// Limit changes how many connections may be open at a time, to all hosts together.
+func (b *Backend) Limit(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closeLocked(b.pools.SetTotal(n))
+}
+
 // Forget lets go of a host that is gone for good.
 func (b *Backend) Forget(server string) {
 	b.mu.Lock()
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,6 +37,8 @@
 	Members  func(whole bool, list []exchange.Member)
 	Answered func() // called once, when the agent has answered for the first time
 
+	revision atomic.Int64 // of the last answer
+
 	mu      sync.Mutex
 	address string             // of the agent
 	moved   bool               // since the last call began
@@ -43,7 +46,14 @@
 }
 
 // NewWatcher makes a watcher of the agent at an address.
-func NewWatcher(address string) *Watcher { return &Watcher{address: address} }
+func NewWatcher(address string) *Watcher {
+	w := &Watcher{address: address}
+	w.revision.Store(whole)
+	return w
+}
+
+// Revision is that of the last answer; below 0: there was none.
+func (w *Watcher) Revision() int64 { return w.revision.Load() }
 
 // Move goes on at another address. What the old agent would still say is not waited for.
 func (w *Watcher) Move(address string) {
@@ -104,6 +114,7 @@
 		failing = false
 		w.Counters.Lists.Add(1)
 		revision = list.Revision
+		w.revision.Store(revision)
 		if list.Complete || len(list.Members) > 0 {
 			w.Members(list.Complete, list.Members)
 		}
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -62,6 +63,7 @@
 	MaxBytes int64                             // of large statements held at a time
 	ComeBack time.Duration                     // when a client that found no room may try again; 0: no advice
 	Yes      func() bool                       // once ready: whether the empty query is answered with yes; must not wait
+	Emptied  func()                            // the last connection has ended, and none is accepted; may be nil
 }
 
 // Server serves clients.
@@ -73,7 +75,11 @@
 
 	comeBack atomic.Int64 // nanoseconds: Config.ComeBack, or what Retune said
 
+	group     errgroup.Group // of sessions
+	accepting atomic.Int32   // calls of Accept
+
 	mu       sync.Mutex
+	pass     Pass // nil: connections are ended, not passed on
 	sessions map[*session]struct{}
 	leaving  int                 // of them, on their way out
 	keys     map[pg.Key]*session // of general sessions: what a cancel request names
@@ -98,29 +104,34 @@
 // Ready lets the empty query be answered: the front takes the gateway in when it is.
 func (s *Server) Ready() { close(s.ready) }
 
-// Serve accepts clients until the listener is closed and waits until every session has ended. The context's end
-// ends the sessions.
-func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	sessions, ctx := errgroup.WithContext(ctx)
-	defer sessions.Wait()
-	sessions.Go(func() error {
-		s.sweep(ctx)
-		return nil
-	})
+// Run looks after the sessions until the context ends, which ends them, and waits for their end.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.group.Wait()
+	s.sweep(ctx)
+	<-ctx.Done()
+	return nil
+}
+
+// Accept accepts clients until the listener is closed, or until its deadline: then it may be accepted from again. The
+// context's end ends the sessions.
+func (s *Server) Accept(ctx context.Context, l net.Listener) {
+	s.accepting.Add(1)
+	defer func() {
+		s.accepting.Add(-1)
+		s.emptied()
+	}()
 	for {
 		n, err := l.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed):
-			return sessions.Wait()
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+			return
 		case err != nil: // no descriptor left, or the client went before it was accepted
 			s.cfg.Log.Warn("accept failed", zap.Error(err))
 			time.Sleep(acceptPause)
 			continue
 		}
 		s.cfg.Counters.Clients.Add(1)
-		now := s.cfg.Clock.Now()
-		c := &session{s: s, conn: n.(*net.TCPConn), in: bufio.NewReaderSize(n, 4<<10), commands: make(chan command, 8),
-			closed: make(chan struct{}), accepted: now, idleSince: now}
+		c := s.session(n)
 		room, held := s.add(c)
 		if !held { // nothing that clients do may keep others from being accepted
 			s.cfg.Counters.ClientsDropped.Add(1)
@@ -132,11 +143,49 @@
 			s.cfg.Counters.ClientsOver.Add(1)
 			serve = c.turnAway
 		}
-		sessions.Go(func() error {
-			defer s.remove(c)
-			s.guard(serve)
-			return nil
-		})
+		s.begin(c, serve)
+	}
+}
+
+// Adopt goes on with a connection on which another process has done the startup, and on which nothing is open.
+func (s *Server) Adopt(ctx context.Context, n *net.TCPConn, user string) {
+	s.cfg.Counters.ClientsAdopted.Add(1)
+	c := s.session(n)
+	c.user, c.started, c.said, c.adopted = user, true, true, true
+	s.mu.Lock()
+	s.sessions[c] = struct{}{}
+	s.cfg.Counters.ClientsOpen.Add(1)
+	if s.draining {
+		c.drain(s.pass != nil)
+	}
+	s.mu.Unlock()
+	s.begin(c, func() { c.serve(ctx) })
+}
+
+func (s *Server) session(n net.Conn) *session {
+	now := s.cfg.Clock.Now()
+	return &session{s: s, conn: n.(*net.TCPConn), in: bufio.NewReaderSize(n, 4<<10), commands: make(chan command, 8),
+		closed: make(chan struct{}), accepted: now, idleSince: now}
+}
+
+func (s *Server) begin(c *session, serve func()) {
+	s.group.Go(func() error {
+		defer s.remove(c)
+		s.guard(serve)
+		return nil
+	})
+}
+
+// Held is how many connections there are, with those that may just be accepted.
+func (s *Server) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions) + int(s.accepting.Load())
+}
+
+func (s *Server) emptied() {
+	if s.cfg.Emptied != nil && s.Held() == 0 {
+		s.cfg.Emptied()
 	}
 }
 
@@ -165,7 +214,7 @@
 		c.leaving = true
 		s.leaving++
 	} else if s.draining {
-		c.drain()
+		c.drain(s.pass != nil)
 	}
 	return room, true
 }
@@ -259,7 +308,7 @@
 	s.cfg.Counters.ClientsEvicted.Add(1)
 	c.leaving = true
 	s.leaving++
-	c.drain()
+	c.drain(s.pass != nil)
 }
 
 // leave says that a session is on its way out and counts no longer; false: too many are.
@@ -278,6 +327,7 @@
 
 func (s *Server) remove(c *session) {
 	c.conn.Close()
+	defer s.emptied()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.leaving {
@@ -293,16 +343,21 @@
 // Ending lets clients keep their connections from now on, idle or not: they would get no new ones.
 func (s *Server) Ending() { s.endOnce.Do(func() { close(s.ending) }) }
 
-// Drain ends every session as soon as it is between requests, and those that come, until Keep.
-func (s *Server) Drain() {
+// Pass gives a connection on which nothing is open to another process.
+type Pass func(conn *net.TCPConn, user string) error
+
+// Drain ends every session as soon as it is between requests, and those that come, until Keep. With pass, connections are
+// passed on in place of being ended.
+func (s *Server) Drain(pass Pass) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.pass = pass
 	if s.draining {
 		return
 	}
 	s.draining = true
 	for c := range s.sessions {
-		c.drain()
+		c.drain(s.pass != nil)
 	}
 }
 
@@ -310,7 +365,7 @@
 func (s *Server) Keep() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = false
+	s.draining, s.pass = false, nil
 	for c := range s.sessions {
 		if !c.leaving {
 			c.keep()
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
 	"yokemast/internal/wire/relay"
@@ -21,12 +23,15 @@
 type session struct {
 	mu        sync.Mutex // guards those below, with the deadline for reading that follows from them
 	draining  bool
+	started   bool          // the startup is done
 	said      bool          // the startup is done and a command has begun to come
 	midway    bool          // a message has begun to come
 	timed     bool          // a deadline for reading is set
 	open      int           // commands without an answer
 	idleSince time.Duration // since when nothing is open
 
+	adopted  bool // another process has done its startup
+	atRest   bool // the reader ended between two messages, at a drain: what comes next is for whoever goes on
 	leaving  bool // guarded by the server's mutex
 	s        *Server
 	conn     *net.TCPConn
@@ -56,29 +61,33 @@
 func (c *session) serve(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
 	defer stop()
-	if !c.start(startWithin) {
+	if !c.adopted && !c.start(startWithin) {
 		return
 	}
+	c.mu.Lock()
+	c.started = true
+	c.mu.Unlock()
 	c.between() // the startup's deadline may have been set after a drain's
 	go c.s.guard(func() {
 		defer close(c.commands)
 		c.read()
 	})
-	for {
+	whole := true
+	for whole {
 		cmd, ok := c.nextCommand()
 		if !ok {
 			break
 		}
-		ok = c.answer(ctx, cmd)
+		whole = c.answer(ctx, cmd)
 		c.s.bytes.give(cmd.held)
 		c.answered()
-		if !ok {
-			break
-		}
 	}
 	if c.general != nil {
 		c.general.end()
 	}
+	if whole {
+		c.handOver()
+	}
 	c.conn.Close()
 	for cmd := range c.commands { // lets the reader end
 		c.s.bytes.give(cmd.held)
@@ -88,6 +97,21 @@
 	}
 }
 
+// handOver passes the connection on if another process goes on with those that are at rest. Here it is closed in any case.
+func (c *session) handOver() {
+	c.s.mu.Lock()
+	pass := c.s.pass
+	c.s.mu.Unlock()
+	if pass == nil || !c.atRest || c.general != nil {
+		return
+	}
+	if err := pass(c.conn, c.user); err != nil {
+		c.s.cfg.Log.Warn("a connection could not be passed on", zap.Error(err))
+		return
+	}
+	c.s.cfg.Counters.ClientsPassed.Add(1)
+}
+
 // queue hands a command on to be answered.
 func (c *session) queue(cmd command) {
 	c.mu.Lock()
@@ -110,13 +134,14 @@
 	return c.idleSince, c.said, c.open == 0 && !c.midway && socket.Quiet(c.conn)
 }
 
-// drain stops the reading between two messages; what has come before that is still answered. A message that has
-// begun to come is taken whole: cut off in its middle, a request would be lost that its client has written.
-func (c *session) drain() {
+// drain stops the reading between two messages; what has come before that is still answered. A message that has begun to
+// come is taken whole: cut off in its middle, a request would be lost that its client has written. Where connections are
+// passed on a startup is done first: who goes on takes sessions only.
+func (c *session) drain(passing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if !c.midway {
+	if !c.midway && (c.started || !passing) {
 		c.readBy(0)
 	}
 }
@@ -167,13 +192,25 @@
 	}
 }
 
-// ended says, of a read between messages that came to its deadline, that there is nothing to be read. A request that
-// came at the same moment is taken: its client has written it.
-func (c *session) ended(err error) bool {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return true
+// pause says what a read between messages that came to its deadline means: over, that the session ends here; begun, that a
+// message has come. A request that came at the same moment is taken: its client has written it.
+func (c *session) pause() (over, begun bool) {
+	c.s.mu.Lock()
+	passed := c.s.pass != nil && c.general == nil // who goes on reads what has come
+	c.s.mu.Unlock()
+	c.mu.Lock()
+	draining, said := c.draining, c.said
+	c.mu.Unlock()
+	none := c.in.Buffered() == 0
+	quiet := none && socket.Quiet(c.conn)
+	c.atRest = draining && none && (passed || quiet)
+	switch {
+	case c.atRest:
+		return true, false
+	case !quiet:
+		return false, true
 	}
-	return c.in.Buffered() == 0 && socket.Quiet(c.conn)
+	return !said, false // a drain that was taken back ends nobody; a client that never said anything has had its time
 }
 
 // start goes through the startup; what a client sends behind its startup message stays in the buffer.
@@ -250,15 +287,20 @@
 // read reads commands until the client leaves, framing is lost or a drain finds the session between messages.
 func (c *session) read() {
 	for {
-		if _, err := c.in.Peek(1); err != nil {
-			if c.ended(err) {
-				if !errors.Is(err, os.ErrDeadlineExceeded) {
-					close(c.closed)
-				}
+		if _, err := c.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+			over, begun := c.pause()
+			switch {
+			case over:
 				return
+			case begun:
+				c.begin()
+			default:
+				c.between()
 			}
-			c.begin()
 			continue
+		} else if err != nil {
+			close(c.closed)
+			return
 		}
 		c.begin()
 		err := c.next()
--- a/internal/wire/peers/peers.go
+++ b/internal/wire/peers/peers.go
@@ -7,15 +7,21 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
+	"time"
 
 	"go.uber.org/zap"
 
 	"yokemast/internal/memory/counters"
+	"yokemast/internal/wire/socket"
 )
 
 // maxBytes is the longest datagram that the platform takes; a longer one that comes in is read cut off, and told by its length.
 const maxBytes = 256
 
+// stoppedFor is how often one that has been stopped looks whether it reads again.
+const stoppedFor = 100 * time.Millisecond
+
 // Config is what Peers need to know.
 type Config struct {
 	Listen   netip.AddrPort // where datagrams come in
@@ -23,6 +29,8 @@
 	Self     netip.AddrPort // what this gateway's own come from, if they come back
 	Log      *zap.Logger
 	Counters *counters.Set
+	Share    bool         // with an earlier process of this gateway
+	Conn     *net.UDPConn // the socket of that process, to be used in place of one of its own; nil: there is none
 }
 
 // Peers is the socket.
@@ -33,13 +41,29 @@
 
 // Listen opens the socket.
 func Listen(cfg Config) (*Peers, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Listen))
+	if cfg.Conn != nil {
+		return &Peers{cfg, cfg.Conn}, nil
+	}
+	config := net.ListenConfig{}
+	if cfg.Share {
+		config.Control = socket.Share
+	}
+	conn, err := config.ListenPacket(context.Background(), "udp4", cfg.Listen.String())
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	return &Peers{cfg, conn}, nil
+	return &Peers{cfg, conn.(*net.UDPConn)}, nil
 }
 
+// Conn is the socket, for a process that follows this one.
+func (p *Peers) Conn() *net.UDPConn { return p.conn }
+
+// Stop reads no more: what comes in is for the process that follows this one. Start takes that back.
+func (p *Peers) Stop() { _ = p.conn.SetReadDeadline(time.Now()) }
+
+// Start reads again.
+func (p *Peers) Start() { _ = p.conn.SetReadDeadline(time.Time{}) }
+
 // Tell sends a datagram to all. What can't be sent is lost, as any datagram may be.
 func (p *Peers) Tell(b []byte) {
 	if _, err := p.conn.WriteToUDPAddrPort(b, p.cfg.All); err != nil {
@@ -59,6 +83,12 @@
 		switch {
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded): // stopped
+			select {
+			case <-ctx.Done():
+			case <-time.After(stoppedFor):
+			}
+			continue
 		case err != nil:
 			p.cfg.Counters.TellErrors.Add(1)
 			continue
--- a/internal/wire/socket/socket.go
+++ b/internal/wire/socket/socket.go
@@ -1,7 +1,11 @@
 // Package socket looks at connections below the protocols spoken on them.
 package socket
 
-import "syscall"
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
 
 // Quiet says whether the other end of a connection has neither closed it nor written anything that is still unread.
 // It does not wait.
@@ -18,3 +22,12 @@
 	})
 	return err == nil && quiet
 }
+
+// Share lets several processes of one user listen at the same address. It is the Control of a net.ListenConfig.
+func Share(_, _ string, c syscall.RawConn) error {
+	var bad error
+	if err := c.Control(func(fd uintptr) { bad = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); err != nil {
+		return err
+	}
+	return bad
+}
