Requests can be followed: why one was given up, how each attempt failed, sampled by kind

Change: the module gives the reason with each refusal and failure (thinned, too late, no attempt left, fails everywhere, overdue) and the group's part of bad ends; the exchange logs it with the request's id, class, group, wait, attempts and last result, and each attempt that did not serve with its host and result.

--- a/balance/api.go
+++ b/balance/api.go
@@ -224,6 +224,11 @@
 	Garbled // what came back can't be read; it says nothing of the member but that it lives
 )
 
+// String is the result in a word or two.
+func (x Result) String() string {
+	return [...]string{"ok", "error", "turned away", "timed out", "no connection", "reset", "canceled", "not sent", "miss", "garbled"}[x]
+}
+
 // NeverRan says that the attempt had no effect and will have none.
 func (x Result) NeverRan() bool { return x == Full || x == NoConnection || x == NotSent || x == Miss }
 
@@ -289,14 +294,45 @@
 	Timeout    time.Duration // 0: until the client gives up
 }
 
-// Refuse answers finally that the request did not run and a retry is harmless.
+// Why is the reason for which a request is given up.
+type Why int
+
+const (
+	Strange Why = iota // of a class that the settings lack
+	Thinned            // many ends in its group are bad, or it is over its share: turned away as it came
+	Late               // it can hardly be answered in time, or was not sent in half of its time
+	Spent              // its attempts are used up, or it must not go again
+	Failing            // it fails wherever it goes
+	Overdue            // its time is over
+)
+
+// String is the reason in a few words.
+func (w Why) String() string {
+	return [...]string{"unknown class", "thinned", "too late", "no attempt left", "fails everywhere", "overdue"}[w]
+}
+
+func (w Why) unless(other bool, than Why) Why {
+	if other {
+		return than
+	}
+	return w
+}
+
+// Refuse answers finally that the request did not run and a retry is harmless. Bad is the part of attempts at its group's
+// replicas that ended badly lately, 0 to 1.
 type Refuse struct {
 	ID         string
 	RetryAfter time.Duration
+	Why        Why
+	Bad        float64
 }
 
-// Fail answers finally, promising nothing.
-type Fail struct{ ID string }
+// Fail answers finally, promising nothing. Bad is as with Refuse.
+type Fail struct {
+	ID  string
+	Why Why
+	Bad float64
+}
 
 // Cancel stops waiting for an attempt.
 type Cancel struct {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -399,7 +399,7 @@
 	if r.reqs[e.ID] != nil {
 		return // doubled
 	} else if c == nil {
-		r.do(Refuse{ID: e.ID})
+		r.do(Refuse{ID: e.ID, Why: Strange})
 		return
 	}
 	q := &request{Request: e, seq: r.seq, cls: c, cell: cell, group: g, arrived: r.now, worth: c.Worth,
@@ -425,7 +425,7 @@
 		}
 	}
 	if e.Over > 0 || c.Need != Write && c.Need != Latest && !passes(q, cell.ends(g)[0]) {
-		r.giveUp(q)
+		r.giveUp(q, Thinned)
 		return
 	}
 	r.do(After{max(e.Deadline-r.now, 1), q.seq})
@@ -461,12 +461,12 @@
 }
 
 // giveUp ends a request at once: refused where that is true, failed otherwise.
-func (r *Router) giveUp(q *request) {
+func (r *Router) giveUp(q *request, why Why) {
 	c := q.cls
 	if q.at == nil && q.ranAt == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
-		r.do(Refuse{q.ID, min(cmp.Or(q.Over, 500*ms), r.s.MaxRetryAfter)})
+		r.do(Refuse{q.ID, min(cmp.Or(q.Over, 500*ms), r.s.MaxRetryAfter), why, q.cell.ends(q.group)[0]})
 	} else {
-		r.do(Fail{q.ID})
+		r.do(Fail{q.ID, why, q.cell.ends(q.group)[0]})
 	}
 	r.end(q)
 }
@@ -482,8 +482,8 @@
 	if q.done || q.at != nil {
 		return
 	}
-	if q.attempts >= r.s.MaxAttempts || r.hopeless(q) || !r.repeatable(q) {
-		r.giveUp(q)
+	if late := r.hopeless(q); late || q.attempts >= r.s.MaxAttempts || !r.repeatable(q) {
+		r.giveUp(q, Spent.unless(late, Late))
 		return
 	}
 	if m := r.choose(q); m != nil {
@@ -840,7 +840,7 @@
 	case q.notBefore > r.now || q.cls.Need == Write && e.Result == Miss && g.primary == nil:
 		r.park(q) // waits for the next beat or answer
 	case len(q.failed) >= 2:
-		r.giveUp(q) // it fails wherever it goes: no member's fault
+		r.giveUp(q, Failing) // it fails wherever it goes: no member's fault
 	default:
 		r.route(q)
 	}
@@ -947,7 +947,7 @@
 	case tag == tagWatch:
 		r.do(Watch{})
 	case q != nil:
-		r.giveUp(q)
+		r.giveUp(q, Overdue)
 	case tag == tagBeat:
 		r.beating = false
 		r.waiting = slices.DeleteFunc(r.waiting, func(g *group) bool {
--- a/cmd/yokemast/main.go
+++ b/cmd/yokemast/main.go
@@ -8,7 +8,6 @@
 	"runtime/debug"
 
 	"github.com/alecthomas/kong"
-	"go.uber.org/zap"
 
 	"yokemast/internal/lifecycle"
 	"yokemast/internal/operator"
@@ -42,6 +41,7 @@
 	Name      string `help:"The gateway's name, in place of the configuration's." env:"ROUTER_NAME"`
 	Listen    string `help:"Where clients connect, in place of the configuration's." env:"ROUTER_LISTEN"`
 	Discovery string `help:"Discovery's address, in place of the configuration's." env:"ROUTER_DISCOVERY"`
+	LogEach   int    `help:"How many lines of a kind are logged in a second; the others are counted." default:"10"`
 	Admin     string `help:"Where staff call, in place of the configuration's." env:"ROUTER_ADMIN"`
 }
 
@@ -58,11 +58,6 @@
 	if err != nil {
 		return err
 	}
-	log, err := zap.NewProduction(zap.WithCaller(false))
-	if err != nil {
-		return fmt.Errorf("log: %w", err)
-	}
-	defer func() { _ = log.Sync() }()
 	reload := func(old lifecycle.Config) (lifecycle.Config, error) {
 		c, err := old.ReloadConfig(s.Config)
 		if err == nil {
@@ -71,7 +66,7 @@
 		}
 		return c, err
 	}
-	return lifecycle.Serve(c, own, lifecycle.Reload{Config: reload, Operator: s.operator}, log)
+	return lifecycle.Serve(c, own, lifecycle.Reload{Config: reload, Operator: s.operator}, s.LogEach)
 }
 
 type checkCmd struct {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -78,19 +78,26 @@
 }
 
 // Serve runs a gateway until SIGTERM or SIGINT, or until a part of it can't go on. At SIGHUP it takes discovery, the settings
-// and the cells from what reload gives. own is the operator's file, nil without one.
-func Serve(c Config, own *operator.File, reload Reload, log *zap.Logger) error {
+// and the cells from what reload gives. own is the operator's file, nil without one. each is how many lines of a kind are
+// logged in a second.
+func Serve(c Config, own *operator.File, reload Reload, each int) error {
 	// From the first line on, and to the last: a SIGHUP that nobody waits for ends the process.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 
+	counts := &counters.Set{}
+	log, err := newLog(each, counts)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	g := &gateway{c: c, own: own, log: log, clock: exchange.NewClock(), counts: &counters.Set{}, ctx: ctx, group: group}
+	g := &gateway{c: c, own: own, log: log, clock: exchange.NewClock(), counts: counts, ctx: ctx, group: group}
 	defer func() { log.Info("counters", g.counts.Fields()...) }()
-	g.duty = newConductor(g.clock, c.Settings.Balance.Classes, log, g.counts)
+	g.duty = newConductor(g.clock, c.Settings.Balance.Classes, log, counts)
 	g.join()
 	defer g.leave()
 	g.memory()
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -36,6 +36,7 @@
 	Calls, CallsNo, CallersDropped                 Count    // at the second address: calls, those answered with no, callers that made room
 	ClientsPassed, ClientsAdopted                  Count    // connections given to the next process, and taken from the one before
 	Drains, Resumes                                Count    // words of staff that were followed
+	LogDropped                                     Count    // lines of the log that were left out
 	Panics, Timers                                 Count
 }
 
@@ -70,7 +71,7 @@
 		{"calls", &s.Calls}, {"calls_no", &s.CallsNo}, {"callers_dropped", &s.CallersDropped},
 		{"clients_passed", &s.ClientsPassed}, {"clients_adopted", &s.ClientsAdopted},
 		{"drains", &s.Drains}, {"resumes", &s.Resumes},
-		{"panics", &s.Panics}, {"timers_pending", &s.Timers},
+		{"log_dropped", &s.LogDropped}, {"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	} {
 		out = append(out, zap.Int64(c.name, c.count.Get()))
 	}
--- /dev/null
+++ b/internal/memory/exchange/events.go
@@ -0,0 +1,39 @@
+package exchange
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"yokemast/balance"
+)
+
+// Whoever looks for what became of a request follows its id through these lines. The log is sampled: of each kind of line it
+// takes some a second and counts the rest.
+
+// gaveUp says that a request is given up, and why.
+func (x *Exchange) gaveUp(o *open, how string, why balance.Why, bad float64) {
+	reason := why.String()
+	if o.Over > 0 {
+		reason = "over its share"
+	}
+	last := "none"
+	if o.attempts > 0 {
+		last = o.last.String()
+	}
+	now := x.cfg.Clock.Now()
+	x.cfg.Log.Info("request given up", zap.String("id", o.ID), zap.String("how", how), zap.String("why", reason), zap.String("class", o.Class),
+		zap.Int("group", o.Group), zap.Duration("waited", now-o.Arrived), zap.Duration("left", o.deadline-now), zap.Int("attempts", o.attempts),
+		zap.String("last", last), zap.Bool("out", o.out), zap.Float64("bad_ends", bad), zap.Int("open", len(x.open)))
+}
+
+// rejected says that a request was never handed to the module.
+func (x *Exchange) rejected(r *Request, reason string) {
+	x.cfg.Log.Info("request rejected", zap.String("id", r.ID), zap.String("why", reason), zap.String("class", r.Class), zap.Int("group", r.Group))
+}
+
+// attemptEnded says that an attempt did not serve its request.
+func (x *Exchange) attemptEnded(o *open, e Outcome) {
+	x.cfg.Log.Info("attempt ended", zap.String("id", o.ID), zap.Int("attempt", e.Attempt), zap.String("host", e.Server),
+		zap.Stringer("result", e.Result), zap.Duration("took", e.Took.Round(time.Microsecond)), zap.String("class", o.Class))
+}
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -133,8 +133,9 @@
 	attempts int
 	out      bool // an attempt has no outcome yet
 	answered bool
-	waits    bool         // at a fence; the module has not got it yet
-	ticket   cells.Ticket // of its cell
+	last     balance.Result // of the attempt before, if there was one
+	waits    bool           // at a fence; the module has not got it yet
+	ticket   cells.Ticket   // of its cell
 }
 
 type posted struct {
@@ -328,6 +329,7 @@
 	class := x.classes[r.Class]
 	reject := func(k Kind, reason string) {
 		x.cfg.Counters.Rejected.Add(1)
+		x.rejected(r, reason)
 		a := Answer{Kind: k, Reason: reason}
 		if s := x.cfg.Settings; k == Refused && s.RetryAfter {
 			a.RetryAfter = min(comeBack, s.MaxRetryAfter)
@@ -424,7 +426,10 @@
 	if o == nil || e.Attempt != o.attempts-1 || !o.out {
 		return // of a request that a panic cut off
 	}
-	o.out = false
+	o.out, o.last = false, e.Result
+	if e.Result != balance.OK {
+		x.attemptEnded(o, e)
+	}
 	if e.Result == balance.OK && o.Write {
 		x.wrote(x.cfg.Clock.Now(), e.Position)
 	}
@@ -516,10 +521,12 @@
 		x.send(a)
 	case balance.Refuse:
 		if o := x.open[a.ID]; o != nil {
+			x.gaveUp(o, "refused", a.Why, a.Bad)
 			x.answer(o, Answer{Kind: Refused, Reason: "turned away", RetryAfter: a.RetryAfter}, &x.cfg.Counters.Refused)
 		}
 	case balance.Fail:
 		if o := x.open[a.ID]; o != nil {
+			x.gaveUp(o, "failed", a.Why, a.Bad)
 			x.answer(o, Answer{Kind: Failed, Reason: "given up"}, &x.cfg.Counters.Failed)
 		}
 	case balance.Cancel:
