Large values are passed on as they come; large statements held in pieces, by a banker's budget

Change: a row above 64 KiB is an answer from its first bytes; the client side reads the rest straight from the host's connection, piece by piece, and ends the answer only as the host's ends. Time-outs of clients count from the last progress. The collector's limit leaves 14 MB for the program.

--- /dev/null
+++ b/cmd/yokemast/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const raceDetector = false
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -44,7 +44,9 @@
 	sharePart             = 3                     // of the sockets, that clients with requests can hold at most
 	clientsPerMB          = 8                     // each may have an answer of 64 KiB on its way
 	hostsPerMB            = 5                     // each may have one coming, and one read whole
-	statementPart         = 0.15                  // of the memory, for large statements held at a time
+	statementPart         = 0.15                  // of the memory, for statements held whole at a time
+	programMB             = 14                    // of the memory that the collector does not see: the program itself, stacks of threads
+	largePart             = 3                     // of what the collector may let pile up, for larger ones, which are held in pieces
 	tellHold              = 50 * time.Millisecond // a note waits so long for others to go with it
 	tellPerTake           = 192                   // bytes delivered to other gateways for each request
 	tellBurst             = 8 << 10
@@ -100,7 +102,7 @@
 	g.duty = newConductor(g.clock, c.Settings.Balance.Classes, log, counts)
 	g.join()
 	defer g.leave()
-	g.memory()
+	debug.SetMemoryLimit(g.heap())
 	if err := g.build(); err != nil {
 		stop()
 		_ = group.Wait()
@@ -164,7 +166,7 @@
 		Wait: wait, Seed: c.Seed, ColdTime: settings.ColdTime, ConnectTimeout: connect, IdleTimeout: idle, MaxConns: conns,
 		User: user, Database: database}, g.x)
 	g.front = frontend.New(frontend.Config{Clock: g.clock, Log: g.log, Counters: g.counts, MaxConns: clients, KeepIdle: c.Sockets / keepPart,
-		Share: c.Sockets / sharePart, Pool: pool, MaxBytes: int64(float64(c.MemoryMB) * (1 << 20) * statementPart),
+		Share: c.Sockets / sharePart, Pool: pool, MaxBytes: int64(float64(c.MemoryMB) * (1 << 20) * statementPart), MaxLarge: g.heap() / largePart,
 		ComeBack: advice(settings), Yes: g.duty.Ready, Emptied: g.duty.wake}, g.x)
 	g.watcher = discovery.NewWatcher(c.Discovery)
 	g.watcher.Log, g.watcher.Counters, g.watcher.Members, g.watcher.Answered = g.log, g.counts, g.x.Members, g.ready()
@@ -186,13 +188,13 @@
 	return clients, hosts
 }
 
-// memory bounds what the collector lets pile up.
-func (g *gateway) memory() {
-	limit := float64(g.c.MemoryMB) * (1 << 20) * memoryPart
+// heap is how many bytes the collector may let pile up.
+func (g *gateway) heap() int64 {
+	n := int64(min(float64(g.c.MemoryMB)*memoryPart, float64(g.c.MemoryMB-programMB)) * (1 << 20))
 	if g.duty.view.Load().Shared {
-		limit /= 2
+		n /= 2
 	}
-	debug.SetMemoryLimit(int64(limit))
+	return n
 }
 
 // operate does what the operator's file asks for.
@@ -296,9 +298,10 @@
 	}
 	if v.Shared != g.shared {
 		g.shared = v.Shared
-		g.memory()
+		debug.SetMemoryLimit(g.heap())
 		_, hosts := g.connections()
 		g.hosts.Limit(hosts)
+		g.front.Resize(g.heap() / largePart)
 	}
 	switch {
 	case v.Accept && !g.accepting:
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -35,6 +35,8 @@
 	PreparedHits, PreparedMisses                   Count    // statements that a host connection had, and had to prepare
 	Calls, CallsNo, CallersDropped                 Count    // at the second address: calls, those answered with no, callers that made room
 	ClientsPassed, ClientsAdopted                  Count    // connections given to the next process, and taken from the one before
+	Streams, StreamsOpen, StreamsCut               Count    // large values passed on as they come: begun, on their way, not whole
+	Large, LargeRefused, LargeHeld                 Count    // large statements: come, refused for lack of memory, bytes held
 	Drains, Resumes                                Count    // words of staff that were followed
 	LogDropped                                     Count    // lines of the log that were left out
 	Panics, Timers                                 Count
@@ -70,6 +72,8 @@
 		{"peer_errors", &s.TellErrors},
 		{"calls", &s.Calls}, {"calls_no", &s.CallsNo}, {"callers_dropped", &s.CallersDropped},
 		{"clients_passed", &s.ClientsPassed}, {"clients_adopted", &s.ClientsAdopted},
+		{"streams", &s.Streams}, {"streams_open", &s.StreamsOpen}, {"streams_cut", &s.StreamsCut},
+		{"statements_large", &s.Large}, {"statements_large_refused", &s.LargeRefused}, {"statements_large_held", &s.LargeHeld},
 		{"drains", &s.Drains}, {"resumes", &s.Resumes},
 		{"log_dropped", &s.LogDropped}, {"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	} {
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -213,6 +213,14 @@
 // Probed ends a probe.
 func (x *Exchange) Probed(p balance.ProbeResult) { x.post(p) }
 
+type learning struct {
+	heard  balance.Heard
+	report balance.Report
+}
+
+// Learned takes what a host said of itself behind an outcome.
+func (x *Exchange) Learned(h balance.Heard, r balance.Report) { x.post(learning{h, r}) }
+
 type datagram []byte
 
 // Heard takes a datagram of another gateway.
@@ -302,6 +310,12 @@
 	case balance.ProbeResult:
 		x.note(balance.Heard{Server: e.Server, Result: e.Result}, e.Report)
 		x.decide(e)
+	case learning:
+		if e.report.Has {
+			e.heard.Position = max(e.heard.Position, e.report.Position)
+		}
+		x.note(e.heard, e.report)
+		x.decide(e.heard)
 	case datagram:
 		x.hear(e)
 	case members:
--- a/internal/testbed/clients/clients.go
+++ b/internal/testbed/clients/clients.go
@@ -58,7 +58,7 @@
 // ReadReply reads up to ReadyForQuery or the end of the connection.
 func (c *Client) ReadReply() (out Reply) {
 	for {
-		kind, body, err := pg.Read(c.In, 1<<20)
+		kind, body, err := pg.Read(c.In, pg.MaxLarge)
 		if err != nil {
 			out.Closed = true
 			return out
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -29,9 +30,10 @@
 	// Script answers a query; n counts from 0. nil closes the connection, empty stays silent. Without a script a host of a
 	// cluster serves its data, any other the query's own key as the row.
 	Script func(n int, query string) []byte
-	Brief  bool                      // closes after each answer
-	Trail  func(query string) []byte // sent a moment after each answer
-	Ended  chan struct{}             // gets one for each connection that has ended, while there is room
+	Brief  bool                                 // closes after each answer
+	Trail  func(query string) []byte            // sent a moment after each answer
+	Raw    func(c io.Writer, query string) bool // writes the answer itself, in its own time; false: the connection ends
+	Ended  chan struct{}                        // gets one for each connection that has ended, while there is room
 	Log    func(format string, args ...any)
 	// General hosts of a cluster serve SQL of their own on connections that carry settings, statements and transactions.
 	General     bool
@@ -139,7 +141,7 @@
 		return
 	}
 	for {
-		_, body, err := pg.Read(in, 1<<20)
+		_, body, err := pg.Read(in, pg.MaxLarge)
 		if err != nil {
 			return
 		}
@@ -155,6 +157,12 @@
 		n, script := len(h.queries), h.Script
 		h.queries = append(h.queries, query)
 		h.mu.Unlock()
+		if h.Raw != nil {
+			if !h.Raw(c, query) {
+				return
+			}
+			continue
+		}
 		var answer []byte
 		switch {
 		case script != nil:
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -49,6 +49,7 @@
 type Reporter interface {
 	Outcome(exchange.Outcome)
 	Probed(balance.ProbeResult)
+	Learned(balance.Heard, balance.Report) // what a host said of itself behind an outcome that was told already
 }
 
 // Command is what a request asks a host to run.
@@ -59,6 +60,12 @@
 	Tag() string
 }
 
+// Large is a Command whose query does not fit into memory as it is written.
+type Large interface {
+	Large() bool
+	WriteQuery(w io.Writer, wait time.Duration) error
+}
+
 // Config is what a Backend needs to know.
 type Config struct {
 	Clock          exchange.Clock
@@ -502,19 +509,21 @@
 
 // end tells the outcome, once. A connection with something out on it is closed first: what is sent next must not
 // meet it.
-func (t *attempt) end(o exchange.Outcome) { t.finish(o, -1) }
+func (t *attempt) end(o exchange.Outcome) { t.finish(o, -1, false) }
 
-// finish is end with the time that the host took, if that is known apart; below 0: all since it was sent.
-func (t *attempt) finish(o exchange.Outcome, busy time.Duration) {
+// finish is end with the time that the host took, if that is known apart; below 0: all since it was sent. With keep the
+// connection stays open, for what is still to come of the answer; false: the attempt had ended before.
+func (t *attempt) finish(o exchange.Outcome, busy time.Duration, keep bool) bool {
 	t.mu.Lock()
 	if t.ended {
 		t.mu.Unlock()
-		return
+		return false
 	}
 	t.ended = true
-	if t.conn != nil {
+	if t.conn != nil && !keep {
 		t.conn.close()
 	}
+	t.conn = nil
 	stop := t.stop
 	t.mu.Unlock()
 	if stop != nil {
@@ -528,6 +537,7 @@
 		o.Took = t.b.cfg.Clock.Now() - t.Sent
 	}
 	t.b.to.Outcome(o)
+	return true
 }
 
 func (t *attempt) run() {
@@ -550,9 +560,15 @@
 	talk, converses := t.Command.(Conversation)
 	var command Command
 	var query []byte
+	large, _ := t.Command.(Large)
+	if large != nil && !large.Large() {
+		large = nil
+	}
 	if !converses {
 		command = t.Command.(Command)
-		query = command.AppendQuery(nil, t.Until-now)
+		if large == nil {
+			query = command.AppendQuery(nil, t.Until-now)
+		}
 	}
 	t.mu.Lock()
 	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until
@@ -568,7 +584,16 @@
 		t.converse(c, talk)
 		return
 	}
-	r := c.roundTrip(query, command.Tag(), t.Until)
+	var r reply
+	if large != nil {
+		r = c.exchange(func() error { return large.WriteQuery(c, t.Until-now) }, true, command.Tag(), t.Until)
+	} else {
+		r = c.roundTrip(query, command.Tag(), t.Until)
+	}
+	if r.stream != nil {
+		t.stream(r)
+		return
+	}
 	t.mu.Lock()
 	t.conn = nil
 	if t.ended {
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -19,8 +19,10 @@
 
 type outcomes chan exchange.Outcome
 
-func (o outcomes) Outcome(e exchange.Outcome)                   { o <- e }
-func (outcomes) Probed(balance.ProbeResult)                     {}
+func (o outcomes) Outcome(e exchange.Outcome)          { o <- e }
+func (outcomes) Probed(balance.ProbeResult)            {}
+func (outcomes) Learned(balance.Heard, balance.Report) {}
+
 func (outcomes) AppendQuery(out []byte, _ time.Duration) []byte { return pg.AppendQuery(out, "x") }
 
 func (outcomes) Tag() string { return "" }
@@ -71,6 +73,8 @@
 
 type probes chan balance.ProbeResult
 
+func (probes) Learned(balance.Heard, balance.Report) {}
+
 func (p probes) Probed(e balance.ProbeResult) { p <- e }
 func (probes) Outcome(exchange.Outcome)       {}
 
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -19,6 +19,7 @@
 
 const (
 	readBuffer = 4 << 10
+	rowHead    = 6       // of a row of one column, before its value
 	maxWelcome = 8 << 10 // the longest message taken at the start of a session
 	// aheadMost is how far a position may lie ahead of this clock: commits are rounded up, and clocks are read apart.
 	aheadMost = 50 * time.Millisecond
@@ -89,6 +90,7 @@
 	role     balance.Role
 	position time.Duration
 	report   balance.Report
+	stream   *stream // of a large value, of which the rest is still to come; nil: the reply is whole
 }
 
 // errSpoilt says that what a host sent is no answer to what it was asked.
@@ -99,7 +101,7 @@
 func longest(kind byte) int {
 	switch kind {
 	case pg.DataRow:
-		return pg.MaxValue + 16
+		return pg.MaxValue + rowHead // over SmallValue only as what is passed on as it comes
 	case pg.RowDescription, pg.CommandComplete:
 		return 512
 	case pg.ErrorResponse, pg.NoticeResponse, pg.ParameterStatus:
@@ -110,43 +112,67 @@
 	return 0
 }
 
-// receive reads a message of an answer.
-func (c *conn) receive() (kind byte, body []byte, err error) {
-	kind, length, err := pg.Head(c.in)
+// head reads the head of a message of an answer.
+func (c *conn) head() (kind byte, length int, err error) {
+	kind, length, err = pg.Head(c.in)
 	switch {
 	case err != nil:
-		return kind, nil, err
 	case length > longest(kind) || longest(kind) == 0:
-		return kind, nil, fmt.Errorf("%w: type %q, %d bytes", errSpoilt, kind, length)
+		err = fmt.Errorf("%w: type %q, %d bytes", errSpoilt, kind, length)
 	case kind == pg.DataRow:
-		if err := pg.RowLength(c.in, length); err != nil {
-			return kind, nil, err
-		}
+		err = pg.RowLength(c.in, length)
+	}
+	return kind, length, err
+}
+
+// receive reads a message of an answer.
+func (c *conn) receive() (kind byte, body []byte, err error) {
+	kind, length, err := c.head()
+	if err == nil {
+		body, err = pg.Body(c.in, length, length)
 	}
-	body, err = pg.Body(c.in, length, length)
 	return kind, body, err
 }
 
-// roundTrip writes a query and reads all that comes back for it. Only one row, whole and in its place, is an answer: a
+// roundTrip writes a query and reads all that comes back for it; of a large value, all up to its first byte. Only one row, whole and in its place, is an answer: a
 // host may send noise, an answer twice or one with parts missing, and a client must never be served with that.
 func (c *conn) roundTrip(query []byte, tag string, until time.Duration) (r reply) {
+	return c.exchange(func() error {
+		_, err := c.Write(query)
+		return err
+	}, len(query) > readBuffer, tag, until)
+}
+
+// exchange is roundTrip with what writes the query; large says that it may get stuck on its way.
+func (c *conn) exchange(write func() error, large bool, tag string, until time.Duration) (r reply) {
 	c.clean = false
 	// A small query goes into the empty buffer of an idle connection at once; only a large one can get stuck on its way.
 	limit := c.SetReadDeadline
-	if large := len(query) > readBuffer; large || c.writeLimited {
+	if large || c.writeLimited {
 		limit, c.writeLimited = c.SetDeadline, true
 	}
 	if limit(time.Now().Add(until-c.clock.Now())) != nil {
 		return reply{result: balance.NoConnection}
 	}
-	if _, err := c.Write(query); err != nil {
+	if err := write(); err != nil {
 		// Broken, or stuck, before the last byte: the host never starts what it has not got whole.
 		return reply{result: balance.NoConnection}
 	}
 	var refusal *pg.Error
 	order := "" // of the messages that make up the answer
 	for {
-		kind, body, err := c.receive()
+		kind, length, err := c.head()
+		if err == nil && kind == pg.DataRow && length > pg.SmallValue+rowHead && order == "T" {
+			var size int
+			if size, err = pg.RowHead(c.in, length); err == nil {
+				r.result, r.stream = balance.OK, newStream(c, size, tag)
+				return r
+			}
+		}
+		var body []byte
+		if err == nil {
+			body, err = pg.Body(c.in, length, length)
+		}
 		if err == nil {
 			switch kind {
 			case pg.RowDescription:
--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -128,5 +128,5 @@
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
 	t.finish(exchange.Outcome{Outcome: balance.Outcome{Result: end.Result, Role: h.notes.role, Position: h.notes.position,
-		Report: h.notes.report}}, end.Busy)
+		Report: h.notes.report}}, end.Busy, false)
 }
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -26,9 +26,12 @@
 const (
 	// startWithin is how long a client may take to say what it wants, and then to begin its first command.
 	startWithin = 2 * time.Second
-	// messageWithin is how long a message may take to come whole, and skipWithin one that is only read past.
+	// messageWithin is how long a message that has begun may bring nothing more; headWithin is how long its head may take to
+	// come, and a body longestWithin and a second more for each leastRate bytes. A client may spend 2 s on a head.
 	messageWithin = 2500 * time.Millisecond
-	skipWithin    = 5 * time.Second
+	headWithin    = 5 * time.Second
+	longestWithin = 10 * time.Second
+	leastRate     = 32 << 10
 	writeTimeout  = 5 * time.Second // for a client to take an answer
 	// overflow is how many connections over the limit may be on their way out: told that there is no room, made to
 	// give way, or cut off for what they sent.
@@ -60,7 +63,8 @@
 	KeepIdle int                               // of them that may stay for long with nothing open
 	Share    int                               // connections that clients with requests can hold among them; 0: no such limit
 	Pool     func(user, database string) *Pool // of general sessions; nil, or nil of it: only the platform's statements are taken
-	MaxBytes int64                             // of large statements held at a time
+	MaxBytes int64                             // of statements held at a time that are taken whole
+	MaxLarge int64                             // of larger ones, that are taken in pieces
 	ComeBack time.Duration                     // when a client that found no room may try again; 0: no advice
 	Yes      func() bool                       // once ready: whether the empty query is answered with yes; must not wait
 	Emptied  func()                            // the last connection has ended, and none is accepted; may be nil
@@ -71,7 +75,8 @@
 	cfg   Config
 	x     Exchange
 	ready chan struct{}
-	bytes *budget
+	bytes *allowance
+	large *memory
 
 	comeBack atomic.Int64 // nanoseconds: Config.ComeBack, or what Retune said
 
@@ -90,7 +95,8 @@
 
 // New makes a server.
 func New(cfg Config, x Exchange) *Server {
-	s := &Server{cfg: cfg, x: x, ready: make(chan struct{}), ending: make(chan struct{}), bytes: &budget{left: cfg.MaxBytes},
+	s := &Server{cfg: cfg, x: x, ready: make(chan struct{}), ending: make(chan struct{}), bytes: &allowance{left: cfg.MaxBytes},
+		large:    newMemory(cfg.MaxLarge, cfg.Counters),
 		sessions: map[*session]struct{}{}, keys: map[pg.Key]*session{}}
 	s.Retune(cfg.ComeBack)
 	return s
@@ -101,6 +107,9 @@
 
 func (s *Server) advice() time.Duration { return time.Duration(s.comeBack.Load()) }
 
+// Resize changes how many bytes of large statements are held at a time.
+func (s *Server) Resize(large int64) { s.large.resize(large) }
+
 // Ready lets the empty query be answered: the front takes the gateway in when it is.
 func (s *Server) Ready() { close(s.ready) }
 
@@ -164,8 +173,9 @@
 
 func (s *Server) session(n net.Conn) *session {
 	now := s.cfg.Clock.Now()
-	return &session{s: s, conn: n.(*net.TCPConn), in: bufio.NewReaderSize(n, 4<<10), commands: make(chan command, 8),
-		closed: make(chan struct{}), accepted: now, idleSince: now}
+	c := &session{s: s, conn: n.(*net.TCPConn), commands: make(chan command, 8), closed: make(chan struct{}), accepted: now, idleSince: now}
+	c.in = bufio.NewReaderSize(paced{c}, 4<<10)
+	return c
 }
 
 func (s *Server) begin(c *session, serve func()) {
@@ -373,13 +383,13 @@
 	}
 }
 
-// budget bounds the bytes of large statements, so that they always fit into memory.
-type budget struct {
+// allowance bounds the bytes of large statements, so that they always fit into memory.
+type allowance struct {
 	mu   sync.Mutex
 	left int64
 }
 
-func (b *budget) take(n int) bool {
+func (b *allowance) take(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if int64(n) > b.left {
@@ -389,7 +399,7 @@
 	return true
 }
 
-func (b *budget) give(n int) {
+func (b *allowance) give(n int) {
 	b.mu.Lock()
 	b.left += int64(n)
 	b.mu.Unlock()
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"yokemast/internal/control/budget"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
 	"yokemast/internal/wire/relay"
@@ -27,6 +28,7 @@
 	said      bool          // the startup is done and a command has begun to come
 	midway    bool          // a message has begun to come
 	timed     bool          // a deadline for reading is set
+	cutAt     time.Time     // of a message that has begun: when it is cut off, whatever still comes
 	open      int           // commands without an answer
 	idleSince time.Duration // since when nothing is open
 
@@ -50,12 +52,13 @@
 type command struct {
 	statement *pg.Statement // run it
 	arrived   time.Duration
-	held      int          // bytes of the budget that it holds
-	empty     bool         // the empty query
-	err       *pg.Error    // an answer that is known already
-	sync      bool         // only ReadyForQuery
-	batch     *relay.Batch // of a general session
-	ready     bool         // ReadyForQuery follows the error at once
+	held      int             // bytes of the budget that it holds
+	holding   *budget.Holding // of the memory of large statements; nil: none
+	empty     bool            // the empty query
+	err       *pg.Error       // an answer that is known already
+	sync      bool            // only ReadyForQuery
+	batch     *relay.Batch    // of a general session
+	ready     bool            // ReadyForQuery follows the error at once
 }
 
 func (c *session) serve(ctx context.Context) {
@@ -79,7 +82,7 @@
 			break
 		}
 		whole = c.answer(ctx, cmd)
-		c.s.bytes.give(cmd.held)
+		c.release(cmd)
 		c.answered()
 	}
 	if c.general != nil {
@@ -90,7 +93,7 @@
 	}
 	c.conn.Close()
 	for cmd := range c.commands { // lets the reader end
-		c.s.bytes.give(cmd.held)
+		c.release(cmd)
 	}
 	if c.general != nil {
 		c.s.bytes.give(c.general.held)
@@ -112,6 +115,12 @@
 	c.s.cfg.Counters.ClientsPassed.Add(1)
 }
 
+// release gives back what a command held.
+func (c *session) release(cmd command) {
+	c.s.bytes.give(cmd.held)
+	c.s.large.close(cmd.holding)
+}
+
 // queue hands a command on to be answered.
 func (c *session) queue(cmd command) {
 	c.mu.Lock()
@@ -170,9 +179,45 @@
 	defer c.mu.Unlock()
 	c.midway, c.said = true, true
 	if !pg.Whole(c.in) { // what is here already needs no time
-		c.readBy(messageWithin)
-		c.timed = true
+		c.paceLocked(headWithin)
+	}
+}
+
+// pace says that the head of a message is here, and how much follows it.
+func (c *session) pace(length int) {
+	if c.in.Buffered() >= length {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paceLocked(longestWithin + time.Duration(length/leastRate)*time.Second)
+}
+
+func (c *session) paceLocked(within time.Duration) {
+	c.cutAt, c.timed = time.Now().Add(within), true
+	c.readBy(min(messageWithin, within))
+}
+
+// paced is a client's connection as it is read: what comes of a message that has begun gives its client time for more.
+type paced struct{ c *session }
+
+func (p paced) Read(b []byte) (int, error) {
+	c := p.c
+	n, err := c.conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.started { // a startup that has begun is at work
+		c.midway = true
 	}
+	if c.midway && c.timed {
+		if left := time.Until(c.cutAt); left > 0 {
+			c.readBy(min(messageWithin, left))
+		}
+	}
+	return n, err
 }
 
 // between says that no message has begun to come.
@@ -215,7 +260,10 @@
 
 // start goes through the startup; what a client sends behind its startup message stays in the buffer.
 func (c *session) start(within time.Duration) bool {
+	c.mu.Lock()
 	_ = c.conn.SetDeadline(time.Now().Add(within))
+	c.cutAt, c.timed = time.Now().Add(max(within, headWithin)), true
+	c.mu.Unlock()
 	for range 4 { // at most one request for each kind of encryption comes first
 		kind, parameters, err := pg.ReadStartup(c.in)
 		var refused *pg.Error
@@ -239,7 +287,10 @@
 			}
 		default:
 			c.user = parameters["user"]
+			c.mu.Lock()
 			_ = c.conn.SetDeadline(time.Time{})
+			c.timed = false
+			c.mu.Unlock()
 			c.writeBy = time.Time{}
 			if c.s.cfg.Pool != nil {
 				if p := c.s.cfg.Pool(c.user, parameters["database"]); p != nil {
@@ -328,6 +379,7 @@
 	if err != nil {
 		return err
 	}
+	c.pace(length)
 	bad := func(code, message string) *pg.Error {
 		c.s.cfg.Counters.BadMessages.Add(1)
 		return &pg.Error{Code: code, Message: message}
@@ -367,9 +419,6 @@
 		c.queue(answers[0])
 		answers = answers[1:]
 	}
-	if length > pg.MaxMessage {
-		c.readBy(skipWithin)
-	}
 	if err := pg.Skip(c.in, length); err != nil {
 		return err
 	}
@@ -385,7 +434,9 @@
 	switch {
 	case c.skipping:
 		return c.skip(length)
-	case length > pg.MaxMessage:
+	case length > pg.MaxMessage && length <= pg.MaxLarge:
+		return c.large(length, bad)
+	case length > pg.MaxLarge:
 		return c.skip(length, command{err: bad(pg.CodeProtocolViolation, "message too long")}, command{sync: true})
 	case length > largeBody && !c.s.bytes.take(length):
 		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.advice())},
@@ -463,6 +514,13 @@
 	c.s.x.Submit(r)
 	select {
 	case a := <-answer:
+		// A large statement is not needed any more, however slowly its client takes the answer.
+		c.s.large.close(cmd.holding)
+		if v, ok := a.Value.(pg.Value); ok && v.Rest != nil {
+			ok := c.pour(v, st.Tag())
+			c.free = c.s.cfg.Clock.Now()
+			return ok
+		}
 		ok := c.write(pg.AppendReady(appendAnswer(nil, st, a)))
 		c.free = c.s.cfg.Clock.Now() // the wait of a command behind this one starts only now
 		return ok
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -42,11 +42,11 @@
 	NoticeResponse     = 'N'
 )
 
-// MaxValue is the size of the largest value, in bytes.
-const MaxValue = 64 << 10
+// SmallValue is the size of the largest value that is held whole, in bytes; a larger one is passed on as it comes.
+const SmallValue = 64 << 10
 
-// MaxMessage bounds the body of a message that is taken: a value in hex and the statement round it.
-const MaxMessage = 2*MaxValue + 8<<10
+// MaxMessage bounds the body of a message that is taken whole: a small value in hex and the statement round it.
+const MaxMessage = 2*SmallValue + 8<<10
 
 // maxSkipped bounds a message whose body is read only to be dropped; a longer one means that framing is lost.
 const maxSkipped = 64 << 20
@@ -147,23 +147,46 @@
 // AppendReady appends ReadyForQuery, outside a transaction.
 func AppendReady(out []byte) []byte { return Append(out, ReadyForQuery, []byte{'I'}) }
 
-// AppendRow appends the answer to a statement that served one value.
-func AppendRow(out []byte, v Value, tag string) []byte {
+func appendDescription(out []byte, v Value) []byte {
 	description := append([]byte{0, 1}, "content\x00"...)
 	description = append(description, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, byte(v.Format))
-	out = Append(out, RowDescription, description)
+	return Append(out, RowDescription, description)
+}
+
+// AppendRowHead appends the beginning of an answer whose value follows, and then AppendComplete.
+func AppendRowHead(out []byte, v Value) []byte {
+	row := binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(v.Size))
+	return AppendLong(appendDescription(out, v), DataRow, v.Size, row)
+}
+
+// AppendComplete appends the end of an answer.
+func AppendComplete(out []byte, tag string) []byte { return Append(out, CommandComplete, cstring(tag)) }
+
+// AppendRow appends the answer to a statement that served one value.
+func AppendRow(out []byte, v Value, tag string) []byte {
+	out = appendDescription(out, v)
 	row := binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(v.Data)))
 	if v.Data == nil {
 		row = []byte{0, 1, 0xff, 0xff, 0xff, 0xff}
 	}
 	out = Append(out, DataRow, row, v.Data)
-	return Append(out, CommandComplete, cstring(tag))
+	return AppendComplete(out, tag)
 }
 
 // Value is what a statement served: the bytes as a database host gave them and the format it gave them in.
 type Value struct {
-	Data   []byte // nil: null
+	Data   []byte // nil: null, or one that Rest gives
 	Format int16  // 0 text, 1 binary
+	Size   int    // with Rest: bytes in all
+	Rest   Rest   // nil: Data is all
+}
+
+// Rest is a large value that is still coming. Whoever is given one closes it.
+type Rest interface {
+	// Read gives what has come, at least one byte. io.EOF says that the value is whole and that its answer has ended as it
+	// should; any other error, that it never will be.
+	Read(p []byte) (int, error)
+	Close()
 }
 
 // RowFormat reads the format of the one column that a RowDescription names.
@@ -194,6 +217,15 @@
 	return rowLength(head, length)
 }
 
+// RowHead reads what RowLength has checked of a DataRow's body of that length: the size of its value, 0 for null.
+func RowHead(r *bufio.Reader, length int) (size int, err error) {
+	if err := RowLength(r, length); err != nil {
+		return 0, err
+	}
+	_, err = r.Discard(rowHead)
+	return length - rowHead, err
+}
+
 func rowLength(head []byte, length int) error {
 	n := int32(binary.BigEndian.Uint32(head[2:]))
 	if binary.BigEndian.Uint16(head) != 1 || int64(n) != int64(length-rowHead) && (n != -1 || length != rowHead) {
--- a/internal/wire/pg/statement.go
+++ b/internal/wire/pg/statement.go
@@ -20,6 +20,9 @@
 	Retry  bool
 	Tenant string // "" where it names none
 	d0, d1 int    // where Text holds the value of d
+
+	value   *packed // a large one, which Text lacks; nil: Text is all
+	valueAt int     // where it stands in Text
 }
 
 const (
@@ -53,9 +56,6 @@
 		for digits < len(rest) && isHex(rest[digits]) {
 			digits++
 		}
-		if digits > 2*MaxValue {
-			return nil, &Error{Code: CodeProtocolViolation, Message: "value of over 64 KiB"}
-		}
 		if rest, ok = bytes.CutPrefix(rest[digits:], []byte("')"+insertTail)); !ok || digits%2 != 0 {
 			return nil, syntax("malformed INSERT")
 		}
