Who is turned away by discovery stays away longer each time, so that its line drains

Cause: after a release most gateways never heard of new hosts.

Change: internal/control/asking gives the pauses, 3 s in the mean and doubling to 24 s after a 503, spread by half; 0.1 s after a connection that failed, as before. Lists and discovery's return are logged.

--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -168,7 +168,7 @@
 	g.front = frontend.New(frontend.Config{Clock: g.clock, Log: g.log, Counters: g.counts, MaxConns: clients, KeepIdle: c.Sockets / keepPart,
 		Share: c.Sockets / sharePart, Pool: pool, MaxBytes: int64(float64(c.MemoryMB) * (1 << 20) * statementPart), MaxLarge: g.heap() / largePart,
 		ComeBack: advice(settings), Yes: g.duty.Ready, Emptied: g.duty.wake}, g.x)
-	g.watcher = discovery.NewWatcher(c.Discovery)
+	g.watcher = discovery.NewWatcher(c.Discovery, c.Seed)
 	g.watcher.Log, g.watcher.Counters, g.watcher.Members, g.watcher.Answered = g.log, g.counts, g.x.Members, g.ready()
 	return g.operate()
 }
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"yokemast/internal/control/asking"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 )
@@ -23,18 +25,20 @@
 	waitFor = 3 * time.Second
 	// answerWithin is how long after that wait an answer may take.
 	answerWithin = time.Second
-	// retryPause comes after a failed call; the next must follow the last answer within 200 ms or the watch is new.
-	retryPause = 100 * time.Millisecond
-	maxList    = 8 << 20
+	maxList      = 8 << 20
 	// whole is the revision of who has no list yet: all of it is asked for.
 	whole = -1
 )
 
+// errBusy says that discovery has too many calls.
+var errBusy = errors.New("discovery is busy")
+
 // Watcher follows the list.
 type Watcher struct {
 	Log      *zap.Logger
 	Counters *counters.Set
 	Members  func(whole bool, list []exchange.Member)
+	Pauses   *asking.Pauses
 	Answered func() // called once, when the agent has answered for the first time
 
 	revision atomic.Int64 // of the last answer
@@ -45,9 +49,9 @@
 	cancel  context.CancelFunc // ends the call that is going on
 }
 
-// NewWatcher makes a watcher of the agent at an address.
-func NewWatcher(address string) *Watcher {
-	w := &Watcher{address: address}
+// NewWatcher makes a watcher of the agent at an address; the seed draws when it asks again after a failure.
+func NewWatcher(address string, seed uint64) *Watcher {
+	w := &Watcher{address: address, Pauses: asking.New(seed)}
 	w.revision.Store(whole)
 	return w
 }
@@ -107,15 +111,20 @@
 			failing = true
 			select {
 			case <-call.Done():
-			case <-time.After(retryPause):
+			case <-time.After(w.Pauses.Failed(errors.Is(err, errBusy))):
 			}
 			continue
 		}
+		if failing {
+			w.Log.Info("discovery answers again", zap.Int64("failed", w.Counters.ListErrors.Get()))
+		}
 		failing = false
+		w.Pauses.Answered()
 		w.Counters.Lists.Add(1)
 		revision = list.Revision
 		w.revision.Store(revision)
 		if list.Complete || len(list.Members) > 0 {
+			w.Log.Info("hosts listed", zap.Bool("whole", list.Complete), zap.Int64("revision", revision), zap.Int("entries", len(list.Members)))
 			w.Members(list.Complete, list.Members)
 		}
 		if first {
@@ -149,6 +158,9 @@
 		return List{}, err
 	}
 	if resp.StatusCode != http.StatusOK {
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return List{}, errBusy
+		}
 		return List{}, fmt.Errorf("status %s", resp.Status)
 	}
 	list, err := ParseList(body)
