A passed-on connection keeps how long it has idled; ends of connections are logged

Suspected, not measured: connections that were passed on counted as just used, so that for 250 ms none of them could give way and an heir whose house was full turned newcomers away.

Change: the message that passes a connection on says how long it has idled. Connections that are turned away, dropped, made to give way or cut off are logged with the reason.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -509,10 +509,12 @@
 	return x > y || x == y && a.cls.Name == b.cls.Name && a.seq > b.seq
 }
 
+func (c *class) again() time.Duration { return min(c.took*3/2, c.Aim/2) } // that an attempt needs
+
 // hopeless says that q can hardly be answered in time. Half the aim is enough, or a slow class stayed shut.
 // What was never sent is not held past half its time: its client can come back.
 func (r *Router) hopeless(q *request) bool {
-	return r.now+min(q.cls.took*3/2, q.cls.Aim/2) > r.useful(q) ||
+	return r.now+q.cls.again() > r.useful(q) ||
 		q.attempts == 0 && r.now-q.arrived+2*beat > cmp.Or(q.Patience, (q.Deadline-q.arrived)/2)
 }
 
@@ -527,8 +529,9 @@
 	q.limit = 0
 	if q.cls.Effect == Safe && !q.Lease {
 		q.limit = r.useful(q) - r.now
-		if m != q.group.primary {
-			q.limit = min(q.limit, max(q.cls.Aim*6/10, 6*q.cls.took))
+		// An end too early for another attempt only throws away what the host goes on with.
+		if early := max(q.cls.Aim*6/10, 6*q.cls.took); m != q.group.primary && early+q.cls.again() <= q.limit {
+			q.limit = early
 		}
 	}
 	if len(m.out) == 0 {
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -114,7 +114,7 @@
 		u := &g.upgrade
 		switch {
 		case u.elder != nil:
-			u.elder.Follow(g.ctx, func(c *net.TCPConn, user string) { g.front.Adopt(g.ctx, c, user) })
+			u.elder.Follow(g.ctx, func(c *net.TCPConn, user string, idle time.Duration) { g.front.Adopt(g.ctx, c, user, idle) })
 			_ = g.duty.tell(service.ElderGone)
 		case u.line == nil:
 			line, err := succession.Claim(g.ctx, os.TempDir(), g.c.Listen, claimEvery)
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -144,23 +144,27 @@
 		room, held := s.add(c)
 		if !held { // nothing that clients do may keep others from being accepted
 			s.cfg.Counters.ClientsDropped.Add(1)
+			s.note("dropped: too many connections are on their way out", c)
 			n.Close()
 			continue
 		}
 		serve := func() { c.serve(ctx) }
 		if !room {
 			s.cfg.Counters.ClientsOver.Add(1)
+			s.note("turned away: the house is full", c)
 			serve = c.turnAway
 		}
 		s.begin(c, serve)
 	}
 }
 
-// Adopt goes on with a connection on which another process has done the startup, and on which nothing is open.
-func (s *Server) Adopt(ctx context.Context, n *net.TCPConn, user string) {
+// Adopt goes on with a connection on which another process has done the startup, and on which nothing is open. It has idled
+// for so long there: who has idled long enough gives way here as there, or a house that is full of them turns others away.
+func (s *Server) Adopt(ctx context.Context, n *net.TCPConn, user string, idle time.Duration) {
 	s.cfg.Counters.ClientsAdopted.Add(1)
 	c := s.session(n)
 	c.user, c.started, c.said, c.adopted = user, true, true, true
+	c.idleSince -= idle
 	s.mu.Lock()
 	s.sessions[c] = struct{}{}
 	s.cfg.Counters.ClientsOpen.Add(1)
@@ -314,8 +318,15 @@
 	return false
 }
 
+// note logs why a client's connection ends that the client did not end.
+func (s *Server) note(why string, c *session) {
+	s.cfg.Log.Info("connection ended", zap.String("why", why), zap.Stringer("client", c.conn.RemoteAddr()),
+		zap.Duration("age", s.cfg.Clock.Now()-c.accepted), zap.Int64("clients", s.cfg.Counters.ClientsOpen.Get()))
+}
+
 func (s *Server) end(c *session) {
 	s.cfg.Counters.ClientsEvicted.Add(1)
+	s.note("gives way: it had nothing open", c)
 	c.leaving = true
 	s.leaving++
 	c.drain(s.pass != nil)
@@ -353,8 +364,8 @@
 // Ending lets clients keep their connections from now on, idle or not: they would get no new ones.
 func (s *Server) Ending() { s.endOnce.Do(func() { close(s.ending) }) }
 
-// Pass gives a connection on which nothing is open to another process.
-type Pass func(conn *net.TCPConn, user string) error
+// Pass gives a connection on which nothing is open, and nothing has been for so long, to another process.
+type Pass func(conn *net.TCPConn, user string, idle time.Duration) error
 
 // Drain ends every session as soon as it is between requests, and those that come, until Keep. With pass, connections are
 // passed on in place of being ended.
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -108,7 +108,10 @@
 	if pass == nil || !c.atRest || c.general != nil {
 		return
 	}
-	if err := pass(c.conn, c.user); err != nil {
+	c.mu.Lock()
+	idle := c.s.cfg.Clock.Now() - c.idleSince
+	c.mu.Unlock()
+	if err := pass(c.conn, c.user, idle); err != nil {
 		c.s.cfg.Log.Warn("a connection could not be passed on", zap.Error(err))
 		return
 	}
@@ -361,8 +364,10 @@
 			continue
 		case errors.Is(err, pg.ErrFraming):
 			c.s.cfg.Counters.BadMessages.Add(1)
+			c.s.note("cut off: what it sends can't be followed", c)
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.s.cfg.Counters.ClientsSlow.Add(1)
+			c.s.note("cut off: its message did not come whole in time", c)
 			err = errors.New("the message did not come whole in time")
 		default:
 			close(c.closed)
--- a/internal/wire/succession/conn.go
+++ b/internal/wire/succession/conn.go
@@ -24,7 +24,7 @@
 	kindEstate = 2 // elder: what it leaves; with the sockets and the lock that the body counts
 	kindBusy   = 3 // elder: another upgrade is under way
 	kindReady  = 4 // heir: from now on it serves
-	kindClient = 5 // elder: one client's connection; the body is its user
+	kindClient = 5 // elder: one client's connection; the body is how long it has idled, in milliseconds (4 bytes), and its user
 )
 
 // Errors of a connection between two processes.
--- a/internal/wire/succession/heir.go
+++ b/internal/wire/succession/heir.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -26,9 +27,11 @@
 // Heir is the process that follows this one.
 type Heir struct{ link *link }
 
-// Pass gives the heir a client's connection. The caller closes its own end of it, whatever comes of it.
-func (h *Heir) Pass(conn *net.TCPConn, user string) error {
-	return h.link.send(kindClient, []byte(user), conn)
+// Pass gives the heir a client's connection that has idled for so long. The caller closes its own end of it, whatever comes
+// of it.
+func (h *Heir) Pass(conn *net.TCPConn, user string, idle time.Duration) error {
+	body := binary.BigEndian.AppendUint32(nil, uint32(min(max(idle, 0), maxIdle).Milliseconds()))
+	return h.link.send(kindClient, append(body, user...), conn)
 }
 
 // Await waits for heirs until the context ends. There is one at a time: others are told to wait.
--- a/internal/wire/succession/line.go
+++ b/internal/wire/succession/line.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -27,6 +28,8 @@
 	// busyWithin is how long a third process waits for an upgrade to end: the platform's takes at most 10 s.
 	busyWithin = 15 * time.Second
 	busyPause  = 50 * time.Millisecond
+	// maxIdle is the longest idling that is told.
+	maxIdle = time.Hour
 	// longestPath is how long the path of a Unix socket may be; a longer one is reached by way of its folder's descriptor.
 	longestPath = 100
 )
@@ -194,7 +197,7 @@
 func (e *Elder) Ready() error { return e.link.send(kindReady, nil) }
 
 // Follow hands over each client's connection that the elder passes on, until the elder ends. What it is given is its own.
-func (e *Elder) Follow(ctx context.Context, client func(conn *net.TCPConn, user string)) {
+func (e *Elder) Follow(ctx context.Context, client func(conn *net.TCPConn, user string, idle time.Duration)) {
 	stop := context.AfterFunc(ctx, func() { _ = e.link.conn.Close() })
 	defer stop()
 	defer e.link.conn.Close()
@@ -203,10 +206,10 @@
 		if err != nil {
 			return
 		}
-		if kind == kindClient && len(files) == 1 {
+		if kind == kindClient && len(files) == 1 && len(body) >= 4 {
 			if c, err := net.FileConn(files[0]); err == nil {
 				if tcp, ok := c.(*net.TCPConn); ok {
-					client(tcp, string(body))
+					client(tcp, string(body[4:]), time.Duration(binary.BigEndian.Uint32(body))*time.Millisecond)
 				}
 			}
 		}
