The draw's weight of a replica falls with the part of its limit that is out

Change: the weight in the draw (the design's, at random by weight) is multiplied by the square of the free part of the limit.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -627,7 +627,7 @@
 	r.usable = usable
 	weights := r.weights[:0]
 	for _, m := range usable {
-		w := m.Weight * math.Sqrt(r.warmth(m))
+		w := m.Weight * math.Sqrt(r.warmth(m)) * math.Pow(max(0, 1-float64(len(m.out))/m.limit), 2)
 		if slices.Contains(q.tried, m) || !r.fresh(q, m) || !r.room(q, m, 1) {
 			w = 0
 		}
