The daily proof's clients keep their own copy of the address

Cause: under the race detector the proof's clients read which process serves while an upgrade changed it; all processes have one address.

--- a/cmd/yokemast/proof_daily_test.go
+++ b/cmd/yokemast/proof_daily_test.go
@@ -23,6 +23,7 @@
 	cluster *hosts.Cluster
 	ledger  *rules.Ledger
 	now     *gateway // the process that serves
+	address string   // of all its processes
 	admin   string
 	stop    chan struct{}
 	work    sync.WaitGroup
@@ -48,6 +49,7 @@
 	t.Setenv("TMPDIR", t.TempDir())
 	edit := withAdmin(&d.admin)
 	d.now = start(t, func(s string) string { return strings.Replace(edit(s), `"sockets":1024`, `"sockets":2048`, 1) }, c.Hosts()...)
+	d.address = d.now.address
 	for range 20 {
 		silent, err := net.Dial("tcp", d.admin)
 		if err != nil {
@@ -59,7 +61,7 @@
 		d.work.Go(func() { d.client(rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
 	for range steady {
-		if idle, err := clients.Start(d.now.address, "backend", 2*time.Minute); err == nil {
+		if idle, err := clients.Start(d.address, "backend", 2*time.Minute); err == nil {
 			idle.Ask("")
 			t.Cleanup(func() { idle.Close() })
 		}
@@ -81,7 +83,7 @@
 		}
 		if c == nil {
 			var err error
-			if c, err = clients.Start(d.now.address, "backend", 2*time.Minute); err != nil {
+			if c, err = clients.Start(d.address, "backend", 2*time.Minute); err != nil {
 				d.mu.Lock()
 				d.closed = append(d.closed, "at the door: "+err.Error())
 				d.mu.Unlock()
