--- a/balance/balance.go
+++ b/balance/balance.go
@@ -530,8 +530,8 @@
 	if q.cls.Effect == Safe && !q.Lease {
 		q.limit = r.useful(q) - r.now
 		// An end too early for another attempt only throws away what the host goes on with.
-		if early := max(q.cls.Aim*6/10, 6*q.cls.took); m != q.group.primary && early+q.cls.again() <= q.limit {
-			q.limit = early
+		if end := max(q.cls.Aim*6/10, 6*q.cls.took); m != q.group.primary && end+q.cls.again() <= q.limit {
+			q.limit = end
 		}
 	}
 	if len(m.out) == 0 {
