--- /dev/null
+++ b/balance/even_test.go
@@ -0,0 +1,33 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// Reads spread more evenly than by chance: a replica is drawn less, the more of its limit is out. Drawn by size alone ten reads
+// differ by 2.5 between two replicas in the mean.
+func TestTheDrawIsEven(t *testing.T) {
+	const seeds, reads = 300, 10
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		r, err := New(Settings{Tick: ms, Classes: []Class{{Name: "a", Need: AnyData, Aim: 3000 * ms, Deadline: 9000 * ms, Worth: 1}}}, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := 1000 * ms
+		r.Handle(at, Members{Whole: true, List: []Member{{Server: "p", Primary: true, Weight: 1}, {Server: "q", Weight: 1}, {Server: "s", Weight: 1}}}, nil)
+		for i := range reads {
+			r.Handle(at, Request{ID: fmt.Sprint(i), Class: "a", Deadline: at + 9000*ms}, nil)
+		}
+		q, s := len(r.members["q"].out), len(r.members["s"].out)
+		if q+s != reads {
+			t.Fatalf("%d and %d of %d reads are out at the replicas", q, s, reads)
+		}
+		sum += math.Abs(float64(q - s))
+	}
+	if mean := sum / seeds; mean > 1.9 {
+		t.Errorf("ten reads differ by %.2f between two replicas", mean)
+	}
+}
