The proof of the leases holds late acts until another's, and takes addresses of its own

Four as the paused holder's acts, delayed by 4 s, came before the newer holder's on a crowded machine (a newer token after 4.8 to 5.2 s, or no act sent within the 60 ms). Ruled out: the leases themselves (voters' logs show one holder a token throughout).

Change: voters listen on loopback addresses that no other test has; the fault layer holds frames until they are released, and the test releases them once a newer token has acted. A delay that only this used is gone.

--- a/cmd/yokemast/proof_leases_test.go
+++ b/cmd/yokemast/proof_leases_test.go
@@ -98,15 +98,6 @@
 	return handoffs, nil
 }
 
-func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 type leaseFleet struct {
 	procs map[uint16]*exec.Cmd
 	net   *faults.Layer // between voters
@@ -128,7 +119,7 @@
 	go f.res.serve(rl)
 	listen := map[uint16]string{}
 	for id := uint16(1); id <= uint16(n); id++ {
-		listen[id] = freeAddr(t)
+		listen[id] = ownAddress()
 	}
 	via := func(layer *faults.Layer, from, to uint16, target string) string {
 		ln, err := faults.Listen()
@@ -188,6 +179,25 @@
 	return 0
 }
 
+// actsOf is how many acts of a holder have arrived.
+func (f *leaseFleet) actsOf(holder uint16) (n int) {
+	for _, a := range f.res.snapshot() {
+		if a.holder == holder {
+			n++
+		}
+	}
+	return n
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s within %v", what, patience)
+		}
+	}
+}
+
 // playLeases plays one seed: the holder is paused with acts of its own on their way, cut off from the voters, and
 // killed, one after another in the seed's order.
 func playLeases(t *testing.T, seed uint64, fence bool) (acts []act, handoffs int, worst time.Duration) {
@@ -204,14 +214,15 @@
 		var took time.Duration
 		switch play {
 		case "pause":
-			// what it sent just before the pause arrives long after, when another holds the lease
-			f.acts.Slow(h, 0, 4*time.Second)
-			time.Sleep(60 * time.Millisecond) // three acts on their way
+			// what it sent just before the pause arrives after another's act, however long that one takes
+			f.acts.Hold(h, 0)
+			waitFor(t, "acts on their way", func() bool { return f.acts.Counts().Held >= 3 })
 			_ = f.procs[h].Process.Signal(syscall.SIGSTOP)
 			took = f.waitNewer(t, tok, patience)
-			time.Sleep(4 * time.Second)
+			before := f.actsOf(h)
+			f.acts.Release(h, 0)
+			waitFor(t, "late acts", func() bool { return f.actsOf(h) >= before+3 })
 			_ = f.procs[h].Process.Signal(syscall.SIGCONT)
-			f.acts.Slow(h, 0, 0)
 		case "cut":
 			var rest []uint16
 			for id := range f.procs {
--- a/internal/testbed/faults/faults.go
+++ b/internal/testbed/faults/faults.go
@@ -28,6 +28,7 @@
 // Counts is what the layer did, for a test's figures.
 type Counts struct {
 	Passed, Dropped, Duplicated, Cut uint64
+	Held                             uint64 // kept on their way by Hold, released or not
 }
 
 // Layer holds the links' state. Its methods are safe for concurrent use.
@@ -38,14 +39,14 @@
 	plan  Plan
 	cut   map[[2]uint16]bool // from, to
 	conns map[[2]uint16]uint64
-	slow  map[[2]uint16]time.Duration
+	held  map[[2]uint16]chan struct{} // closed at the release
 	n     Counts
 }
 
 // New makes a layer with its seed and a plan for all links.
 func New(seed uint64, plan Plan) *Layer {
 	return &Layer{seed: seed, plan: plan, cut: map[[2]uint16]bool{}, conns: map[[2]uint16]uint64{},
-		slow: map[[2]uint16]time.Duration{}}
+		held: map[[2]uint16]chan struct{}{}}
 }
 
 // SetPlan changes the plan of all links from now on.
@@ -72,11 +73,24 @@
 	}
 }
 
-// Slow delays every frame from one member to another by this much more, from now on; 0 ends it.
-func (l *Layer) Slow(from, to uint16, by time.Duration) {
+// Hold keeps every frame from one member to another on its way, from now on, until Release: they arrive then, however long
+// that takes, so that what a test wants to come late comes after what it waits for, on a slow machine as well.
+func (l *Layer) Hold(from, to uint16) {
 	l.mu.Lock()
-	l.slow[[2]uint16{from, to}] = by
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	if l.held[[2]uint16{from, to}] == nil {
+		l.held[[2]uint16{from, to}] = make(chan struct{})
+	}
+}
+
+// Release lets what Hold kept arrive, and what comes from now on.
+func (l *Layer) Release(from, to uint16) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if held := l.held[[2]uint16{from, to}]; held != nil {
+		close(held)
+		delete(l.held, [2]uint16{from, to})
+	}
 }
 
 // Heal opens every link.
@@ -153,7 +167,8 @@
 		l.mu.Lock()
 		plan, cut := l.plan, l.cut[[2]uint16{from, to}]
 		drop, dup := rng.Float64() < plan.Drop, rng.Float64() < plan.Dup
-		wait := plan.Delay + l.slow[[2]uint16{from, to}]
+		wait := plan.Delay
+		held := l.held[[2]uint16{from, to}]
 		if plan.Jitter > 0 {
 			wait += time.Duration(rng.Int64N(int64(plan.Jitter)))
 		}
@@ -164,6 +179,9 @@
 			l.n.Dropped++
 		default:
 			l.n.Passed++
+			if held != nil {
+				l.n.Held++
+			}
 			if dup {
 				l.n.Duplicated++
 			}
@@ -177,6 +195,13 @@
 			copies = 2
 		}
 		for i := 0; i < copies; i++ {
+			if held != nil {
+				wg.Go(func() {
+					<-held
+					write(frame)
+				})
+				continue
+			}
 			if wait == 0 {
 				write(frame)
 				continue
--- a/internal/testbed/faults/faults_test.go
+++ b/internal/testbed/faults/faults_test.go
@@ -122,3 +122,24 @@
 		t.Fatal("jitter of 20 ms reordered nothing among 50 frames")
 	}
 }
+
+func TestHeldFramesComeAtTheRelease(t *testing.T) {
+	l := New(1, Plan{})
+	c, got := link(t, l)
+	l.Hold(1, 2)
+	send(t, c, 5)
+	for end := time.Now().Add(10 * time.Second); l.Counts().Held < 5; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("counts %+v", l.Counts())
+		}
+	}
+	select {
+	case f := <-got:
+		t.Fatalf("frame %d came before the release", f.Payload[0])
+	default:
+	}
+	l.Release(1, 2)
+	for range 5 {
+		<-got
+	}
+}
