A later try whose client can gain nothing any more is answered at once

Retries are not marked (marksRetry false).

Design: internal/control/waits (pure) knows first tries by their number and gives how long the client of another try has been at it; the module counts the aim from there. A rare program's first tries look the same, so no more tries are taken for later ones than tries that went unserved can have brought. Not taken: the class's time less the wait for any try (first tries wait for 40 to 100% of it, all would be late); a threshold on the wait (a constant of one deployment).

--- a/balance/api.go
+++ b/balance/api.go
@@ -182,6 +182,7 @@
 	ID, Class, Tenant, Session string
 	Group, Cell                int
 	Deadline                   time.Duration
+	Elapsed                    time.Duration // its client has been at it for so long with earlier tries; 0: not known
 	Retry                      bool
 	WriteAge                   time.Duration // since the session's last write, with carried tokens; 0: none
 	Since                      time.Duration // a session that wrote must see all up to here too; 0: no such time
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -522,7 +522,7 @@
 	if q.cls.LateWorth > 0 || q.Lease {
 		return q.Deadline
 	}
-	return min(q.Deadline, q.arrived+q.cls.Aim)
+	return min(q.Deadline, q.arrived-q.Elapsed+q.cls.Aim)
 }
 
 func (r *Router) send(q *request, m *member) {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"yokemast/balance"
+	"yokemast/internal/control/waits"
 	"yokemast/internal/wire/settings"
 	"yokemast/internal/wire/sim"
 )
@@ -24,6 +25,33 @@
 type instance struct {
 	router *balance.Router
 	zero   time.Duration
+	giveUp map[string]time.Duration // of each class
+	tries  *waits.Waits
+	first  map[string]string // class of each open request whose client had not tried before
+}
+
+func newInstance(router *balance.Router, set settings.Settings) *instance {
+	it := &instance{router: router, zero: set.Zero, giveUp: map[string]time.Duration{}, tries: waits.New(), first: map[string]string{}}
+	for _, c := range set.Balance.Classes {
+		it.giveUp[c.Name] = c.Deadline
+	}
+	return it
+}
+
+// request tells the module how long a request's client has been at it.
+func (it *instance) request(now time.Duration, q balance.Request) balance.Request {
+	if q.Elapsed = it.tries.Try(q.Class, it.giveUp[q.Class], q.Deadline-now); q.Elapsed == 0 {
+		it.first[q.ID] = q.Class
+	}
+	return q
+}
+
+// ended notes the end of a request.
+func (it *instance) ended(id string, served bool) {
+	if class, ok := it.first[id]; ok && !served {
+		it.tries.Unserved(class)
+	}
+	delete(it.first, id)
 }
 
 type host struct {
@@ -99,7 +127,7 @@
 		if err != nil {
 			return fmt.Errorf("SPAWN: %w", err)
 		}
-		h.instances[e.Who] = &instance{router, set.Zero}
+		h.instances[e.Who] = newInstance(router, set)
 		return nil
 	}
 	it := h.instances[e.Who]
@@ -124,6 +152,16 @@
 	if err != nil || ev == nil {
 		return err
 	}
+	switch v := ev.(type) {
+	case balance.Request:
+		ev = it.request(now, v)
+	case balance.Gone:
+		it.ended(v.ID, false)
+	case balance.Outcome:
+		if v.Final {
+			it.ended(v.ID, v.Result == balance.OK)
+		}
+	}
 	return h.decide(now, e.Who, it, ev)
 }
 
@@ -136,6 +174,12 @@
 	}()
 	h.acts = it.router.Handle(now, ev, h.acts[:0])
 	for _, a := range h.acts {
+		switch a := a.(type) {
+		case balance.Refuse:
+			it.ended(a.ID, false)
+		case balance.Fail:
+			it.ended(a.ID, false)
+		}
 		if h.reply, err = sim.Action(h.reply, who, a); err != nil {
 			return err
 		}
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -19,6 +19,7 @@
 // Set holds the counters of one gateway. Its zero value is ready for use.
 type Set struct {
 	Taken, Served, Refused, Failed, Rejected, Gone Count // requests; rejected: never handed to the module
+	Again                                          Count // of those handed to the module, that their clients had tried before
 	Sent, Canceled, Probes                         Count // attempts and probes
 	Outcomes                                       [10]Count
 	Clients, ClientsOpen, ClientsOver              Count    // connections: accepted, open, turned away
@@ -56,7 +57,7 @@
 	}{
 		{"requests_taken", &s.Taken}, {"requests_served", &s.Served}, {"requests_refused", &s.Refused},
 		{"requests_failed", &s.Failed}, {"requests_rejected", &s.Rejected}, {"requests_gone", &s.Gone},
-		{"attempts_sent", &s.Sent}, {"attempts_canceled", &s.Canceled}, {"probes_sent", &s.Probes},
+		{"requests_again", &s.Again}, {"attempts_sent", &s.Sent}, {"attempts_canceled", &s.Canceled}, {"probes_sent", &s.Probes},
 		{"clients_accepted", &s.Clients}, {"clients_open", &s.ClientsOpen}, {"clients_over", &s.ClientsOver},
 		{"clients_dropped", &s.ClientsDropped}, {"clients_evicted", &s.ClientsEvicted}, {"clients_slow", &s.ClientsSlow},
 		{"clients_pressed", &s.ClientsPressed},
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"yokemast/internal/control/cells"
 	"yokemast/internal/control/hearsay"
 	"yokemast/internal/control/reload"
+	"yokemast/internal/control/waits"
 	"yokemast/internal/memory/counters"
 )
 
@@ -135,6 +136,7 @@
 	answered bool
 	last     balance.Result // of the attempt before, if there was one
 	waits    bool           // at a fence; the module has not got it yet
+	again    bool           // its client has tried before
 	ticket   cells.Ticket   // of its cell
 }
 
@@ -158,6 +160,7 @@
 	hosts    Hosts
 	router   *balance.Router
 	versions *reload.Versions
+	tries    *waits.Waits
 	open     map[string]*open
 	groups   map[int]bool
 	list     map[string]Member
@@ -183,7 +186,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), versions: reload.New(s, settleAfter),
+	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), versions: reload.New(s, settleAfter), tries: waits.New(),
 		open: map[string]*open{}, groups: map[int]bool{}, list: map[string]Member{},
 		told: map[string]time.Duration{}}
 	x.use(s)
@@ -302,6 +305,7 @@
 		if o := x.open[e.request.ID]; o != nil && o.Request == e.request && !o.answered {
 			o.answered = true
 			x.cfg.Counters.Gone.Add(1)
+			x.unserved(o)
 			x.decide(balance.Gone{ID: o.ID})
 			x.forget(o)
 		}
@@ -400,7 +404,11 @@
 		return
 	}
 	q := balance.Request{ID: r.ID, Class: r.Class, Session: r.Session, Group: v.Group, Cell: v.Cell, Since: v.Since,
-		Deadline: o.deadline, Retry: r.Retry, Lease: r.Lease > 0, Patience: o.patience}
+		Deadline: o.deadline, Elapsed: x.tries.Try(r.Class, o.class.Deadline, r.Wait), Retry: r.Retry, Lease: r.Lease > 0,
+		Patience: o.patience}
+	if o.again = q.Elapsed > 0; o.again {
+		x.cfg.Counters.Again.Add(1)
+	}
 	if q.Over = r.Over; q.Over > 0 {
 		x.cfg.Counters.Over.Add(1)
 	} else if v.Kind == cells.Over {
@@ -422,10 +430,20 @@
 	}
 	o.answered = true
 	count.Add(1)
+	if a.Kind != Served {
+		x.unserved(o)
+	}
 	o.Answer <- a
 	x.forget(o)
 }
 
+// unserved says that a request ended without being served: its client may come again.
+func (x *Exchange) unserved(o *open) {
+	if !o.again {
+		x.tries.Unserved(o.Class)
+	}
+}
+
 // forget drops the record of a request that is answered and has no attempt out.
 func (x *Exchange) forget(o *open) {
 	if o.answered && !o.out && x.open[o.ID] == o {
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -119,3 +119,34 @@
 		t.Errorf("kept: %v, %v", x.list, x.told)
 	}
 }
+
+// A client that comes again after its class's aim: the module is told how long it has been at it, and no host gets it.
+func TestALaterTryThatCanEarnNothingIsNotSent(t *testing.T) {
+	x, h, _ := fresh(t)
+	try := func(id string, wait time.Duration) chan Answer {
+		c := make(chan Answer, 1)
+		x.handle(&Request{ID: id, Class: "quick", Group: 1, Arrived: x.cfg.Clock.Now(), Wait: wait, Answer: c})
+		return c
+	}
+	s := x.cfg.Settings
+	s.Classes = append(s.Classes, balance.Class{Name: "quick", Need: balance.Bounded, Bound: time.Second, Aim: 20 * time.Second,
+		Deadline: time.Minute})
+	x.use(s)
+	x.decide(balance.Retune{Settings: s})
+	for _, id := range []string{"0", "1", "2", "5", "6", "7"} {
+		try(id, 40*time.Second)
+	}
+	sent := len(h.sent)
+	x.handle(Outcome{Outcome: balance.Outcome{ID: "0", Server: "s", Result: balance.Garbled}})
+	x.handle(gone{x.open["1"].Request})
+	if a := try("3", 39800*time.Millisecond); len(h.sent) == sent || len(a) != 0 {
+		t.Errorf("one that waits for nearly as long as first tries is not sent")
+	}
+	sent = len(h.sent)
+	if a := try("4", 30*time.Second); len(h.sent) != sent || len(a) != 1 || (<-a).Kind != Refused {
+		t.Errorf("a client that has been at it for 30 s of 20 s is sent to a host")
+	}
+	if got := x.cfg.Counters.Again.Get(); got != 1 {
+		t.Errorf("%d later tries counted", got)
+	}
+}
