Who is refused is told to come back as late as the settings allow, a second at most

Cause: clients that follow the advice came back 500 ms later, past most reads' aim and into the same overload.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,7 @@
 	cutPause     = 100 * ms        // between two cuts of a limit
 	downProbe    = 500 * ms        // between probes of a blacklisted member
 	probeShare   = 10 * ms         // the same for each router, where that is more
+	comeBack     = time.Second     // who is refused: sooner it only adds to what refused it, and mostly gains nothing
 	coldPause    = 2 * time.Second // about until a cold primary is asked again
 	forgetAfter  = time.Minute     // a member that left
 	slack        = ms              // positions are whole milliseconds: doubt counts as stale
@@ -316,15 +317,6 @@
 	return free > 0
 }
 
-// Look shows what the router believes of its members.
-func (r *Router) Look(now time.Duration, see func(Seen)) {
-	r.now = now
-	for _, m := range r.members {
-		see(Seen{m.Server, m.group.id, m.limit, len(m.out), r.warmth(m), r.open(m, false) && r.alive(m),
-			m == r.believed(m.group), m.pos > 0, m.role, m.roleAt, m.pos, max(m.Started, m.revived)})
-	}
-}
-
 func (r *Router) group(n int) *group {
 	if r.groups[n] == nil {
 		r.groups[n] = &group{id: n}
@@ -464,7 +456,7 @@
 func (r *Router) giveUp(q *request, why Why) {
 	c := q.cls
 	if q.at == nil && q.ranAt == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
-		r.do(Refuse{q.ID, min(cmp.Or(q.Over, 500*ms), r.s.MaxRetryAfter), why, q.cell.ends(q.group)[0]})
+		r.do(Refuse{q.ID, min(cmp.Or(q.Over, comeBack), r.s.MaxRetryAfter), why, q.cell.ends(q.group)[0]})
 	} else {
 		r.do(Fail{q.ID, why, q.cell.ends(q.group)[0]})
 	}
--- /dev/null
+++ b/balance/look.go
@@ -0,0 +1,12 @@
+package balance
+
+import "time"
+
+// Look shows what the router believes of its members.
+func (r *Router) Look(now time.Duration, see func(Seen)) {
+	r.now = now
+	for _, m := range r.members {
+		see(Seen{m.Server, m.group.id, m.limit, len(m.out), r.warmth(m), r.open(m, false) && r.alive(m),
+			m == r.believed(m.group), m.pos > 0, m.role, m.roleAt, m.pos, max(m.Started, m.revived)})
+	}
+}
