--- a/internal/memory/exchange/events.go
+++ b/internal/memory/exchange/events.go
@@ -37,3 +37,17 @@
 	x.cfg.Log.Info("attempt ended", zap.String("id", o.ID), zap.Int("attempt", e.Attempt), zap.String("host", e.Server),
 		zap.Stringer("result", e.Result), zap.Duration("took", e.Took.Round(time.Microsecond)), zap.String("class", o.Class))
 }
+
+// stoodStill is how long an event may wait to be handled before the log says so: by then clients notice.
+const stoodStill = 100 * time.Millisecond
+
+// standstill says that what came has waited long: the process got no processor time, or one of its events took long.
+func (x *Exchange) standstill(batch []posted) {
+	if len(batch) == 0 {
+		return
+	}
+	if waited := x.cfg.Clock.Now() - batch[0].at; waited > stoodStill {
+		x.cfg.Counters.Standstills.Add(1)
+		x.cfg.Log.Warn("stood still", zap.Duration("waited", waited.Round(time.Millisecond)), zap.Int("events", len(batch)), zap.Int("open", len(x.open)))
+	}
+}
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -252,6 +252,7 @@
 		x.mu.Lock()
 		batch, x.queue = x.queue, batch[:0]
 		x.mu.Unlock()
+		x.standstill(batch)
 		for i, p := range batch {
 			x.due(p.at) // what was due before this came
 			x.handle(p.ev)
