--- a/cmd/yokemast/proof_daily_test.go
+++ b/cmd/yokemast/proof_daily_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -29,14 +30,16 @@
 	work    sync.WaitGroup
 
 	served, refused, lost, ended, mixed, late, calls atomic.Int64
+	bulkBytes, bulkCut                               atomic.Int64
 	mu                                               sync.Mutex
-	closed                                           []string // ids of requests whose connection ended without an answer
+	closed                                           []string        // ids of requests whose connection ended without an answer
+	large                                            map[string]bool // of them, those of large values
 	memory                                           int
 }
 
 // newDay starts a gateway with so many steady clients, as many that ask once and then stay, and callers that say nothing.
 func newDay(t testing.TB, seed uint64, steady int) *day {
-	d := &day{t: t, ledger: &rules.Ledger{Limits: rules.Limits{Slack: 2 * time.Second, Grace: time.Second}}, stop: make(chan struct{})}
+	d := &day{t: t, ledger: &rules.Ledger{Limits: rules.Limits{Slack: 2 * time.Second, Grace: time.Second}}, stop: make(chan struct{}), large: map[string]bool{}}
 	c, err := hosts.NewCluster(1, "s-", 3, d.ledger, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -60,6 +63,9 @@
 	for i := range steady {
 		d.work.Go(func() { d.client(rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
+	for i := range bulkClients {
+		d.work.Go(func() { d.bulk(fmt.Sprint("bulk", i)) })
+	}
 	for range steady {
 		if idle, err := clients.Start(d.address, "backend", 2*time.Minute); err == nil {
 			idle.Ask("")
@@ -115,6 +121,49 @@
 	}
 }
 
+// bulkClients write and read large values all the while.
+const bulkClients = 4
+
+// bulk writes a large value and takes it back, again and again. What is served must be what was written, and whole.
+func (d *day) bulk(key string) {
+	value := bulkValue(key, 400_000)
+	var c *clients.Client
+	for {
+		select {
+		case <-d.stop:
+			if c != nil {
+				c.Close()
+			}
+			return
+		case <-time.After(250 * time.Millisecond):
+		}
+		if c == nil {
+			var err error
+			if c, err = clients.Start(d.address, "backend", 2*time.Minute); err != nil {
+				c = nil
+				continue
+			}
+		}
+		r := clients.Request{ID: clients.NewID(), Class: "order", Key: key, Wait: 15 * time.Second, Write: true, Value: value}
+		reply := c.Do(r, d.ledger)
+		switch {
+		case reply.Row && bytes.Equal(reply.Value, value):
+			d.bulkBytes.Add(int64(len(value)))
+		case reply.Row:
+			d.bulkCut.Add(1) // not what was written
+		case reply.Code == "":
+			d.mu.Lock()
+			d.closed = append(d.closed, r.ID)
+			d.large[r.ID] = true
+			d.mu.Unlock()
+		}
+		if reply.Closed {
+			c.Close()
+			c = nil
+		}
+	}
+}
+
 // call makes a call that must not take a second, however many clients and silent callers there are.
 func (d *day) call(method, path string, want int) {
 	d.t.Helper()
@@ -171,6 +220,9 @@
 	for _, id := range d.closed {
 		if asked[id] {
 			cut++
+			if d.large[id] {
+				d.bulkCut.Add(1) // a host had it: it ended in the middle of its answer, or before
+			}
 		} else {
 			turnedBack++
 		}
@@ -212,7 +264,8 @@
 	cut, _ := d.finish()
 	for name, value := range map[string]int64{"upgrades": upgrades, "reloads": reloads, "drains": drains, "served": d.served.Load(),
 		"refused": d.refused.Load(), "lost": int64(len(d.ledger.Broken())), "cut_with_request": int64(cut), "turned_back_unheard": turnedBack,
-		"mixed_settings": d.mixed.Load(), "admin_calls": d.calls.Load(), "admin_late": d.late.Load(), "memory_most_mb": int64(d.memory)} {
+		"mixed_settings": d.mixed.Load(), "admin_calls": d.calls.Load(), "admin_late": d.late.Load(), "memory_most_mb": int64(d.memory),
+		"bulk_bytes": d.bulkBytes.Load(), "bulk_cut": d.bulkCut.Load()} {
 		t.Logf("figure %s=%d", name, value)
 	}
 	for _, b := range d.ledger.Broken() {
@@ -222,6 +275,9 @@
 		t.Errorf("%d connections ended with a request; upgrades and settings ended %d; %d requests met mixed settings; %d calls late",
 			cut, turnedBack, d.mixed.Load(), d.late.Load())
 	}
+	if d.bulkCut.Load() != 0 || d.bulkBytes.Load() == 0 {
+		t.Errorf("%d bytes of large values came whole, %d values did not", d.bulkBytes.Load(), d.bulkCut.Load())
+	}
 	if d.served.Load() < 1000 {
 		t.Errorf("only %d requests were served", d.served.Load())
 	}
