--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,7 @@
 	cutPause     = 100 * ms        // between two cuts of a limit
 	downProbe    = 500 * ms        // between probes of a blacklisted member
 	probeShare   = 10 * ms         // the same for each router, where that is more
-	comeBack     = time.Second     // who is refused: sooner it only adds to what refused it, and mostly gains nothing
+	comeBack     = time.Second     // of who is refused: sooner it only adds to the load, and gains little
 	coldPause    = 2 * time.Second // about until a cold primary is asked again
 	forgetAfter  = time.Minute     // a member that left
 	slack        = ms              // positions are whole milliseconds: doubt counts as stale
