--- a/cmd/yokemast/admin_test.go
+++ b/cmd/yokemast/admin_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,7 +60,7 @@
 func TestSilentCallersKeepNobodyOut(t *testing.T) {
 	var admin string
 	edit := withAdmin(&admin)
-	start(t, edit, newHost(t, "h1", "leader", nil))
+	g := start(t, edit, newHost(t, "h1", "leader", nil))
 	for i := range 40 {
 		c, err := net.Dial("tcp", admin)
 		if err != nil {
@@ -74,6 +76,15 @@
 			t.Fatal(got)
 		}
 	}
+	if err := g.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
+		t.Fatal(err)
+	}
+	g.waitLog(`"callers_dropped"`)
+	_, rest, _ := strings.Cut(g.log.String(), `"callers_dropped":`)
+	dropped := 0
+	if _, _ = fmt.Sscan(rest, &dropped); dropped < 24 {
+		t.Errorf("%d of 40 silent callers made room: more than 16 hold descriptors at a time", dropped)
+	}
 }
 
 func TestDrainAndBack(t *testing.T) {
--- a/internal/wire/succession/queue_test.go
+++ b/internal/wire/succession/queue_test.go
@@ -57,7 +57,7 @@
 // closes the socket that it listens on. If its heir has the same one, who waits in the queue is the heir's; if the heir opened one
 // of its own beside it, by SO_REUSEPORT, who waits in the old one's queue is turned back unheard.
 func TestWhoWaitsWhileTheOldProcessEnds(t *testing.T) {
-	const upgrades, clients = 20, 100
+	const upgrades, clients = 100, 100
 	open := func(address string) *net.TCPListener {
 		l, err := (&net.ListenConfig{Control: socket.Share}).Listen(context.Background(), "tcp4", address)
 		if err != nil {
