Upgrades with real processes: the heir dies before its yes, another version of the handover

Need: two hard cases of the upgrade that only pure tests had. A heir killed while it waits for discovery leaves the old process serving, and the next one takes over; a stranger of another version is turned away without taking the heir's place; a process that finds an elder of another version serves by an address of its own.

--- a/cmd/yokemast/upgrade_test.go
+++ b/cmd/yokemast/upgrade_test.go
@@ -23,13 +23,13 @@
 	return start(t, edit, all...), admin
 }
 
-// next starts another process of the gateway, with a second address of its own.
-func (g *gateway) next() (n *gateway, admin string) {
+// next starts another process of the gateway, with a second address of its own; env stands over what it is told else.
+func (g *gateway) next(env ...string) (n *gateway, admin string) {
 	g.t.Helper()
 	admin = strings.Replace(ownAddress(), ":5432", ":8081", 1)
 	n = &gateway{t: g.t, log: &logged{}, agent: g.agent, path: g.path, address: g.address}
 	n.cmd = program(context.Background(), "serve", "--config", g.path)
-	n.cmd.Env = append(n.cmd.Env, "ROUTER_DISCOVERY="+g.agent.Listener.Addr().String(), "ROUTER_ADMIN="+admin)
+	n.cmd.Env = append(append(n.cmd.Env, "ROUTER_DISCOVERY="+g.agent.Listener.Addr().String(), "ROUTER_ADMIN="+admin), env...)
 	n.cmd.Stderr = n.log
 	if err := n.cmd.Start(); err != nil {
 		g.t.Fatal(err)
@@ -159,6 +159,73 @@
 			t.Errorf("the next heir answers %q", got)
 		}
 	})
+	t.Run("the heir dies before it is ready", func(t *testing.T) {
+		old, admin := upgradable(t, newHost(t, "h1", "leader", nil))
+		mute, err := net.Listen("tcp", "127.0.0.1:0") // a discovery that says nothing: the heir waits for it
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer mute.Close()
+		c := old.client()
+		heir, _ := old.next("ROUTER_DISCOVERY=" + mute.Addr().String())
+		old.waitLog(`"heir came"`)
+		_ = heir.cmd.Process.Kill()
+		old.waitLog(`"heir lost"`)
+		if got := c.Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("a client of the old one is answered %q", got)
+		}
+		if got := call(t, "GET", admin, "/_ready"); got != 200 {
+			t.Errorf("the old one says %d", got)
+		}
+		again, admin := old.next()
+		again.waitReady(admin)
+		if got := c.Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("the next heir answers %q", got)
+		}
+	})
+	t.Run("another version of the handover", func(t *testing.T) {
+		other := []byte{'y', 'm', 9, 1, 0, 0, 0, 0} // of a version that there is not
+		old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
+		left, _ := filepath.Glob(filepath.Join(os.Getenv("TMPDIR"), "yokemast-*.sock"))
+		if len(left) != 1 {
+			t.Fatalf("%q", left)
+		}
+		stranger, err := net.Dial("unix", left[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = stranger.Write(other)
+		old.waitLog(`"no heir"`)
+		_ = stranger.Close()
+		heir, admin := old.next() // the stranger has not taken its place
+		heir.waitReady(admin)
+		heir.waitLog(`"took over"`)
+		for _, g := range []*gateway{old, heir} {
+			_ = g.cmd.Process.Kill()
+			_, _ = g.cmd.Process.Wait()
+		}
+		_ = os.Remove(left[0])
+		elder, err := net.Listen("unix", left[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer elder.Close()
+		go func() {
+			for {
+				c, err := elder.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Write(other)
+			}
+		}()
+		alone, admin := old.next()
+		alone.waitReady(admin) // by an address of its own
+		alone.waitLog(`"no handover"`)
+		if got := old.client().Ask(read("k", comment("view", ""))); got != "row k" {
+			t.Errorf("the process that found another version answers %q", got)
+		}
+	})
 	t.Run("the old one dies in the middle", func(t *testing.T) {
 		old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
 		heir, admin := old.next()
