--- a/cmd/yokemast/proof_daily_test.go
+++ b/cmd/yokemast/proof_daily_test.go
@@ -75,26 +75,40 @@
 	return d
 }
 
+// turn waits for a client's next turn, and connects where it has no connection; nil: that failed, and counts as turned back.
+// Not ok: the day is over.
+func (d *day) turn(c *clients.Client, pause time.Duration) (next *clients.Client, ok bool) {
+	select {
+	case <-d.stop:
+		if c != nil {
+			c.Close()
+		}
+		return nil, false
+	case <-time.After(pause):
+	}
+	if c != nil {
+		return c, true
+	}
+	c, err := clients.Start(d.address, "backend", 2*time.Minute)
+	if err != nil {
+		d.mu.Lock()
+		d.closed = append(d.closed, "at the door: "+err.Error())
+		d.mu.Unlock()
+		return nil, true
+	}
+	return c, true
+}
+
 // client asks now and then, on one connection for as long as that stays.
 func (d *day) client(rng *rand.Rand) {
 	var c *clients.Client
 	for {
-		select {
-		case <-d.stop:
-			if c != nil {
-				c.Close()
-			}
+		var ok bool
+		if c, ok = d.turn(c, time.Duration(100+rng.IntN(300))*time.Millisecond); !ok {
 			return
-		case <-time.After(time.Duration(100+rng.IntN(300)) * time.Millisecond):
 		}
 		if c == nil {
-			var err error
-			if c, err = clients.Start(d.address, "backend", 2*time.Minute); err != nil {
-				d.mu.Lock()
-				d.closed = append(d.closed, "at the door: "+err.Error())
-				d.mu.Unlock()
-				continue
-			}
+			continue
 		}
 		r := clients.Request{ID: clients.NewID(), Class: "view", Key: fmt.Sprint("k", rng.IntN(50)), Wait: 15 * time.Second, Repeatable: true}
 		if rng.IntN(4) == 0 {
@@ -129,20 +143,12 @@
 	value := bulkValue(key, 400_000)
 	var c *clients.Client
 	for {
-		select {
-		case <-d.stop:
-			if c != nil {
-				c.Close()
-			}
+		var ok bool
+		if c, ok = d.turn(c, 250*time.Millisecond); !ok {
 			return
-		case <-time.After(250 * time.Millisecond):
 		}
 		if c == nil {
-			var err error
-			if c, err = clients.Start(d.address, "backend", 2*time.Minute); err != nil {
-				c = nil
-				continue
-			}
+			continue
 		}
 		r := clients.Request{ID: clients.NewID(), Class: "order", Key: key, Wait: 15 * time.Second, Write: true, Value: value}
 		reply := c.Do(r, d.ledger)
