--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -150,3 +150,14 @@
 		t.Errorf("%d later tries counted", got)
 	}
 }
+
+func TestAStandstillIsCounted(t *testing.T) {
+	x, _, _ := fresh(t)
+	for _, waited := range []time.Duration{0, stoodStill / 2, 2 * stoodStill} {
+		x.standstill([]posted{{at: x.cfg.Clock.Now() - waited}})
+	}
+	x.standstill(nil)
+	if got := x.cfg.Counters.Standstills.Get(); got != 1 {
+		t.Errorf("%d standstills are counted, want 1", got)
+	}
+}
