Answer what is open at SIGTERM, time and leaving of pipelined requests, late connections

Causes, with the lines at fault: - exchange.handle kept the time of the last answer (endBy) for requests that came after SIGTERM alone. A write whose client waits 6.4 s, taken before it and out at a host that hung, was still open when the conductor ended the process (v.Over). Now the module is told (balance.Ending) and all that is open is given up in time. - session.answer counted a request's wait from when the one before it was answered, and the reader stood still with eight commands queued, so that it read the ninth late: a client that waits 1.488 s from its sending was answered after 1.7 s. Now the reader reads ahead (1,024 commands at most, what is beyond eight counts against the bytes of statements), and the wait runs from the reading. Who sends more is told so and cut off; counter clients_overrun. - The same standstill kept a client's leaving unseen, and the next of its commands was submitted before anyone looked. Now the reader always reads, also while a drain waits for an open request, and nothing is taken up for who has left. - By reading: an attempt whose connection still comes up went out although its client had left (a write can't be canceled), or after a keyed class's window had closed. Hosts.Withdraw and Attempt.StartBy. Also a batch that nobody takes any more is discarded: its reader waited for ever. - A connection that ends between two requests is closed only when its client has taken what it was told (session.part).

Tests: cmd/yokemast/moments_test.go; on the program before, all of its five tests fail (one of three cases of the first, a write that no primary takes, passes there too).

--- a/balance/api.go
+++ b/balance/api.go
@@ -270,8 +270,11 @@
 // Gone says that a request's client left; nothing more is owed.
 type Gone struct{ ID string }
 
+// Ending says that the router ends: what it holds has to be answered by then, however long its clients would wait.
+type Ending struct{ By time.Duration }
+
 // Event is one of Members, ListLost, Cells, Retune, Request, Outcome, ProbeResult, Heard, Timer,
-// Gone.
+// Gone, Ending.
 type Event any
 
 // Seen is what a router believes of a member.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -212,6 +212,11 @@
 		if q := r.reqs[e.ID]; q != nil {
 			r.end(q)
 		}
+	case Ending:
+		for _, q := range r.seqs {
+			q.Deadline = min(q.Deadline, e.By)
+			r.do(After{max(q.Deadline-r.now, 1), q.seq})
+		}
 	}
 	acts, r.acts = r.acts, nil
 	return acts
--- /dev/null
+++ b/cmd/yokemast/moments_test.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/hosts"
+	"yokemast/internal/wire/pg"
+)
+
+// Each test here forces one order of events that is rare in service: what comes between two steps of the gateway.
+
+// waitAsked waits until a host has got so many queries.
+func waitAsked(t testing.TB, h *hosts.Host, n int) {
+	t.Helper()
+	for end := time.Now().Add(patience); len(h.Asked()) < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the host was asked %d times, not %d", len(h.Asked()), n)
+		}
+	}
+}
+
+// waitCounter waits until the running program counts as much.
+func (g *gateway) waitCounter(name string, n int) {
+	g.t.Helper()
+	want := fmt.Sprintf("%q:%d,", name, n)
+	for end := time.Now().Add(patience); !strings.Contains(g.log.String(), want); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("no %s in the log: %s", want, g.log)
+		}
+		_ = g.cmd.Process.Signal(syscall.SIGUSR1)
+	}
+}
+
+// SIGKILL may come 3.7 s after SIGTERM, whatever the deadline of what was taken before.
+func TestWhatIsOpenAtSIGTERMIsAnsweredBeforeTheEnd(t *testing.T) {
+	silent := func(int, string) []byte { return []byte{} }
+	for _, c := range []struct {
+		name  string
+		host  func(h *hosts.Host)
+		query string
+		want  string
+	}{
+		{"a write at a host that hangs", func(h *hosts.Host) { h.Script = silent }, write("k", "9f", comment("order", "")), "58000"},
+		{"a write that no primary takes", func(h *hosts.Host) { h.Script = always("25006")(h) }, write("k", "9f", comment("order", "")), "53300 come back"},
+		{"a write whose connection does not come up", func(h *hosts.Host) { h.Admit = func(int) { time.Sleep(patience) } },
+			write("k", "9f", comment("order", "")), "53300 come back"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "s-1", "leader", nil)
+			c.host(h)
+			edit := func(s string) string { // late answers of these classes are worth something: they are held for long
+				return strings.Replace(s, `"onTime":400000000,"giveUp":20000000000`, `"onTime":14000000000,"giveUp":20000000000`, 1)
+			}
+			g := start(t, edit, h)
+			client := g.client()
+			client.Send(c.query)
+			g.waitCounter("requests_taken", 1)
+			_ = g.cmd.Process.Signal(syscall.SIGTERM)
+			told := time.Now()
+			if got := client.Answer(); got != c.want {
+				t.Errorf("answered %q, want %q", got, c.want)
+			}
+			if err := g.cmd.Wait(); err != nil {
+				t.Errorf("it ended with %v", err)
+			}
+			if took := time.Since(told); took > 3700*time.Millisecond {
+				t.Errorf("it ended %s after SIGTERM", took)
+			}
+			if strings.Contains(g.log.String(), "ending with requests unanswered") {
+				t.Errorf("something was not answered: %s", g.log)
+			}
+		})
+	}
+}
+
+// A client's wait runs from when it sent, also while what it sent before is being answered.
+func TestTimeRunsBehindOtherCommands(t *testing.T) {
+	for _, before := range []int{1, 20} { // the reader must go on whatever waits
+		release := make(chan struct{})
+		h := newHost(t, "s-1", "leader", nil)
+		h.Script = func(_ int, query string) []byte { <-release; return h.Row(query) }
+		edit := func(s string) string { return strings.ReplaceAll(s, `"onTime":10000000000`, `"onTime":1000000000`) }
+		c := start(t, edit, h).client()
+		var all []byte
+		for range before {
+			all = pg.AppendQuery(all, read("k", comment("own", "")))
+		}
+		brief := strings.Replace(comment("own", ""), "d=15000", "d=600", 1)
+		all = pg.AppendQuery(all, read("brief", brief))
+		_, _ = c.Write(all)
+		waitAsked(t, h, 1)
+		time.Sleep(700 * time.Millisecond) // the time of the last one is over
+		close(release)
+		for range before {
+			if got := c.Answer(); got != "row k" {
+				t.Fatalf("answered %q", got)
+			}
+		}
+		if got := c.Answer(); got != "53300 come back" {
+			t.Errorf("behind %d: what had no time left is answered %q", before, got)
+		}
+		if n := len(h.Asked()); n != before {
+			t.Errorf("behind %d: %d queries went out", before, n)
+		}
+	}
+}
+
+// leavings are the ways in which a client goes.
+var leavings = []struct {
+	name  string
+	leave func(c *clients.Client)
+}{
+	{"closes", func(c *clients.Client) { _ = c.Close() }},
+	{"ends its sending", func(c *clients.Client) { _ = c.Conn.(*net.TCPConn).CloseWrite() }},
+	{"resets", func(c *clients.Client) { _ = c.Conn.(*net.TCPConn).SetLinger(0); _ = c.Close() }},
+	{"says goodbye", func(c *clients.Client) { _, _ = c.Write(pg.Append(nil, pg.Terminate, nil)) }},
+}
+
+// A client that leaves with commands waiting is noticed at once, and none of them is sent on.
+func TestClientThatLeavesWithCommandsWaiting(t *testing.T) {
+	for _, l := range leavings {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "s-1", "leader", func(int, string) []byte { return []byte{} })
+			g := start(t, nil, h)
+			c := g.client()
+			var all []byte
+			for range 100 {
+				all = pg.AppendQuery(all, read("k", comment("own", "")))
+			}
+			_, _ = c.Write(all)
+			waitAsked(t, h, 1)
+			l.leave(c)
+			select {
+			case <-h.Ended:
+			case <-time.After(5 * time.Second): // its time is 15 s
+				t.Fatal("the attempt is still out")
+			}
+			g.waitCounter("clients_open", 0)
+			if n := len(h.Asked()); n != 1 {
+				t.Errorf("%d queries went out", n)
+			}
+		})
+	}
+}
+
+// A write can't be canceled once it is out, but before its connection has come up it is dropped with its client.
+func TestNothingGoesOutForAClientThatHasLeft(t *testing.T) {
+	for _, l := range leavings {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			coming, up := make(chan struct{}, 1), make(chan struct{})
+			h := newHost(t, "s-1", "leader", nil)
+			h.Admit = func(n int) {
+				if n == 0 {
+					coming <- struct{}{}
+					<-up
+				}
+			}
+			g := start(t, nil, h)
+			c := g.client()
+			c.Send(write("left", "9f", comment("order", "")))
+			<-coming
+			l.leave(c)
+			g.waitCounter("requests_gone", 1)
+			close(up)
+			if got := g.client().Ask(write("stays", "9f", comment("order", ""))); got != "row stays" {
+				t.Fatalf("answered %q", got)
+			}
+			for _, q := range h.Asked() {
+				if strings.Contains(q, "'left'") {
+					t.Errorf("sent on after its client had left: %s", q)
+				}
+			}
+		})
+	}
+}
+
+// Within its window a keyed write may go again; a connection that comes up later must not carry it past that.
+func TestAWindowMayCloseWhileAConnectionComesUp(t *testing.T) {
+	coming, up := make(chan struct{}, 1000), make(chan struct{})
+	h := newHost(t, "s-1", "leader", func(int, string) []byte { return nil })
+	h.Admit = func(n int) {
+		if n > 0 {
+			coming <- struct{}{}
+			<-up
+		}
+	}
+	edit := func(s string) string {
+		return strings.Replace(s, `"effect":"fragile","group":"all","onTime":400000000`, `"effect":"dedup","group":"all","keyTtl":500000000,"onTime":14000000000`, 1)
+	}
+	c := start(t, edit, h).client()
+	c.Send(write("k", "9f", comment("order", "")))
+	select {
+	case <-coming: // the first attempt broke off, and the second is on its way
+	case <-time.After(patience):
+		t.Fatal("there is no second attempt")
+	}
+	time.Sleep(600 * time.Millisecond) // the window closes
+	close(up)
+	if got := c.Answer(); !strings.HasPrefix(got, "53300") {
+		t.Errorf("answered %q", got)
+	}
+	if n := len(h.Asked()); n != 1 {
+		t.Errorf("%d attempts went out", n)
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -114,7 +114,7 @@
 	group.Go(func() error { return g.heed(signals, &again) })
 	group.Go(func() error {
 		defer stop()
-		g.duty.run(ctx, func() bool { return g.front.Held() == 0 }, g.carryOut)
+		g.duty.run(ctx, g.front.Held, g.carryOut)
 		return nil
 	})
 	return group.Wait()
--- a/internal/lifecycle/service.go
+++ b/internal/lifecycle/service.go
@@ -116,17 +116,20 @@
 	return c.tell(service.Resume)
 }
 
-// run has each view carried out until the process is to end. empty says that nobody is served; when that changes, wake is to
-// be called.
-func (c *conductor) run(ctx context.Context, empty func() bool, carryOut func(service.View)) {
+// run has each view carried out until the process is to end. held says how many connections there are, and how many of them
+// wait for an answer; when there is none left, wake is to be called.
+func (c *conductor) run(ctx context.Context, held func() (all, waiting int), carryOut func(service.View)) {
 	for {
 		v := c.look()
 		carryOut(v)
-		if v.Idle && empty() {
+		all, waiting := held()
+		if v.Idle && all == 0 {
 			return
 		}
 		if v.Over {
-			c.log.Warn("ending with requests unanswered")
+			if waiting > 0 {
+				c.log.Warn("ending with requests unanswered", zap.Int("clients", waiting))
+			}
 			return
 		}
 		var next <-chan time.Time
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -93,6 +93,7 @@
 type Hosts interface {
 	Send(Attempt)
 	Cancel(id string, attempt int)
+	Withdraw(id string, attempt int) // ends it as not sent, if nothing of it has gone out yet; else it goes on
 	Probe(server string)
 	Members(list []Member) // entries that are new or changed
 	Forget(server string)  // it is gone for good
@@ -115,7 +116,7 @@
 	answerMargin = 15 * time.Millisecond
 	// sendMargin is how long a send may take to get out before what it was decided on no longer holds.
 	sendMargin = 30 * time.Millisecond
-	// drainMargin is kept free before the end of a drain's grace, for the way to the host.
+	// drainMargin is kept free before the end of a drain's grace, or of a keyed class's window, for the way to the host.
 	drainMargin = 20 * time.Millisecond
 	// comeBack is when a client may try a group again that no list has named yet.
 	comeBack = 500 * time.Millisecond
@@ -135,6 +136,8 @@
 	out      bool // an attempt has no outcome yet
 	answered bool
 	last     balance.Result // of the attempt before, if there was one
+	sentAt   time.Duration  // of the last attempt
+	ranAt    time.Duration  // when the first attempt was sent that may have run; 0: none has
 	waits    bool           // at a fence; the module has not got it yet
 	again    bool           // its client has tried before
 	ticket   cells.Ticket   // of its cell
@@ -326,7 +329,7 @@
 	case members:
 		x.members(e)
 	case ending:
-		x.endBy = e.by
+		x.ending(e.by)
 	case surveying:
 		e.done <- x.survey()
 	case inheriting:
@@ -424,6 +427,19 @@
 	x.decide(q)
 }
 
+// ending shortens what is open to when the last answer is due: what is unanswered when the process ends is lost, also what
+// was taken before the signal and whose client would wait for longer.
+func (x *Exchange) ending(by time.Duration) {
+	if x.endBy == by {
+		return
+	}
+	x.endBy = by
+	for _, o := range x.open {
+		o.deadline = min(o.deadline, by)
+	}
+	x.decide(balance.Ending{By: by})
+}
+
 // answer gives the final answer, once.
 func (x *Exchange) answer(o *open, a Answer, count *counters.Count) {
 	if o.answered {
@@ -445,9 +461,14 @@
 	}
 }
 
-// forget drops the record of a request that is answered and has no attempt out.
+// forget drops the record of a request that is answered and has no attempt out. One that still waits for its connection must
+// not go out: nothing is sent on for a client that has left, or that has its answer.
 func (x *Exchange) forget(o *open) {
-	if o.answered && !o.out && x.open[o.ID] == o {
+	switch {
+	case !o.answered || x.open[o.ID] != o:
+	case o.out:
+		x.hosts.Withdraw(o.ID, o.attempts-1)
+	default:
 		delete(x.open, o.ID)
 		x.done(o)
 	}
@@ -460,6 +481,9 @@
 		return // of a request that a panic cut off
 	}
 	o.out, o.last = false, e.Result
+	if o.ranAt == 0 && !e.Result.NeverRan() {
+		o.ranAt = o.sentAt
+	}
 	if e.Result != balance.OK {
 		x.attemptEnded(o, e)
 	}
@@ -583,7 +607,7 @@
 	}
 	t := Attempt{ID: a.ID, Number: o.attempts, Server: a.Server, Command: o.Command, Sent: now, Until: o.deadline}
 	o.attempts++
-	o.out = true
+	o.out, o.sentAt = true, now
 	x.cfg.Counters.Sent.Add(1)
 	if a.Timeout != 0 {
 		t.Until = min(t.Until, now+a.Timeout)
@@ -594,9 +618,18 @@
 	}
 	if told := x.told[a.Server]; told > 0 {
 		// Nothing may go out after the grace, however long the connection takes to come up.
-		if last := told + x.cfg.Settings.DrainGrace - drainMargin; t.StartBy == 0 || last < t.StartBy {
-			t.StartBy = last
-		}
+		t.startBy(told + x.cfg.Settings.DrainGrace - drainMargin)
+	}
+	if o.class.Effect == balance.Keyed && o.ranAt > 0 {
+		// The module found its window open; it must not close while the connection comes up.
+		t.startBy(o.ranAt + o.class.KeyTTL - drainMargin)
 	}
 	x.hosts.Send(t)
 }
+
+// startBy bounds when the attempt may go out.
+func (a *Attempt) startBy(t time.Duration) {
+	if a.StartBy == 0 || t < a.StartBy {
+		a.StartBy = t
+	}
+}
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -15,11 +15,12 @@
 // hosts keeps what it is told.
 type hosts struct{ sent []Attempt }
 
-func (h *hosts) Send(a Attempt)     { h.sent = append(h.sent, a) }
-func (h *hosts) Cancel(string, int) {}
-func (h *hosts) Probe(string)       {}
-func (h *hosts) Members([]Member)   {}
-func (h *hosts) Forget(string)      {}
+func (h *hosts) Send(a Attempt)       { h.sent = append(h.sent, a) }
+func (h *hosts) Cancel(string, int)   {}
+func (h *hosts) Withdraw(string, int) {}
+func (h *hosts) Probe(string)         {}
+func (h *hosts) Members([]Member)     {}
+func (h *hosts) Forget(string)        {}
 
 // fresh is an exchange that is driven by hand, with one primary listed.
 func fresh(t *testing.T) (*Exchange, *hosts, func(class string) chan Answer) {
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -30,6 +30,7 @@
 	// Script answers a query; n counts from 0. nil closes the connection, empty stays silent. Without a script a host of a
 	// cluster serves its data, any other the query's own key as the row.
 	Script func(n int, query string) []byte
+	Admit  func(n int)                          // is called before a session is welcomed, which waits for it; n counts them from 0
 	Brief  bool                                 // closes after each answer
 	Trail  func(query string) []byte            // sent a moment after each answer
 	Raw    func(c io.Writer, query string) bool // writes the answer itself, in its own time; false: the connection ends
@@ -50,6 +51,7 @@
 	mu       sync.Mutex
 	role     string // of a host that is in no cluster
 	queries  []string
+	begun    int // sessions
 	conns    map[net.Conn]bool
 	cluster  *Cluster
 	lag      time.Duration
@@ -136,6 +138,12 @@
 	case h.General:
 		h.serveGeneral(c, in, parameters, kind)
 		return
+	case h.Admit != nil:
+		h.mu.Lock()
+		n := h.begun
+		h.begun++
+		h.mu.Unlock()
+		h.Admit(n)
 	}
 	if _, err := c.Write(pg.AppendWelcome(nil, pg.StartSession)); err != nil {
 		return
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -276,6 +276,24 @@
 	}
 }
 
+// Withdraw ends an attempt that still waits for its connection. One whose first byte may have gone out goes on: only its end
+// says what became of it.
+func (b *Backend) Withdraw(id string, number int) {
+	b.mu.Lock()
+	t := b.attempts[key{id, number}]
+	b.mu.Unlock()
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	begun := t.begun
+	t.withdrawn = true // from here on it does not begin
+	t.mu.Unlock()
+	if !begun {
+		t.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.NotSent}})
+	}
+}
+
 var canceled = exchange.Outcome{Outcome: balance.Outcome{Result: balance.Cancelled}}
 
 // Probe asks a host for its load report.
@@ -493,7 +511,10 @@
 	mu    sync.Mutex
 	stop  context.CancelFunc // ends the opening of a connection; nil: none is being opened
 	conn  *conn              // only while something may be out on it
+	begun bool               // its first byte may have gone out
 	ended bool
+
+	withdrawn bool
 }
 
 // opening gives the context in which the attempt opens a connection: it ends with the attempt.
@@ -572,13 +593,13 @@
 	}
 	t.mu.Lock()
 	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until
-	if t.ended || late {
+	if t.ended || t.withdrawn || late {
 		t.mu.Unlock()
 		t.b.put(t.Server, c)
 		result(balance.NotSent)
 		return
 	}
-	t.conn = c
+	t.conn, t.begun = c, true
 	t.mu.Unlock()
 	if converses {
 		t.converse(c, talk)
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -36,7 +36,9 @@
 	// overflow is how many connections over the limit may be on their way out: told that there is no room, made to
 	// give way, or cut off for what they sent.
 	overflow  = 24
-	lingerFor = 500 * time.Millisecond // for a client to read why it is cut off
+	lingerFor = 500 * time.Millisecond // for a client to read why it is cut off, or what it was told last
+	// unsentPause is between two looks whether a client has taken all that was written.
+	unsentPause = 2 * time.Millisecond
 	// mayClose is how long a connection may have nothing open before it can be closed; soonClose is the same while the
 	// clients' share of the descriptors is nearly full: until one of theirs is closed, others can't even come to ask.
 	mayClose    = 2 * time.Second
@@ -177,7 +179,7 @@
 
 func (s *Server) session(n net.Conn) *session {
 	now := s.cfg.Clock.Now()
-	c := &session{s: s, conn: n.(*net.TCPConn), commands: make(chan command, 8), closed: make(chan struct{}), accepted: now, idleSince: now}
+	c := &session{s: s, conn: n.(*net.TCPConn), ahead: newAhead(), closed: make(chan struct{}), accepted: now, idleSince: now}
 	c.in = bufio.NewReaderSize(paced{c}, 4<<10)
 	return c
 }
@@ -190,15 +192,23 @@
 	})
 }
 
-// Held is how many connections there are, with those that may just be accepted.
-func (s *Server) Held() int {
+// Held is how many connections there are, with those that may just be accepted, and how many of them wait for an answer.
+func (s *Server) Held() (all, waiting int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.sessions) + int(s.accepting.Load())
+	for c := range s.sessions {
+		if c.waits() {
+			waiting++
+		}
+	}
+	return len(s.sessions) + int(s.accepting.Load()), waiting
 }
 
 func (s *Server) emptied() {
-	if s.cfg.Emptied != nil && s.Held() == 0 {
+	s.mu.Lock()
+	held := len(s.sessions) + int(s.accepting.Load())
+	s.mu.Unlock()
+	if s.cfg.Emptied != nil && held == 0 {
 		s.cfg.Emptied()
 	}
 }
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -62,6 +62,7 @@
 	answers chan exchange.Answer
 	skip    bool          // up to the next Sync
 	wrote   time.Duration // position of the session's last write
+	free    time.Duration // when its last batch ended: no client says how long it waits, so the next one's time starts there
 	running atomic.Pointer[relay.Lease]
 	serial  int
 }
@@ -327,7 +328,7 @@
 		group = n
 	}
 	r := &exchange.Request{ID: fmt.Sprintf("general-%d", leases.Add(1)), User: c.user, Tenant: said["tenant"], Class: class, Session: c.user,
-		Group: group, Write: write, Arrived: max(cmd.arrived, c.free)}
+		Group: group, Write: write, Arrived: max(cmd.arrived, g.free)}
 	if g.wrote > 0 {
 		r.After = g.wrote
 	} else if g.wrote < 0 {
@@ -444,7 +445,7 @@
 		return g.fatal(relay.ErrorOf(d.Err))
 	case !d.Keep:
 		g.hold(nil)
-		g.c.free = g.c.s.cfg.Clock.Now()
+		g.free = g.c.s.cfg.Clock.Now()
 	}
 	return true
 }
@@ -478,18 +479,22 @@
 
 // nextCommand gives the next command. A lease that ends while the client says nothing ends the session.
 func (c *session) nextCommand() (command, bool) {
-	if c.general == nil || c.general.lease == nil {
-		cmd, ok := <-c.commands
-		return cmd, ok
-	}
-	select {
-	case cmd, ok := <-c.commands:
-		return cmd, ok
-	case d := <-c.general.lease.Done():
-		return command{}, c.general.done(d)
-	case a := <-c.general.answers:
-		c.general.hold(nil)
-		c.general.fatal(relay.ErrorOf(fmt.Errorf("%s", reason(a))))
-		return command{}, false
+	for {
+		if cmd, ok, over := c.ahead.take(); ok || over {
+			return cmd, ok
+		}
+		if c.general == nil || c.general.lease == nil {
+			<-c.ahead.some
+			continue
+		}
+		select {
+		case <-c.ahead.some:
+		case d := <-c.general.lease.Done():
+			return command{}, c.general.done(d)
+		case a := <-c.general.answers:
+			c.general.hold(nil)
+			c.general.fatal(relay.ErrorOf(fmt.Errorf("%s", reason(a))))
+			return command{}, false
+		}
 	}
 }
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -22,15 +22,16 @@
 // session is one client's connection. One goroutine reads commands, so that a client that leaves is noticed; another
 // answers them in order.
 type session struct {
-	mu        sync.Mutex // guards those below, with the deadline for reading that follows from them
-	draining  bool
-	started   bool          // the startup is done
-	said      bool          // the startup is done and a command has begun to come
-	midway    bool          // a message has begun to come
-	timed     bool          // a deadline for reading is set
-	cutAt     time.Time     // of a message that has begun: when it is cut off, whatever still comes
-	open      int           // commands without an answer
-	idleSince time.Duration // since when nothing is open
+	mu         sync.Mutex // guards those below, with the deadline for reading that follows from them
+	draining   bool
+	started    bool          // the startup is done
+	said       bool          // the startup is done and a command has begun to come
+	midway     bool          // a message has begun to come
+	timed      bool          // a deadline for reading is set
+	cutAt      time.Time     // of a message that has begun: when it is cut off, whatever still comes
+	open       int           // commands without an answer, and what a general session holds
+	unanswered int           // commands without an answer
+	idleSince  time.Duration // since when nothing is open
 
 	adopted  bool // another process has done its startup
 	atRest   bool // the reader ended between two messages, at a drain: what comes next is for whoever goes on
@@ -41,9 +42,9 @@
 	user     string
 	general  *general // nil: only the platform's statements are taken
 	accepted time.Duration
-	commands chan command
+	ahead    *ahead        // commands that wait for their turn
+	overrun  bool          // belongs to the reader: too many of them do
 	closed   chan struct{} // the client has left
-	free     time.Duration // when the last answer was written
 	writeBy  time.Time     // the deadline for writing that is set
 	skipping bool          // an extended query was turned down: all up to Sync is skipped
 }
@@ -52,6 +53,7 @@
 type command struct {
 	statement *pg.Statement // run it
 	arrived   time.Duration
+	size      int             // of its statement
 	held      int             // bytes of the budget that it holds
 	holding   *budget.Holding // of the memory of large statements; nil: none
 	empty     bool            // the empty query
@@ -72,7 +74,7 @@
 	c.mu.Unlock()
 	c.between() // the startup's deadline may have been set after a drain's
 	go c.s.guard(func() {
-		defer close(c.commands)
+		defer c.ahead.end()
 		c.read()
 	})
 	whole := true
@@ -81,62 +83,85 @@
 		if !ok {
 			break
 		}
-		whole = c.answer(ctx, cmd)
+		whole = !c.left() && c.answer(ctx, cmd)
 		c.release(cmd)
 		c.answered()
 	}
 	if c.general != nil {
 		c.general.end()
 	}
-	if whole {
-		c.handOver()
+	if whole && !c.handOver() && !c.left() {
+		c.part()
 	}
 	c.conn.Close()
-	for cmd := range c.commands { // lets the reader end
-		c.release(cmd)
+	for over := false; !over; { // lets the reader end
+		var cmd command
+		var ok bool
+		if cmd, ok, over = c.ahead.take(); ok {
+			c.release(cmd)
+		} else if !over {
+			<-c.ahead.some
+		}
 	}
 	if c.general != nil {
 		c.s.bytes.give(c.general.held)
 	}
 }
 
+// left says that the client has gone.
+func (c *session) left() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // handOver passes the connection on if another process goes on with those that are at rest. Here it is closed in any case.
-func (c *session) handOver() {
+func (c *session) handOver() bool {
 	c.s.mu.Lock()
 	pass := c.s.pass
 	c.s.mu.Unlock()
 	if pass == nil || !c.atRest || c.general != nil {
-		return
+		return false
 	}
 	c.mu.Lock()
 	idle := c.s.cfg.Clock.Now() - c.idleSince
 	c.mu.Unlock()
 	if err := pass(c.conn, c.user, idle); err != nil {
 		c.s.cfg.Log.Warn("a connection could not be passed on", zap.Error(err))
-		return
+		return false
 	}
 	c.s.cfg.Counters.ClientsPassed.Add(1)
+	return true
 }
 
 // release gives back what a command held.
 func (c *session) release(cmd command) {
 	c.s.bytes.give(cmd.held)
 	c.s.large.close(cmd.holding)
-}
-
-// queue hands a command on to be answered.
-func (c *session) queue(cmd command) {
-	c.mu.Lock()
-	c.open++
-	c.mu.Unlock()
-	c.commands <- cmd
+	if cmd.batch != nil {
+		cmd.batch.Discard() // its reader may wait for someone to take a piece
+	}
 }
 
 func (c *session) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open--
+	c.unanswered--
 	c.idleSince = c.s.cfg.Clock.Now()
+	if c.draining && c.unanswered == 0 && !c.midway {
+		c.readBy(0) // now it is between two requests
+	}
+}
+
+// waits says that the client waits for an answer.
+func (c *session) waits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unanswered > 0
 }
 
 // spare says since when the session has had nothing open, and whether it has said anything yet; not ok: it is at work.
@@ -146,14 +171,15 @@
 	return c.idleSince, c.said, c.open == 0 && !c.midway && socket.Quiet(c.conn)
 }
 
-// drain stops the reading between two messages; what has come before that is still answered. A message that has begun to
-// come is taken whole: cut off in its middle, a request would be lost that its client has written. Where connections are
-// passed on a startup is done first: who goes on takes sessions only.
+// drain stops the reading between two requests; what has come before that is still answered, and while it is, the reader goes
+// on: who does not read does not notice that the client has left. A message that has begun to come is taken whole: cut off in
+// its middle, a request would be lost that its client has written. Where connections are passed on a startup is done first:
+// who goes on takes sessions only.
 func (c *session) drain(passing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if !c.midway && (c.started || !passing) {
+	if !c.midway && c.unanswered == 0 && (c.started || !passing) {
 		c.readBy(0)
 	}
 }
@@ -229,7 +255,7 @@
 	defer c.mu.Unlock()
 	c.midway = false
 	switch {
-	case c.draining:
+	case c.draining && c.unanswered == 0:
 		c.readBy(0)
 	case !c.said:
 		c.readBy(startWithin)
@@ -247,7 +273,7 @@
 	passed := c.s.pass != nil && c.general == nil // who goes on reads what has come
 	c.s.mu.Unlock()
 	c.mu.Lock()
-	draining, said := c.draining, c.said
+	draining, said := c.draining && c.unanswered == 0, c.said
 	c.mu.Unlock()
 	none := c.in.Buffered() == 0
 	quiet := none && socket.Quiet(c.conn)
@@ -328,6 +354,26 @@
 	}
 }
 
+// part ends a connection between two requests. Its sending ends first, and it is closed only when the client has closed it too,
+// or has sent more and taken all that was written: bytes that come to a closed connection, or lie unread in one that is
+// being closed, reset it, and what the client has not taken of its last answer goes with that. Nothing is read meanwhile: a
+// request that crosses the end shows to its client as one that nobody took.
+func (c *session) part() {
+	c.s.mu.Lock()
+	draining := c.s.draining
+	c.s.mu.Unlock()
+	if !draining && !c.s.leave(c) || c.conn.CloseWrite() != nil {
+		return
+	}
+	end := time.Now().Add(lingerFor)
+	_ = c.conn.SetReadDeadline(end)
+	if socket.AwaitInput(c.conn) {
+		for time.Now().Before(end) && socket.Unsent(c.conn) > 0 {
+			time.Sleep(unsentPause)
+		}
+	}
+}
+
 func (c *session) write(b []byte) bool {
 	// Set anew only when half of it is gone: an answer has between half of the time and all of it.
 	if now := time.Now(); c.writeBy.Sub(now) < writeTimeout/2 {
@@ -359,6 +405,9 @@
 		c.begin()
 		err := c.next()
 		switch {
+		case err == nil && c.overrun:
+			c.discard()
+			return
 		case err == nil:
 			c.between()
 			continue
@@ -378,6 +427,13 @@
 	}
 }
 
+// discard reads on, for the client's leaving alone.
+func (c *session) discard() {
+	_ = c.conn.SetReadDeadline(time.Time{})
+	_, _ = io.Copy(io.Discard, c.conn)
+	close(c.closed)
+}
+
 // next reads one message and queues what there is to answer.
 func (c *session) next() error {
 	kind, length, err := pg.Head(c.in)
@@ -454,7 +510,7 @@
 		c.s.bytes.give(cmd.held)
 		return err
 	}
-	cmd.arrived, cmd.ready = c.s.cfg.Clock.Now(), true
+	cmd.arrived, cmd.ready, cmd.size = c.s.cfg.Clock.Now(), true, length
 	if len(body) == 0 || body[len(body)-1] != 0 {
 		cmd.err = bad(pg.CodeProtocolViolation, "the query does not end in a zero byte")
 	} else if body = body[:len(body)-1]; blank(body) {
@@ -514,21 +570,18 @@
 	}
 	answer := make(chan exchange.Answer, 1)
 	st := cmd.statement
+	// Its client's wait runs from when it was sent, also while others of this connection are answered before it.
 	r := &exchange.Request{ID: st.ID, User: c.user, Tenant: st.Tenant, Class: st.Class, Session: st.Key, Group: st.Group, Write: st.Write,
-		Retry: st.Retry, Arrived: max(cmd.arrived, c.free), Wait: st.Wait, After: st.After, Command: st, Answer: answer}
+		Retry: st.Retry, Arrived: cmd.arrived, Wait: st.Wait, After: st.After, Command: st, Answer: answer}
 	c.s.x.Submit(r)
 	select {
 	case a := <-answer:
 		// A large statement is not needed any more, however slowly its client takes the answer.
 		c.s.large.close(cmd.holding)
 		if v, ok := a.Value.(pg.Value); ok && v.Rest != nil {
-			ok := c.pour(v, st.Tag())
-			c.free = c.s.cfg.Clock.Now()
-			return ok
+			return c.pour(v, st.Tag())
 		}
-		ok := c.write(pg.AppendReady(appendAnswer(nil, st, a)))
-		c.free = c.s.cfg.Clock.Now() // the wait of a command behind this one starts only now
-		return ok
+		return c.write(pg.AppendReady(appendAnswer(nil, st, a)))
 	case <-c.closed:
 		c.s.x.Gone(r)
 	case <-ctx.Done():
