--- a/cmd/yokemast/moments_test.go
+++ b/cmd/yokemast/moments_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/discovery"
 	"yokemast/internal/testbed/hosts"
 	"yokemast/internal/wire/pg"
 )
@@ -212,3 +213,99 @@
 		t.Errorf("%d attempts went out", n)
 	}
 }
+
+// A connection asked for before its host was told to drain may come up after the grace: nothing goes out on it then.
+func TestAHostDrainsWhileAConnectionComesUp(t *testing.T) {
+	for _, how := range []string{"DRAINING", "DELETED", "not listed"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			coming, up := make(chan struct{}, 1000), make(chan struct{})
+			h := newHost(t, "s-1", "leader", nil)
+			h.Admit = func(int) {
+				coming <- struct{}{}
+				<-up
+			}
+			other := newHost(t, "s-2", "follower", nil)
+			other.Script = always("25006")(other)
+			g := start(t, nil, h, other)
+			c := g.client()
+			c.Send(write("k", "9f", strings.Replace(comment("order", ""), "d=15000", "d=4000", 1)))
+			<-coming
+			if how == "not listed" {
+				g.agent.Say(discovery.List(50, true, other.Entry("SERVING")))
+			} else {
+				g.agent.Set(h.Entry(how))
+			}
+			g.waitLog(`"msg":"hosts listed"`)
+			told := time.Now()
+			time.Sleep(time.Until(told.Add(1100 * time.Millisecond))) // the grace is over
+			close(up)
+			if got := c.Answer(); !strings.HasPrefix(got, "53300") {
+				t.Errorf("answered %q", got)
+			}
+			if asked := h.Asked(); len(asked) > 0 {
+				t.Errorf("sent to a host told %s: %s", how, asked)
+			}
+		})
+	}
+}
+
+// What the kernel has accepted when the clients' address closes is served: the process is stopped over that moment.
+func TestWhatWaitsToBeAcceptedAtTheEndIsTaken(t *testing.T) {
+	g := start(t, nil, newHost(t, "s-1", "leader", nil))
+	_ = g.cmd.Process.Signal(syscall.SIGTERM)
+	g.waitLog(`"msg":"ending"`)
+	told := time.Now()
+	_ = g.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(told.Add(2970 * time.Millisecond))) // just after it would have stopped accepting
+	var all []*clients.Client
+	for range 10 {
+		c := g.dial()
+		_, _ = c.Write(pg.AppendQuery(pg.AppendStartup(nil, "backend", "store"), read("k", comment("own", ""))))
+		all = append(all, c)
+	}
+	_ = g.cmd.Process.Signal(syscall.SIGCONT)
+	for i, c := range all {
+		if got := c.Answer(); got != "ready" {
+			t.Fatalf("client %d: the startup is answered %q", i, got)
+		}
+		if got := c.Answer(); got != "row k" && got != "53300 come back" {
+			t.Fatalf("client %d: answered %q, %s after SIGTERM: %s", i, got, time.Since(told), g.log)
+		}
+	}
+}
+
+// Who sends more at once than is read ahead is told so; what came before that is answered, and others are served.
+func TestMoreCommandsThanAreReadAhead(t *testing.T) {
+	release := make(chan struct{})
+	h := newHost(t, "s-1", "leader", nil)
+	h.Script = func(n int, query string) []byte {
+		if n == 0 {
+			<-release
+		}
+		return h.Row(query)
+	}
+	g := start(t, nil, h)
+	c := g.client()
+	all := pg.AppendQuery(nil, read("k", comment("own", "")))
+	for range 1500 {
+		all = pg.AppendQuery(all, "")
+	}
+	_, _ = c.Write(all)
+	g.waitCounter("clients_overrun", 1)
+	if got := g.client().Ask(read("other", comment("own", ""))); got != "row other" {
+		t.Errorf("another client is answered %q", got)
+	}
+	close(release)
+	if got := c.Answer(); got != "row k" {
+		t.Errorf("answered %q", got)
+	}
+	answers := 0
+	got := c.Answer()
+	for ; got == "empty"; got = c.Answer() {
+		answers++
+	}
+	if answers != 1023 || got != "53300 come back, closed" {
+		t.Errorf("%d answers, then %q", answers, got)
+	}
+}
--- a/internal/control/service/service.go
+++ b/internal/control/service/service.go
@@ -71,6 +71,8 @@
 	// LastAnswer is how long after SIGTERM the last answer is due, Shed (before it) when connections are ended between
 	// requests, End (after it) when the process must have ended.
 	Shed, LastAnswer, End time.Duration
+	// Accept is how long after SIGTERM, at the least, new connections are taken: for 0.2 to 0.4 s they keep coming.
+	Accept time.Duration
 	// Linger is how long a process whose heir took the clients stays, for the heir's death, before it ends by itself. The
 	// platform's SIGTERM comes within 6 s.
 	Linger time.Duration
@@ -183,8 +185,8 @@
 		v.Last = s.endAt + s.times.LastAnswer
 		shed := next(s.endAt + s.times.Shed)
 		v.Shed = shed || s.drained && next(s.since+s.times.FrontAway)
-		v.Accept = !shed
-		v.Idle = shed
+		v.Accept = !shed || !next(s.endAt+s.times.Accept)
+		v.Idle = !v.Accept
 		v.Over = next(s.endAt + s.times.End)
 	}
 	if s.heir == Took {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,7 @@
 	statementPart         = 0.15                  // of the memory, for statements held whole at a time
 	programMB             = 14                    // of the memory that the collector does not see: the program itself, stacks of threads
 	largePart             = 3                     // of what the collector may let pile up, for larger ones, which are held in pieces
+	lastAccepts           = 20 * time.Millisecond // in which what waits at the clients' address is accepted before it is closed
 	tellHold              = 50 * time.Millisecond // a note waits so long for others to go with it
 	tellPerTake           = 192                   // bytes delivered to other gateways for each request
 	tellBurst             = 8 << 10
@@ -77,6 +79,7 @@
 
 	accepting bool // belongs to carryOut
 	shared    bool
+	closing   atomic.Bool // the clients' address is closed once nothing waits to be accepted
 }
 
 // Serve runs a gateway until SIGTERM or SIGINT, or until a part of it can't go on. At SIGHUP it takes discovery, the settings
@@ -308,9 +311,16 @@
 		_ = g.listener.SetDeadline(time.Time{})
 		g.group.Go(func() error {
 			g.front.Accept(g.ctx, g.listener)
+			if g.closing.Load() {
+				_ = g.listener.Close()
+			}
 			return nil
 		})
-	case !v.Accept && v.Phase == service.Ending && v.Heir == service.None:
+	case !v.Accept && v.Phase == service.Ending && v.Heir == service.None && g.accepting:
+		// What this machine has accepted already is taken first: closed now, it would be reset with the request it may hold.
+		g.closing.Store(true)
+		_ = g.listener.SetDeadline(time.Now().Add(lastAccepts))
+	case !v.Accept && v.Phase == service.Ending && v.Heir == service.None && !g.closing.Load():
 		_ = g.listener.Close()
 	case !v.Accept && g.accepting:
 		// Not closed: what waits in its queue is the heir's, or this process's again if the heir dies.
--- a/internal/lifecycle/service.go
+++ b/internal/lifecycle/service.go
@@ -28,6 +28,9 @@
 	// shedAhead is how long before the last answer connections are ended between requests. Until then clients are
 	// served as before: they go on using the connections they have, and nobody takes this gateway's place so soon.
 	shedAhead = 600 * time.Millisecond
+	// acceptFor is how long after SIGTERM new connections still come, 0.2 to 0.4 s, with some room. Where the deadlines are
+	// short connections are ended between requests before that.
+	acceptFor = 450 * time.Millisecond
 	// linger is how long a process whose heir took the clients stays by: SIGTERM comes within 6 s of the heir's yes.
 	linger = 10 * time.Second
 )
@@ -39,7 +42,7 @@
 		longest = max(longest, class.Deadline)
 	}
 	kill := min(longest, longestCounted) + killAfter
-	return service.Times{FrontAway: frontAway, Shed: kill - answerAhead - shedAhead, LastAnswer: kill - answerAhead, End: kill - endAhead,
+	return service.Times{FrontAway: frontAway, Accept: acceptFor, Shed: kill - answerAhead - shedAhead, LastAnswer: kill - answerAhead, End: kill - endAhead,
 		Linger: linger}
 }
 
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -96,7 +96,9 @@
 	Withdraw(id string, attempt int) // ends it as not sent, if nothing of it has gone out yet; else it goes on
 	Probe(server string)
 	Members(list []Member) // entries that are new or changed
-	Forget(server string)  // it is gone for good
+	// Until says that nothing new may go out to a host later than by, however long ago it was decided on; 0: it may again.
+	Until(server string, by time.Duration)
+	Forget(server string) // it is gone for good
 }
 
 // Config is what an Exchange needs to know.
@@ -258,7 +260,7 @@
 		x.standstill(batch)
 		for i, p := range batch {
 			x.due(p.at) // what was due before this came
-			x.handle(p.ev)
+			x.handle(p.at, p.ev)
 			batch[i] = posted{}
 		}
 		x.due(x.cfg.Clock.Now())
@@ -301,7 +303,8 @@
 	}
 }
 
-func (x *Exchange) handle(ev any) {
+// handle takes what came at a time, which may be a while ago where the process got no time.
+func (x *Exchange) handle(at time.Duration, ev any) {
 	switch e := ev.(type) {
 	case *Request:
 		x.request(e)
@@ -327,7 +330,7 @@
 	case datagram:
 		x.hear(e)
 	case members:
-		x.members(e)
+		x.members(at, e)
 	case ending:
 		x.ending(e.by)
 	case surveying:
@@ -499,7 +502,8 @@
 	x.forget(o)
 }
 
-func (x *Exchange) members(e members) {
+// members takes a list that was told at a time.
+func (x *Exchange) members(at time.Duration, e members) {
 	now := x.cfg.Clock.Now()
 	ev := balance.Members{Whole: e.whole, List: make([]balance.Member, 0, len(e.list))}
 	named := map[string]bool{}
@@ -512,16 +516,22 @@
 		x.groups[m.Group] = true
 		ev.List = append(ev.List, m.Member)
 	}
+	x.hosts.Members(e.list)
 	for server, m := range x.list {
 		if e.whole && !named[server] {
 			m.State = balance.Left
 			x.list[server] = m
 		}
 		switch told := x.told[server]; {
-		case m.State == balance.Active:
+		case m.State == balance.Active && told > 0:
 			delete(x.told, server)
+			x.hosts.Until(server, 0)
+		case m.State == balance.Active:
+		case told == 0 && m.State == balance.Left && x.cfg.Settings.DroppedStayOpen:
+			// Dropped without a drain: at such sites that does not say that it is gone.
 		case told == 0:
-			x.told[server] = now
+			x.told[server] = at
+			x.hosts.Until(server, at+x.cfg.Settings.DrainGrace-drainMargin)
 		case m.State == balance.Left && now-told > forgetAfter:
 			delete(x.told, server)
 			delete(x.list, server)
@@ -531,7 +541,6 @@
 			x.hosts.Forget(server)
 		}
 	}
-	x.hosts.Members(e.list)
 	x.decide(ev)
 	if x.cells != nil {
 		x.carryOut(x.cells.Hosts(now, e.whole, ev.List))
--- a/internal/memory/exchange/handover.go
+++ b/internal/memory/exchange/handover.go
@@ -52,7 +52,7 @@
 		list = append(list, Member{Address: h.Address, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
 			Primary: h.Listed, Weight: h.Weight, Started: h.Started}})
 	}
-	x.members(members{whole: true, list: list})
+	x.members(x.cfg.Clock.Now(), members{whole: true, list: list})
 	for _, h := range k.Hosts {
 		n := balance.Heard{Server: h.Server, Result: balance.OK, Role: h.Role, Position: h.Position, At: h.RoleAt}
 		if !h.Alive {
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -116,6 +116,7 @@
 type host struct {
 	address string
 	cold    time.Duration // until then
+	until   time.Duration // nothing new goes out to it later; 0: no such bound
 }
 
 // New makes a backend whose goroutines belong to the group and end with the context.
@@ -154,6 +155,24 @@
 	}
 }
 
+// Until says that nothing new may go out to a host later than by: a connection that was asked for before it was told to drain
+// may come up long after. 0: it may again.
+func (b *Backend) Until(server string, by time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h := b.hosts[server]; h != nil {
+		h.until = by
+	}
+}
+
+// over says that nothing new may go out to a host any more.
+func (b *Backend) over(server string, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.hosts[server]
+	return h == nil || h.until > 0 && now > h.until
+}
+
 // Retune changes how long a connection may take to come up, how long it may idle, and how long a host that starts is cold.
 func (b *Backend) Retune(connect, idle, cold time.Duration) {
 	b.connect.Store(int64(connect))
@@ -319,6 +338,11 @@
 				}
 				return nil
 			}
+			if b.over(server, b.cfg.Clock.Now()) {
+				b.put(server, c)
+				p.Result = balance.NotSent
+				return nil
+			}
 			r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), "SHOW", until)
 			b.put(server, c)
 			if p.Result = r.result; r.result == balance.OK {
@@ -591,8 +615,8 @@
 			query = command.AppendQuery(nil, t.Until-now)
 		}
 	}
+	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until || t.b.over(t.Server, now)
 	t.mu.Lock()
-	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until
 	if t.ended || t.withdrawn || late {
 		t.mu.Unlock()
 		t.b.put(t.Server, c)
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -25,7 +26,10 @@
 	waitFor = 3 * time.Second
 	// answerWithin is how long after that wait an answer may take.
 	answerWithin = time.Second
-	maxList      = 8 << 20
+	// connectWithin is how long a connection to the agent, which is on this machine, may take to come up: one that is asked
+	// for while the agent is away must not take up the whole call's time.
+	connectWithin = 500 * time.Millisecond
+	maxList       = 8 << 20
 	// whole is the revision of who has no list yet: all of it is asked for.
 	whole = -1
 )
@@ -83,7 +87,7 @@
 
 // Run watches from the revision on until the context ends.
 func (w *Watcher) Run(ctx context.Context, revision int64) error {
-	transport := &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: connectWithin}).DialContext, MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	first, failing := true, false
@@ -119,7 +123,6 @@
 			w.Log.Info("discovery answers again", zap.Int64("failed", w.Counters.ListErrors.Get()))
 		}
 		failing = false
-		w.Pauses.Answered()
 		w.Counters.Lists.Add(1)
 		revision = list.Revision
 		w.revision.Store(revision)
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -179,7 +179,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if !c.midway && c.unanswered == 0 && (c.started || !passing) {
+	if !c.midway && (c.started || !passing) {
 		c.readBy(0)
 	}
 }
@@ -260,7 +260,7 @@
 	case !c.said:
 		c.readBy(startWithin)
 		c.timed = true
-	case c.timed:
+	case c.timed || c.draining:
 		_ = c.conn.SetReadDeadline(time.Time{})
 		c.timed = false
 	}
