A cold host's budget holds for the fleet also where it bears little more than its capacity

Seen: TestAFleetKeepsAColdHostsBudget plays 20, 30 and 300 routers with uneven traffic before one group on a virtual clock and counts what they send in sum to a host that starts cold, in windows as the rule does (N + 2 root of N + 2). With a factor of 4 they send at most 0.71 of that, also in a burst of half as much again and with a third of the routers not told; with a factor of 1 up to 1.11 of it. Cause: Router.admit let pass the host's full part of the traffic, max(1, margin x factor), whatever the factor; below a factor of 1.67 nothing of the budget was left for chance. Now the margin holds always. Where the settings name no factor it stays at 1.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -379,7 +379,7 @@
 // part of the group's traffic is its part of the capacity, times the margin: at each router, so in sum.
 func (r *Router) admit(m *member, chance, share float64) bool {
 	w := r.warmth(m)
-	return w == 1 || r.rng.Float64()*chance < w*share*max(1, coldMargin*r.s.OverloadFactor)
+	return w == 1 || r.rng.Float64()*chance < w*share*cmp.Or(coldMargin*r.s.OverloadFactor, 1)
 }
 
 func (r *Router) alive(m *member) bool { return r.now >= m.downUntil }
