Short deadlines are tried; tests of what becomes of a broken watch, of starts and a full house

Cause: Router.hopeless gave up what was never sent once two beats (40 ms) more would pass half of its time, also in the moment it came: with deadlines under 95 ms every request was refused unsent. Now it is tried first (TestShortAndLongDeadlinesAreTried, 20 ms to 20 s; fails without). For longer deadlines nothing changes. Ruled out by tests with the real program: a watch that is silent, reset, busy, never ends or breaks off behind a whole list (what it missed is in force within 6 s, a list with no end is not used); a start with such an agent (ready within 5 s, served by the known list); a full house while discovery is away (its list comes, who asks is served).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -509,10 +509,11 @@
 func (c *class) again() time.Duration { return min(c.took*3/2, c.Aim/2) } // that an attempt needs
 
 // hopeless says that q can hardly be answered in time. Half the aim is enough, or a slow class stayed shut.
-// What was never sent is not held past half its time: its client can come back.
+// What was never sent is not held past half its time, once it has been tried: its client can come back.
 func (r *Router) hopeless(q *request) bool {
 	return r.now+q.cls.again() > r.useful(q) ||
-		q.attempts == 0 && r.now-q.arrived+2*beat > cmp.Or(q.Patience, (q.Deadline-q.arrived)/2)
+		q.attempts == 0 && r.now > q.arrived &&
+			r.now-q.arrived+2*beat > cmp.Or(q.Patience, (q.Deadline-q.arrived)/2)
 }
 
 func (r *Router) useful(q *request) time.Duration {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1010,3 +1010,20 @@
 		t.Error("a request got no action")
 	}
 }
+
+// Another customer's deadlines may be as short as the pace of what waits here: each request is tried all the same.
+func TestShortAndLongDeadlinesAreTried(t *testing.T) {
+	for _, deadline := range []time.Duration{20 * ms, 50 * ms, 95 * ms, 20 * time.Second} {
+		g := newRig(t, func(s *Settings) {
+			for i := range s.Classes {
+				s.Classes[i].Aim, s.Classes[i].Deadline = deadline*4/5, deadline
+			}
+		})
+		for _, class := range []string{"any", "own", "save", "keyed", "fresh"} {
+			_, acts := g.ask(class, 0)
+			if len(sends(acts)) != 1 {
+				t.Errorf("%s with a deadline of %s: %v", class, deadline, acts)
+			}
+		}
+	}
+}
--- a/cmd/yokemast/harness_test.go
+++ b/cmd/yokemast/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -129,6 +130,13 @@
 
 // startWith does the same with more arguments of the command line.
 func startWith(t testing.TB, edit func(string) string, args []string, all ...*hosts.Host) *gateway {
+	t.Helper()
+	return startBehind(t, edit, nil, args, all...)
+}
+
+// startBehind does the same with an agent that answers as before says.
+func startBehind(t testing.TB, edit func(string) string, before func(int, http.ResponseWriter, *http.Request) bool, args []string,
+	all ...*hosts.Host) *gateway {
 	t.Helper()
 	g := &gateway{t: t, log: &logged{}}
 	var entries []discovery.Entry
@@ -136,6 +144,7 @@
 		entries = append(entries, h.Entry("SERVING"))
 	}
 	g.agent = discovery.New(entries...)
+	g.agent.Before = before
 	g.path = config(t, g.agent.Known(), g.agent.Listener.Addr().String(), edit)
 	g.cmd = program(context.Background(), append([]string{"serve", "--config", g.path}, args...)...)
 	g.cmd.Env = append(g.cmd.Env, "ROUTER_DISCOVERY="+g.agent.Listener.Addr().String())
--- a/cmd/yokemast/moments_test.go
+++ b/cmd/yokemast/moments_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -309,3 +311,127 @@
 		t.Errorf("%d answers, then %q", answers, got)
 	}
 }
+
+// troubles are what an agent can do with a call. Each gives whether it has answered.
+var troubles = map[string]func(http.ResponseWriter, *http.Request) bool{
+	"silent": func(_ http.ResponseWriter, r *http.Request) bool { <-r.Context().Done(); return true },
+	"resets": func(w http.ResponseWriter, _ *http.Request) bool {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return false
+		}
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+		return true
+	},
+	"busy": func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	},
+	"never ends": func(w http.ResponseWriter, r *http.Request) bool {
+		_, _ = w.Write([]byte(`{"revision":`))
+		for r.Context().Err() == nil {
+			_, _ = w.Write([]byte(" "))
+			w.(http.Flusher).Flush()
+			time.Sleep(100 * time.Millisecond)
+		}
+		return true
+	},
+	"breaks off": func(w http.ResponseWriter, _ *http.Request) bool {
+		_, _ = w.Write([]byte(`{"revision":42,"complete":true,"members":[]}`)) // a list, and no end
+		w.(http.Flusher).Flush()
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return false
+		}
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+		return true
+	},
+}
+
+// Whatever becomes of a watch, what it misses is in force within 6 s.
+func TestWhatABrokenWatchMissesComesInTime(t *testing.T) {
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "s-1", "leader", nil)
+			began := make(chan time.Time, 1)
+			g := startBehind(t, nil, func(n int, w http.ResponseWriter, r *http.Request) bool {
+				if n != 1 {
+					return false
+				}
+				began <- time.Now()
+				return trouble(w, r)
+			}, nil, h, newHost(t, "s-2", "follower", nil))
+			at := <-began
+			g.agent.Set(h.Entry("DRAINING"))
+			g.waitLog(`"msg":"hosts listed"`)
+			if took := time.Since(at); took > 6*time.Second {
+				t.Errorf("the drain was in force after %s", took)
+			}
+			if strings.Contains(g.log.String(), `"revision":42,"entries":0`) {
+				t.Errorf("a list that broke off was used: %s", g.log)
+			}
+		})
+	}
+}
+
+// A gateway is ready soon, whatever discovery does, and serves by the list that it was given.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			began := time.Now()
+			g := startBehind(t, nil, func(_ int, w http.ResponseWriter, r *http.Request) bool { return trouble(w, r) }, nil, newHost(t, "s-1", "leader", nil))
+			if took := time.Since(began); took > 5*time.Second {
+				t.Errorf("it was ready after %s", took)
+			}
+			if got := g.client().Ask(write("k", "9f", comment("order", ""))); got != "row k" {
+				t.Errorf("answered %q", got)
+			}
+		})
+	}
+}
+
+// Idle clients fill all places while discovery is away. At its return the list comes, and who asks is served.
+func TestDiscoveryComesBackToAFullHouse(t *testing.T) {
+	var away atomic.Bool
+	h := newHost(t, "s-1", "leader", nil)
+	edit := func(s string) string { return strings.Replace(s, `"sockets":1024`, `"sockets":256`, 1) }
+	g := startBehind(t, edit, func(_ int, w http.ResponseWriter, r *http.Request) bool {
+		return away.Load() && troubles["resets"](w, r)
+	}, nil, h)
+	away.Store(true)
+	g.agent.CloseClientConnections()
+	g.waitLog(`"discovery failed"`)
+	for range 400 { // as many as there are places, and more
+		n, err := net.Dial("tcp", g.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.Close()
+		_, _ = n.Write(pg.AppendStartup(nil, "backend", "store"))
+	}
+	g.waitCounter("clients_accepted", 402)
+	g.agent.Set(newHost(t, "s-2", "leader", nil).Entry("SERVING"))
+	away.Store(false)
+	back := time.Now()
+	g.waitLog(`"discovery answers again"`)
+	if took := time.Since(back); took > 5*time.Second {
+		t.Errorf("the list came after %s", took)
+	}
+	for end := time.Now().Add(patience); ; {
+		c, err := clients.Start(g.address, "backend", patience)
+		if err == nil {
+			got := c.Ask(write("k", "9f", comment("order", "")))
+			c.Close()
+			if got == "row k" {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatalf("nobody is served: %s", g.log)
+		}
+	}
+}
--- a/internal/testbed/discovery/discovery.go
+++ b/internal/testbed/discovery/discovery.go
@@ -19,8 +19,12 @@
 type Server struct {
 	*httptest.Server
 	Left chan struct{} // gets one for each call that the gateway ended, while there is room
+	// Before, if set, is asked first at each call, of which n came before; true: it has answered, or has ended the call.
+	// It is set before the first call.
+	Before func(n int, w http.ResponseWriter, r *http.Request) bool
 
 	mu       sync.Mutex
+	calls    int
 	revision int
 	entries  map[string]Entry
 	order    []string
@@ -99,6 +103,15 @@
 
 // ServeHTTP answers a call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Before != nil {
+		s.mu.Lock()
+		n := s.calls
+		s.calls++
+		s.mu.Unlock()
+		if s.Before(n, w, r) {
+			return
+		}
+	}
 	q := r.URL.Query()
 	after, err := strconv.Atoi(q.Get("after"))
 	if err != nil {
