--- a/cmd/yokemast/moments_test.go
+++ b/cmd/yokemast/moments_test.go
@@ -435,3 +435,56 @@
 		}
 	}
 }
+
+// Signals may come in any order and at any stage: what was taken is answered, and the process ends in time, and cleanly.
+func TestSignalsInAnyOrder(t *testing.T) {
+	const hup, term = syscall.SIGHUP, syscall.SIGTERM
+	for name, signals := range map[string][]syscall.Signal{
+		"SIGTERM twice": {term, term}, "SIGHUP behind SIGTERM": {term, hup}, "SIGTERM behind SIGHUP": {hup, term},
+		"two SIGHUP and SIGTERM": {hup, hup, term}, "all at once": {hup, term, hup, term, hup},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			h := newHost(t, "s-1", "leader", nil)
+			h.Script = func(_ int, query string) []byte { <-release; return h.Row(query) }
+			g := start(t, nil, h)
+			c := g.client()
+			c.Send(write("k", "9f", comment("order", "")))
+			waitAsked(t, h, 1)
+			for _, s := range signals {
+				_ = g.cmd.Process.Signal(s)
+			}
+			g.waitLog(`"msg":"ending"`)
+			told := time.Now()
+			close(release)
+			if got := c.Answer(); got != "row k" {
+				t.Errorf("answered %q", got)
+			}
+			if err := g.cmd.Wait(); err != nil {
+				t.Errorf("it ended with %v", err)
+			}
+			if took := time.Since(told); took > 3700*time.Millisecond {
+				t.Errorf("it ended %s after SIGTERM", took)
+			}
+		})
+	}
+	t.Run("SIGTERM before it is ready", func(t *testing.T) {
+		t.Parallel()
+		h := newHost(t, "s-1", "leader", nil)
+		cmd := program(t.Context(), "serve", "--config", config(t, discovery.List(41, true, h.Entry("SERVING")), "127.0.0.1:1", nil))
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		// From its first line on it follows signals; a process that runs has passed that soon.
+		time.Sleep(200 * time.Millisecond)
+		_ = cmd.Process.Signal(term)
+		told := time.Now()
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+		if took := time.Since(told); took > 3700*time.Millisecond {
+			t.Errorf("it ended %s after SIGTERM", took)
+		}
+	})
+}
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -354,23 +354,16 @@
 	}
 }
 
-// part ends a connection between two requests. Its sending ends first, and it is closed only when the client has closed it too,
-// or has sent more and taken all that was written: bytes that come to a closed connection, or lie unread in one that is
-// being closed, reset it, and what the client has not taken of its last answer goes with that. Nothing is read meanwhile: a
-// request that crosses the end shows to its client as one that nobody took.
+// part ends a connection between two requests. Bytes that come to a closed connection, or lie unread in one that is being
+// closed, reset it, and what the client has not taken of its last answer goes with that. So the sending ends first, and the
+// connection is closed once the client has taken all. Nothing is read meanwhile: a request that crosses the end shows to its
+// client as one that nobody took.
 func (c *session) part() {
-	c.s.mu.Lock()
-	draining := c.s.draining
-	c.s.mu.Unlock()
-	if !draining && !c.s.leave(c) || c.conn.CloseWrite() != nil {
+	if socket.Unsent(c.conn) == 0 || c.conn.CloseWrite() != nil {
 		return
 	}
-	end := time.Now().Add(lingerFor)
-	_ = c.conn.SetReadDeadline(end)
-	if socket.AwaitInput(c.conn) {
-		for time.Now().Before(end) && socket.Unsent(c.conn) > 0 {
-			time.Sleep(unsentPause)
-		}
+	for end := time.Now().Add(lingerFor); socket.Unsent(c.conn) > 0 && time.Now().Before(end); {
+		time.Sleep(unsentPause)
 	}
 }
 
--- a/internal/wire/socket/socket.go
+++ b/internal/wire/socket/socket.go
@@ -23,23 +23,6 @@
 	return err == nil && quiet
 }
 
-// AwaitInput waits until the other end has written something, which stays unread, or has closed the connection, but no
-// longer than the deadline for reading; it says whether something lies unread.
-func AwaitInput(c syscall.Conn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-		return err != syscall.EAGAIN
-	})
-	return err == nil && unread
-}
-
 // Unsent is how many bytes that were written the other end has not acknowledged yet; 0 where that is not known.
 func Unsent(c syscall.Conn) int {
 	raw, err := c.SyscallConn()
