--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -30,7 +30,7 @@
 	x       *exchange.Exchange
 	hosts   *backend.Backend
 	front   *frontend.Server
-	duty    *conductor
+	duty    *controller
 	log     *zap.Logger
 	counts  *counters.Set
 }
@@ -55,7 +55,7 @@
 	r.x.Retune(c.Settings.Balance)
 	connect, idle := connections(c.Settings)
 	r.hosts.Retune(connect, idle, c.Settings.Balance.ColdTime)
-	r.front.Retune(advice(c.Settings.Balance))
+	r.front.Retune(retryAdvice(c.Settings.Balance))
 	r.duty.retime(c.Settings.Balance.Classes)
 	r.c = c
 }
@@ -77,12 +77,12 @@
 	}
 }
 
-// advice is the come-back time of a client that found no room.
-func advice(s balance.Settings) time.Duration {
+// retryAdvice is the come-back time of a client that found no room.
+func retryAdvice(s balance.Settings) time.Duration {
 	if !s.RetryAfter {
 		return 0
 	}
-	return min(comeBack, s.MaxRetryAfter)
+	return min(retryAfter, s.MaxRetryAfter)
 }
 
 // connections gives how long one to a host may take to come up, and how long it may idle.
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -52,7 +52,7 @@
 	tellHold              = 50 * time.Millisecond // a note waits so long for others to go with it
 	tellPerTake           = 192                   // bytes delivered to other gateways for each request
 	tellBurst             = 8 << 10
-	comeBack              = 200 * time.Millisecond // for a client that found no room
+	retryAfter            = 200 * time.Millisecond // for a client that found no room
 	user, database        = "backend", "store"
 )
 
@@ -67,7 +67,7 @@
 	ctx   context.Context
 	group *errgroup.Group
 
-	duty     *conductor
+	duty     *controller
 	x        *exchange.Exchange
 	hosts    *backend.Backend
 	front    *frontend.Server
@@ -77,7 +77,7 @@
 	made     []*frontend.Pool
 	upgrade  upgrade
 
-	accepting bool // belongs to carryOut
+	accepting bool // belongs to apply
 	shared    bool
 	closing   atomic.Bool // the clients' address is closed once nothing waits to be accepted
 }
@@ -102,7 +102,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	g := &gateway{c: c, own: own, log: log, clock: exchange.NewClock(), counts: counts, ctx: ctx, group: group}
 	defer func() { log.Info("counters", g.counts.Fields()...) }()
-	g.duty = newConductor(g.clock, c.Settings.Balance.Classes, log, counts)
+	g.duty = newController(g.clock, c.Settings.Balance.Classes, log, counts)
 	g.join()
 	defer g.leave()
 	debug.SetMemoryLimit(g.heap())
@@ -114,10 +114,10 @@
 	defer g.listener.Close()
 	g.run()
 	again := reloading{c: c, own: own, from: reload, watcher: g.watcher, x: g.x, hosts: g.hosts, front: g.front, duty: g.duty, log: log, counts: g.counts}
-	group.Go(func() error { return g.heed(signals, &again) })
+	group.Go(func() error { return g.handleSignals(signals, &again) })
 	group.Go(func() error {
 		defer stop()
-		g.duty.run(ctx, g.front.Held, g.carryOut)
+		g.duty.run(ctx, g.front.Held, g.apply)
 		return nil
 	})
 	return group.Wait()
@@ -170,7 +170,7 @@
 		User: user, Database: database}, g.x)
 	g.front = frontend.New(frontend.Config{Clock: g.clock, Log: g.log, Counters: g.counts, MaxConns: clients, KeepIdle: c.Sockets / keepPart,
 		Share: c.Sockets / sharePart, Pool: pool, MaxBytes: int64(float64(c.MemoryMB) * (1 << 20) * statementPart), MaxLarge: g.heap() / largePart,
-		ComeBack: advice(settings), Yes: g.duty.Ready, Emptied: g.duty.wake}, g.x)
+		RetryAfter: retryAdvice(settings), Yes: g.duty.Ready, Emptied: g.duty.wake}, g.x)
 	g.watcher = discovery.NewWatcher(c.Discovery, c.Seed)
 	g.watcher.Log, g.watcher.Counters, g.watcher.Members, g.watcher.Answered = g.log, g.counts, g.x.Members, g.ready()
 	return g.operate()
@@ -257,8 +257,8 @@
 	g.follow()
 }
 
-// heed follows signals.
-func (g *gateway) heed(signals <-chan os.Signal, again *reloading) error {
+// handleSignals follows signals.
+func (g *gateway) handleSignals(signals <-chan os.Signal, again *reloading) error {
 	for {
 		select {
 		case <-g.ctx.Done():
@@ -293,8 +293,8 @@
 	return l.(*net.TCPListener), nil
 }
 
-// carryOut does what the state of the process asks for.
-func (g *gateway) carryOut(v service.View) {
+// apply does what the state of the process asks for.
+func (g *gateway) apply(v service.View) {
 	if v.Last > 0 {
 		g.x.Ending(v.Last)
 		g.front.Ending()
@@ -330,7 +330,7 @@
 	if v.Shed {
 		g.front.Drain(g.upgrade.pass(v.Pass))
 	} else {
-		g.front.Keep()
+		g.front.Resume()
 	}
 	if g.others != nil && g.c.Admin != "" {
 		if v.Pass {
--- a/internal/lifecycle/service.go
+++ b/internal/lifecycle/service.go
@@ -46,8 +46,8 @@
 		Linger: linger}
 }
 
-// conductor keeps the state of the process and has it carried out. Asking it never waits for what is carried out.
-type conductor struct {
+// controller keeps the state of the process and has it carried out. Asking it never waits for what is carried out.
+type controller struct {
 	clock  exchange.Clock
 	log    *zap.Logger
 	counts *counters.Set
@@ -58,14 +58,14 @@
 	changed chan struct{}
 }
 
-func newConductor(clock exchange.Clock, classes []balance.Class, log *zap.Logger, counts *counters.Set) *conductor {
-	c := &conductor{clock: clock, log: log, counts: counts, state: service.New(timesOf(classes)), changed: make(chan struct{}, 1)}
-	c.look()
+func newController(clock exchange.Clock, classes []balance.Class, log *zap.Logger, counts *counters.Set) *controller {
+	c := &controller{clock: clock, log: log, counts: counts, state: service.New(timesOf(classes)), changed: make(chan struct{}, 1)}
+	c.refresh()
 	return c
 }
 
 // tell takes an event; what it changes holds when tell returns, and is carried out soon after.
-func (c *conductor) tell(e service.Event) error {
+func (c *controller) tell(e service.Event) error {
 	c.mu.Lock()
 	err := c.state.Handle(c.clock.Now(), e)
 	c.mu.Unlock()
@@ -73,7 +73,7 @@
 		c.log.Warn("not followed", zap.Stringer("event", e), zap.Error(err))
 		return err
 	}
-	v := c.look()
+	v := c.refresh()
 	if e != service.Ready { // that has a line of its own
 		c.log.Info("service", zap.Stringer("event", e), zap.Stringer("phase", v.Phase), zap.Stringer("heir", v.Heir), zap.Bool("yes", v.Yes))
 	}
@@ -82,21 +82,21 @@
 }
 
 // retime takes the classes of new settings: SIGKILL waits for the longest deadline.
-func (c *conductor) retime(classes []balance.Class) {
+func (c *controller) retime(classes []balance.Class) {
 	c.mu.Lock()
 	c.state.Retime(timesOf(classes))
 	c.mu.Unlock()
 	c.wake()
 }
 
-func (c *conductor) wake() {
+func (c *controller) wake() {
 	select {
 	case c.changed <- struct{}{}:
 	default:
 	}
 }
 
-func (c *conductor) look() service.View {
+func (c *controller) refresh() service.View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := c.state.View(c.clock.Now())
@@ -105,26 +105,26 @@
 }
 
 // Ready says whether the process says yes.
-func (c *conductor) Ready() bool { return c.view.Load().Yes }
+func (c *controller) Ready() bool { return c.view.Load().Yes }
 
 // Drain sends the clients away.
-func (c *conductor) Drain() error {
+func (c *controller) Drain() error {
 	c.counts.Drains.Add(1)
 	return c.tell(service.Drain)
 }
 
 // Resume takes them back.
-func (c *conductor) Resume() error {
+func (c *controller) Resume() error {
 	c.counts.Resumes.Add(1)
 	return c.tell(service.Resume)
 }
 
 // run has each view carried out until the process is to end. held says how many connections there are, and how many of them
 // wait for an answer; when there is none left, wake is to be called.
-func (c *conductor) run(ctx context.Context, held func() (all, waiting int), carryOut func(service.View)) {
+func (c *controller) run(ctx context.Context, held func() (all, waiting int), apply func(service.View)) {
 	for {
-		v := c.look()
-		carryOut(v)
+		v := c.refresh()
+		apply(v)
 		all, waiting := held()
 		if v.Idle && all == 0 {
 			return
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -41,7 +41,7 @@
 	Large, LargeRefused, LargeHeld                 Count    // large statements: come, refused for lack of memory, bytes held
 	Drains, Resumes                                Count    // words of staff that were followed
 	LogDropped                                     Count    // lines of the log that were left out
-	Standstills                                    Count    // times that events waited long to be handled
+	Stalls                                         Count    // times that events waited long to be handled
 	Panics, Timers                                 Count
 }
 
@@ -78,7 +78,7 @@
 		{"streams", &s.Streams}, {"streams_open", &s.StreamsOpen}, {"streams_cut", &s.StreamsCut},
 		{"statements_large", &s.Large}, {"statements_large_refused", &s.LargeRefused}, {"statements_large_held", &s.LargeHeld},
 		{"drains", &s.Drains}, {"resumes", &s.Resumes},
-		{"log_dropped", &s.LogDropped}, {"standstills", &s.Standstills}, {"panics", &s.Panics}, {"timers_pending", &s.Timers},
+		{"log_dropped", &s.LogDropped}, {"stalls", &s.Stalls}, {"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	} {
 		out = append(out, zap.Int64(c.name, c.count.Get()))
 	}
--- a/internal/memory/exchange/events.go
+++ b/internal/memory/exchange/events.go
@@ -38,16 +38,16 @@
 		zap.Stringer("result", e.Result), zap.Duration("took", e.Took.Round(time.Microsecond)), zap.String("class", o.Class))
 }
 
-// stoodStill is how long an event may wait to be handled before the log says so: by then clients notice.
-const stoodStill = 100 * time.Millisecond
+// stallFor is how long an event may wait to be handled before the log says so: by then clients notice.
+const stallFor = 100 * time.Millisecond
 
-// standstill says that what came has waited long: the process got no processor time, or one of its events took long.
-func (x *Exchange) standstill(batch []posted) {
+// stall says that what came has waited long: the process got no processor time, or one of its events took long.
+func (x *Exchange) stall(batch []posted) {
 	if len(batch) == 0 {
 		return
 	}
-	if waited := x.cfg.Clock.Now() - batch[0].at; waited > stoodStill {
-		x.cfg.Counters.Standstills.Add(1)
-		x.cfg.Log.Warn("stood still", zap.Duration("waited", waited.Round(time.Millisecond)), zap.Int("events", len(batch)), zap.Int("open", len(x.open)))
+	if waited := x.cfg.Clock.Now() - batch[0].at; waited > stallFor {
+		x.cfg.Counters.Stalls.Add(1)
+		x.cfg.Log.Warn("stalled", zap.Duration("waited", waited.Round(time.Millisecond)), zap.Int("events", len(batch)), zap.Int("open", len(x.open)))
 	}
 }
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -120,8 +120,8 @@
 	sendMargin = 30 * time.Millisecond
 	// drainMargin is kept free before the end of a drain's grace, or of a keyed class's window, for the way to the host.
 	drainMargin = 20 * time.Millisecond
-	// comeBack is when a client may try a group again that no list has named yet.
-	comeBack = 500 * time.Millisecond
+	// retryAfter is when a client may try a group again that no list has named yet.
+	retryAfter = 500 * time.Millisecond
 	// settleAfter is how long after they were given new settings are binding, by the operators' word.
 	settleAfter = 1200 * time.Millisecond
 	// forgetAfter is how long a host that left is remembered, later than the module forgets it: a fleet that is
@@ -257,7 +257,7 @@
 		x.mu.Lock()
 		batch, x.queue = x.queue, batch[:0]
 		x.mu.Unlock()
-		x.standstill(batch)
+		x.stall(batch)
 		for i, p := range batch {
 			x.due(p.at) // what was due before this came
 			x.handle(p.at, p.ev)
@@ -357,7 +357,7 @@
 		x.rejected(r, reason)
 		a := Answer{Kind: k, Reason: reason}
 		if s := x.cfg.Settings; k == Refused && s.RetryAfter {
-			a.RetryAfter = min(comeBack, s.MaxRetryAfter)
+			a.RetryAfter = min(retryAfter, s.MaxRetryAfter)
 		}
 		r.Answer <- a
 	}
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -155,11 +155,11 @@
 
 func TestAStandstillIsCounted(t *testing.T) {
 	x, _, _ := fresh(t)
-	for _, waited := range []time.Duration{0, stoodStill / 2, 2 * stoodStill} {
-		x.standstill([]posted{{at: x.cfg.Clock.Now() - waited}})
+	for _, waited := range []time.Duration{0, stallFor / 2, 2 * stallFor} {
+		x.stall([]posted{{at: x.cfg.Clock.Now() - waited}})
 	}
-	x.standstill(nil)
-	if got := x.cfg.Counters.Standstills.Get(); got != 1 {
+	x.stall(nil)
+	if got := x.cfg.Counters.Stalls.Get(); got != 1 {
 		t.Errorf("%d standstills are counted, want 1", got)
 	}
 }
--- a/internal/wire/frontend/ahead.go
+++ b/internal/wire/frontend/ahead.go
@@ -80,7 +80,7 @@
 			c.s.cfg.Counters.ClientsOverrun.Add(1)
 			c.s.note("cut off: too many commands wait for their turn", c)
 			c.release(cmd)
-			cmd = command{err: pg.Refusal("too many commands at once", c.s.advice())}
+			cmd = command{err: pg.Refusal("too many commands at once", c.s.retryAfter())}
 			cmd.err.Fatal = true
 		} else {
 			cmd.held += cost
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -33,7 +33,7 @@
 	longestWithin = 10 * time.Second
 	leastRate     = 32 << 10
 	writeTimeout  = 5 * time.Second // for a client to take an answer
-	// overflow is how many connections over the limit may be on their way out: told that there is no room, made to
+	// overflow is how many connections over the limit may be closing: told that there is no room, made to
 	// give way, or cut off for what they sent.
 	overflow  = 24
 	lingerFor = 500 * time.Millisecond // for a client to read why it is cut off, or what it was told last
@@ -58,18 +58,18 @@
 
 // Config is what a Server needs to know.
 type Config struct {
-	Clock    exchange.Clock
-	Log      *zap.Logger
-	Counters *counters.Set
-	MaxConns int                               // clients at a time
-	KeepIdle int                               // of them that may stay for long with nothing open
-	Share    int                               // connections that clients with requests can hold among them; 0: no such limit
-	Pool     func(user, database string) *Pool // of general sessions; nil, or nil of it: only the platform's statements are taken
-	MaxBytes int64                             // of statements held at a time that are taken whole
-	MaxLarge int64                             // of larger ones, that are taken in pieces
-	ComeBack time.Duration                     // when a client that found no room may try again; 0: no advice
-	Yes      func() bool                       // once ready: whether the empty query is answered with yes; must not wait
-	Emptied  func()                            // the last connection has ended, and none is accepted; may be nil
+	Clock      exchange.Clock
+	Log        *zap.Logger
+	Counters   *counters.Set
+	MaxConns   int                               // clients at a time
+	KeepIdle   int                               // of them that may stay for long with nothing open
+	Share      int                               // connections that clients with requests can hold among them; 0: no such limit
+	Pool       func(user, database string) *Pool // of general sessions; nil, or nil of it: only the platform's statements are taken
+	MaxBytes   int64                             // of statements held at a time that are taken whole
+	MaxLarge   int64                             // of larger ones, that are taken in pieces
+	RetryAfter time.Duration                     // when a client that found no room may try again; 0: no advice
+	Yes        func() bool                       // once ready: whether the empty query is answered with yes; must not wait
+	Emptied    func()                            // the last connection has ended, and none is accepted; may be nil
 }
 
 // Server serves clients.
@@ -80,7 +80,7 @@
 	bytes *allowance
 	large *memory
 
-	comeBack atomic.Int64 // nanoseconds: Config.ComeBack, or what Retune said
+	retry atomic.Int64 // nanoseconds: Config.RetryAfter, or what Retune said
 
 	group     errgroup.Group // of sessions
 	accepting atomic.Int32   // calls of Accept
@@ -88,7 +88,7 @@
 	mu       sync.Mutex
 	pass     Pass // nil: connections are ended, not passed on
 	sessions map[*session]struct{}
-	leaving  int                 // of them, on their way out
+	closing  int                 // of them, closing
 	keys     map[pg.Key]*session // of general sessions: what a cancel request names
 	draining bool
 	ending   chan struct{} // closed when no new clients are to be expected
@@ -100,14 +100,14 @@
 	s := &Server{cfg: cfg, x: x, ready: make(chan struct{}), ending: make(chan struct{}), bytes: &allowance{left: cfg.MaxBytes},
 		large:    newMemory(cfg.MaxLarge, cfg.Counters),
 		sessions: map[*session]struct{}{}, keys: map[pg.Key]*session{}}
-	s.Retune(cfg.ComeBack)
+	s.Retune(cfg.RetryAfter)
 	return s
 }
 
 // Retune changes when a client that found no room may try again; 0: no advice.
-func (s *Server) Retune(comeBack time.Duration) { s.comeBack.Store(int64(comeBack)) }
+func (s *Server) Retune(retryAfter time.Duration) { s.retry.Store(int64(retryAfter)) }
 
-func (s *Server) advice() time.Duration { return time.Duration(s.comeBack.Load()) }
+func (s *Server) retryAfter() time.Duration { return time.Duration(s.retry.Load()) }
 
 // Resize changes how many bytes of large statements are held at a time.
 func (s *Server) Resize(large int64) { s.large.resize(large) }
@@ -146,22 +146,22 @@
 		room, held := s.add(c)
 		if !held { // nothing that clients do may keep others from being accepted
 			s.cfg.Counters.ClientsDropped.Add(1)
-			s.note("dropped: too many connections are on their way out", c)
+			s.note("dropped: too many connections are closing", c)
 			n.Close()
 			continue
 		}
 		serve := func() { c.serve(ctx) }
 		if !room {
 			s.cfg.Counters.ClientsOver.Add(1)
-			s.note("turned away: the house is full", c)
-			serve = c.turnAway
+			s.note("rejected: connection limit reached", c)
+			serve = c.reject
 		}
 		s.begin(c, serve)
 	}
 }
 
 // Adopt goes on with a connection on which another process has done the startup, and on which nothing is open. It has idled
-// for so long there: who has idled long enough gives way here as there, or a house that is full of them turns others away.
+// for so long there: who has idled long enough gives way here as there, or a server at its limit rejects others.
 func (s *Server) Adopt(ctx context.Context, n *net.TCPConn, user string, idle time.Duration) {
 	s.cfg.Counters.ClientsAdopted.Add(1)
 	c := s.session(n)
@@ -228,15 +228,15 @@
 func (s *Server) add(c *session) (room, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	room = len(s.sessions)-s.leaving < s.cfg.MaxConns || s.makeRoom()
+	room = len(s.sessions)-s.closing < s.cfg.MaxConns || s.evictIdle()
 	if len(s.sessions) >= s.cfg.MaxConns+overflow {
 		return false, false
 	}
 	s.sessions[c] = struct{}{}
 	s.cfg.Counters.ClientsOpen.Add(1)
 	if !room {
-		c.leaving = true
-		s.leaving++
+		c.closing = true
+		s.closing++
 	} else if s.draining {
 		c.drain(s.pass != nil)
 	}
@@ -258,7 +258,7 @@
 		case <-tick.C:
 		}
 		s.mu.Lock()
-		s.endIdle()
+		s.evictSurplus()
 		s.mu.Unlock()
 	}
 }
@@ -275,7 +275,7 @@
 func (s *Server) idlers() (silent, idle []idler, pressed bool) {
 	now, held, asked := s.cfg.Clock.Now(), 0, 0
 	for c := range s.sessions {
-		if c.leaving {
+		if c.closing {
 			continue
 		}
 		held++
@@ -304,25 +304,25 @@
 	return silent, idle, pressed
 }
 
-// endIdle ends sessions that have had nothing open for long, down to those that may stay.
-func (s *Server) endIdle() {
+// evictSurplus ends sessions that have had nothing open for long, down to those that may stay.
+func (s *Server) evictSurplus() {
 	_, idle, pressed := s.idlers()
-	spared := len(s.sessions) - s.leaving - s.cfg.KeepIdle
+	spared := len(s.sessions) - s.closing - s.cfg.KeepIdle
 	for _, i := range idle[:max(0, min(spared, len(idle)))] {
 		if pressed {
 			s.cfg.Counters.ClientsPressed.Add(1)
 		}
-		s.end(i.c)
+		s.evict(i.c)
 	}
 }
 
-// makeRoom ends the session that can best be spared in a full house: of clients that have said nothing yet the one silent
+// evictIdle ends the session that can best be spared in a server at its connection limit: of clients that have said nothing yet the one silent
 // for longest, as those who mean it write at once, else the one that has had nothing open for longest. Clients that ask
 // once and hold their connection, or connect and say nothing, would otherwise keep all others out.
-func (s *Server) makeRoom() bool {
+func (s *Server) evictIdle() bool {
 	silent, idle, _ := s.idlers()
 	if list := append(silent, idle...); len(list) > 0 {
-		s.end(list[0].c)
+		s.evict(list[0].c)
 		return true
 	}
 	return false
@@ -334,24 +334,24 @@
 		zap.Duration("age", s.cfg.Clock.Now()-c.accepted), zap.Int64("clients", s.cfg.Counters.ClientsOpen.Get()))
 }
 
-func (s *Server) end(c *session) {
+func (s *Server) evict(c *session) {
 	s.cfg.Counters.ClientsEvicted.Add(1)
 	s.note("gives way: it had nothing open", c)
-	c.leaving = true
-	s.leaving++
+	c.closing = true
+	s.closing++
 	c.drain(s.pass != nil)
 }
 
-// leave says that a session is on its way out and counts no longer; false: too many are.
-func (s *Server) leave(c *session) bool {
+// beginClosing says that a session is closing and counts no longer; false: too many are.
+func (s *Server) beginClosing(c *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !c.leaving {
-		if s.leaving >= overflow {
+	if !c.closing {
+		if s.closing >= overflow {
 			return false
 		}
-		c.leaving = true
-		s.leaving++
+		c.closing = true
+		s.closing++
 	}
 	return true
 }
@@ -361,8 +361,8 @@
 	defer s.emptied()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.leaving {
-		s.leaving--
+	if c.closing {
+		s.closing--
 	}
 	delete(s.sessions, c)
 	if c.general != nil {
@@ -377,7 +377,7 @@
 // Pass gives a connection on which nothing is open, and nothing has been for so long, to another process.
 type Pass func(conn *net.TCPConn, user string, idle time.Duration) error
 
-// Drain ends every session as soon as it is between requests, and those that come, until Keep. With pass, connections are
+// Drain ends every session as soon as it is between requests, and those that come, until Resume. With pass, connections are
 // passed on in place of being ended.
 func (s *Server) Drain(pass Pass) {
 	s.mu.Lock()
@@ -392,14 +392,14 @@
 	}
 }
 
-// Keep lets sessions stay again. Those that have been ended by Drain already are gone.
-func (s *Server) Keep() {
+// Resume lets sessions stay again. Those that have been ended by Drain already are gone.
+func (s *Server) Resume() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining, s.pass = false, nil
 	for c := range s.sessions {
-		if !c.leaving {
-			c.keep()
+		if !c.closing {
+			c.resume()
 		}
 	}
 }
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -146,7 +146,7 @@
 	}
 	if length > largeBody {
 		if !c.s.bytes.take(length) {
-			return refuse(pg.Refusal("no memory for the statement", c.s.advice()))
+			return refuse(pg.Refusal("no memory for the statement", c.s.retryAfter()))
 		}
 		g.held += length
 	}
@@ -190,7 +190,7 @@
 	}
 	if !c.s.bytes.take(2 * piece) {
 		c.skipping = true
-		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.advice())})
+		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.retryAfter())})
 	}
 	defer c.s.bytes.give(2 * piece)
 	rest := relay.NewStream(length - names)
--- a/internal/wire/frontend/large.go
+++ b/internal/wire/frontend/large.go
@@ -137,7 +137,7 @@
 	c.s.cfg.Counters.LargeRefused.Add(1)
 	c.s.cfg.Log.Info("statement refused", zap.String("why", "no memory"), zap.Int("bytes", length), zap.Int("unread", left),
 		zap.Int64("held", c.s.cfg.Counters.LargeHeld.Get()))
-	return c.skip(left, command{err: pg.Refusal("no memory for the statement", c.s.advice())}, command{sync: true})
+	return c.skip(left, command{err: pg.Refusal("no memory for the statement", c.s.retryAfter())}, command{sync: true})
 }
 
 // pieces are buffers for values on their way.
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -35,7 +35,7 @@
 
 	adopted  bool // another process has done its startup
 	atRest   bool // the reader ended between two messages, at a drain: what comes next is for whoever goes on
-	leaving  bool // guarded by the server's mutex
+	closing  bool // guarded by the server's mutex
 	s        *Server
 	conn     *net.TCPConn
 	in       *bufio.Reader
@@ -184,8 +184,8 @@
 	}
 }
 
-// keep takes a drain back, if the session has not ended by it yet.
-func (c *session) keep() {
+// resume takes a drain back, if the session has not ended by it yet.
+func (c *session) resume() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.draining = false; c.midway {
@@ -334,12 +334,12 @@
 	return false
 }
 
-// turnAway tells a client that there is no room.
-func (c *session) turnAway() {
+// reject tells a client that there is no room.
+func (c *session) reject() {
 	if !c.start(lingerFor) {
 		return
 	}
-	e := pg.Refusal("too many connections", c.s.advice())
+	e := pg.Refusal("too many connections", c.s.retryAfter())
 	e.Fatal = true
 	if c.write(pg.AppendError(nil, e)) {
 		c.linger()
@@ -348,7 +348,7 @@
 
 // linger ends the sending and reads on for a moment: a close with something unread would take away what was said last.
 func (c *session) linger() {
-	if c.s.leave(c) && c.conn.CloseWrite() == nil {
+	if c.s.beginClosing(c) && c.conn.CloseWrite() == nil {
 		c.readBy(lingerFor)
 		_, _ = io.Copy(io.Discard, c.conn)
 	}
@@ -493,7 +493,7 @@
 	case length > pg.MaxLarge:
 		return c.skip(length, command{err: bad(pg.CodeProtocolViolation, "message too long")}, command{sync: true})
 	case length > largeBody && !c.s.bytes.take(length):
-		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.advice())},
+		return c.skip(length, command{err: pg.Refusal("no memory for the statement", c.s.retryAfter())},
 			command{sync: true})
 	case length > largeBody:
 		cmd.held = length
