What waits at a fence is answered when the process ends; a list counts from when it came

Cause, by reading: a write held at a move's fence is given up by the cells at the deadline they were told when it came; SIGTERM shortens that, and the cells do not hear (a fence may stand for 5 s, the process ends after 3.62). It is refused then.

--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -438,7 +438,12 @@
 	}
 	x.endBy = by
 	for _, o := range x.open {
-		o.deadline = min(o.deadline, by)
+		if o.deadline <= by {
+			continue
+		}
+		if o.deadline = by; o.waits { // at a fence, which counts with the deadline that it was told
+			x.pass(o, cells.Verdict{Kind: cells.Over, Group: o.Group})
+		}
 	}
 	x.decide(balance.Ending{By: by})
 }
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -77,6 +77,50 @@
 	}
 }
 
+// What is open when the end is told is bounded as what comes after: out at a host that hangs, or waiting at a fence.
+func TestEndingBoundsWhatIsOpen(t *testing.T) {
+	x, _, ask := fresh(t)
+	out, fenced := ask("order"), make(chan Answer, 1)
+	o := &open{Request: &Request{ID: "fenced", Class: "order", Group: 1, Write: true, Answer: fenced}, class: x.classes["order"],
+		deadline: x.cfg.Clock.Now() + time.Minute, waits: true}
+	x.open[o.ID] = o
+	by := x.cfg.Clock.Now() + 50*time.Second
+	x.handle(x.cfg.Clock.Now(), ending{by})
+	select {
+	case a := <-fenced:
+		if a.Kind != Refused {
+			t.Errorf("what waits at a fence is answered %v", a)
+		}
+	default:
+		t.Error("what waits at a fence is not answered")
+	}
+	for _, o := range x.open {
+		if o.deadline != by {
+			t.Errorf("%s has until %v, not %v", o.ID, o.deadline, by)
+		}
+	}
+	x.due(by + 10*time.Millisecond) // the module gives up what is out then
+	select {
+	case a := <-out:
+		if a.Kind != Failed {
+			t.Errorf("what is out is answered %v", a)
+		}
+	default:
+		t.Error("what is out is not answered by then")
+	}
+}
+
+// A list counts from when it came, however late the loop gets to it.
+func TestAListCountsFromWhenItCame(t *testing.T) {
+	x, h, ask := fresh(t)
+	came := x.cfg.Clock.Now() - 400*time.Millisecond
+	x.handle(came, members{true, []Member{{balance.Member{Server: "s", Group: 1, State: balance.Draining, Primary: true, Weight: 1}, "h:1"}}})
+	ask("order")
+	if len(h.sent) != 1 || h.sent[0].StartBy != came+time.Second-drainMargin {
+		t.Errorf("sent %v, want one that goes out by %v", h.sent, came+time.Second-drainMargin)
+	}
+}
+
 func TestPanicOfTheModule(t *testing.T) {
 	x, h, ask := fresh(t)
 	held := ask("order")
