--- a/cmd/yokemast/moments_test.go
+++ b/cmd/yokemast/moments_test.go
@@ -320,18 +320,21 @@
 	}
 }
 
+// resets resets the connection of a call.
+func resets(w http.ResponseWriter) bool {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return false
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+	return true
+}
+
 // troubles are what an agent can do with a call. Each gives whether it has answered.
 var troubles = map[string]func(http.ResponseWriter, *http.Request) bool{
 	"silent": func(_ http.ResponseWriter, r *http.Request) bool { <-r.Context().Done(); return true },
-	"resets": func(w http.ResponseWriter, _ *http.Request) bool {
-		c, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return false
-		}
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-		return true
-	},
+	"resets": func(w http.ResponseWriter, _ *http.Request) bool { return resets(w) },
 	"busy": func(w http.ResponseWriter, _ *http.Request) bool {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return true
@@ -348,13 +351,7 @@
 	"breaks off": func(w http.ResponseWriter, _ *http.Request) bool {
 		_, _ = w.Write([]byte(`{"revision":42,"complete":true,"members":[]}`)) // a list, and no end
 		w.(http.Flusher).Flush()
-		c, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return false
-		}
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-		return true
+		return resets(w)
 	},
 }
 
