Tests: more than 255 gateways in one run of the tests get addresses

Seen: twenty runs of the new tests under the race detector ended in the ninth: ownAddress gave a last octet over 255.

--- a/cmd/yokemast/harness_test.go
+++ b/cmd/yokemast/harness_test.go
@@ -70,8 +70,8 @@
 
 // ownAddress is a loopback address that no other gateway of the tests has, whatever ports others are given.
 func ownAddress() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:5432", 64+pid%128, pid/128%256, 1+gateways.Add(1))
+	pid, n := os.Getpid(), int(gateways.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:5432", 64+pid%128, (pid/128+64*(n/250))%256, 1+n%250)
 }
 
 func config(t testing.TB, known, discovery string, edit func(string) string) string {
