--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -110,6 +110,18 @@
 	}
 }
 
+// Where the settings let a host stay open that the list dropped without a drain, no grace runs for it.
+func TestAHostDroppedWithoutADrainMayStayOpen(t *testing.T) {
+	for _, stays := range []bool{false, true} {
+		x, _, _ := fresh(t)
+		x.cfg.Settings.DroppedStayOpen = stays
+		x.handle(x.cfg.Clock.Now(), members{whole: true})
+		if told := x.told["s"] > 0; told == stays {
+			t.Errorf("stays open %v: counts as told %v", stays, told)
+		}
+	}
+}
+
 // A list counts from when it came, however late the loop gets to it.
 func TestAListCountsFromWhenItCame(t *testing.T) {
 	x, h, ask := fresh(t)
