--- a/balance/api.go
+++ b/balance/api.go
@@ -85,6 +85,7 @@
 	ColdShare       float64
 	ColdTime        time.Duration
 	DroppedStayOpen bool          // a member that left unlisted as draining may still be used
+	Restarted       bool          // an earlier router knew members that this one does not
 	Floor           time.Duration // with remembered tokens: until then sessions may have written through an earlier process
 }
 
@@ -153,7 +154,9 @@
 	State   State
 	Primary bool // the list deems it the group's primary
 	Weight  float64
-	Started time.Duration // 0: long ago
+	Started time.Duration // at the latest; 0: long ago
+	// Incarnation is its start as the list told it: another value is another process. 0: Started tells.
+	Incarnation time.Duration
 	// SendUntil is until when anything new may go to a member that drains; 0: DrainGrace after the router hears of it, less
 	// what it keeps free itself.
 	SendUntil time.Duration
@@ -212,8 +215,10 @@
 
 // Report is a member's word on itself, as old as it is.
 type Report struct {
-	Has, Primary bool
-	Position     time.Duration
+	Has       bool
+	Role      Role          // Unknown: it holds none
+	Position  time.Duration // 0: not told
+	NotBefore time.Duration // a primary's was made no earlier, as a primary's position is the present
 }
 
 // Result is how an attempt or a probe ended.
@@ -251,6 +256,7 @@
 	Role     Role
 	Position time.Duration // 0: not told; after a write, its commit
 	Report   Report
+	Made     Made // when the member said so; nothing: between the attempt's start and now
 }
 
 // ProbeResult ends a Probe.
@@ -259,6 +265,7 @@
 	Result Result
 	Took   time.Duration
 	Report Report
+	Made   Made // NotAfter 0: now
 }
 
 // Heard is how an attempt or a probe of another router's ended, as that router told.
@@ -268,9 +275,22 @@
 	Took          time.Duration
 	Role          Role
 	Position      time.Duration // 0: not told
-	At            time.Duration // when it ended
+	At            time.Duration // when it ended, and its role was told, at the earliest
+	AtMost        time.Duration // and at the latest; 0: now
+	Source        Source        // FromGossip, or FromAnswer where this router's host side learnt it behind an outcome
 }
 
+// Inherited is what an earlier router knew of a member, with times by this one's clock: an earlier process's, or that of a router
+// which panicked.
+type Inherited struct {
+	Server                   string
+	Leads, Follows, Position time.Duration // as in Seen
+	Alive                    bool          // it was not set aside
+}
+
+// ClockMoved says that the clock by which positions and starts were read was wrong: none of them counts any more.
+type ClockMoved struct{}
+
 // Timer is an After come due.
 type Timer struct{ Tag int64 }
 
@@ -280,21 +300,21 @@
 // Ending says that the router ends: what it holds has to be answered by then, however long its clients would wait.
 type Ending struct{ By time.Duration }
 
-// Event is one of Members, ListLost, Cells, Retune, Request, Outcome, ProbeResult, Heard, Timer,
-// Gone, Ending.
+// Event is one of Members, ListLost, Cells, Retune, Request, Outcome, ProbeResult, Heard, Inherited,
+// ClockMoved, Timer, Gone, Ending.
 type Event any
 
 // Seen is what a router believes of a member.
 type Seen struct {
 	Server         string
 	Group          int
-	Limit          float64 // attempts that the router keeps out there at most
-	Out            int     // those out
-	Warmth         float64 // the least part of its capacity that it has, 0 to 1
-	Usable         bool    // open for reads and not set aside
-	Primary, Known bool    // believed to be the primary; a position of it is known
-	Role           Role    // by its newest answer
-	RoleAt         time.Duration
+	Limit          float64       // attempts that the router keeps out there at most
+	Out            int           // those out
+	Warmth         float64       // the least part of its capacity that it has, 0 to 1
+	Usable         bool          // open for reads and not set aside
+	Primary, Known bool          // believed to be the primary; a position of it is known
+	Leads          time.Duration // the newest word that it is the primary was made no earlier; 0: none
+	Follows        time.Duration // the newest word that it is none was made no later; 0: none
 	Position       time.Duration // 0: not known
 	Started        time.Duration // its last start, told or seen; 0: long ago
 }
@@ -303,6 +323,7 @@
 type Send struct {
 	ID, Server string
 	Timeout    time.Duration // 0: until the client gives up
+	Grounds    Grounds
 }
 
 // Why is the reason for which a request is given up.
@@ -360,6 +381,15 @@
 	Tag  int64
 }
 
+// PrimaryChange tells, for the log, that another member counts as a group's primary, or none, and the evidence that made it so.
+type PrimaryChange struct {
+	Group                   int
+	From, To                string // "": none
+	Source                  Source // of the last statement
+	About                   string // the member that it was on, whose evidence follows
+	Leads, Follows, Started time.Duration
+}
+
 // Watch subscribes to changes of the list.
 type Watch struct{}
 
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -40,7 +40,7 @@
 	m.of[q.cell]++
 	q.at, q.sentAt, q.parked, q.withdrawn = m, r.now, false, false
 	q.tried, q.attempts = append(q.tried, m), q.attempts+1
-	r.do(Send{q.ID, m.Server, q.limit})
+	r.do(Send{q.ID, m.Server, q.limit, r.grounds(q, m)})
 	if m == q.group.primary {
 		r.wake(q.group) // it may fall silent
 	}
@@ -103,7 +103,7 @@
 	if m == nil {
 		return
 	}
-	r.learn(m, e.Role, r.now, e.Position, e.Report)
+	r.learnOutcome(m, e)
 	if q == nil || q.at != m || e.Attempt != q.attempts-1 {
 		return // late or doubled
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -99,7 +99,7 @@
 }
 
 func (g *rig) know(server string, role Role, behind time.Duration) {
-	g.r.learn(g.r.members[server], role, g.now, g.now-behind, Report{})
+	g.r.learn(g.r.members[server], Statement{Role: role, Position: g.now - behind, Made: Made{NotBefore: g.now, NotAfter: g.now}})
 }
 
 func (g *rig) answer(id, server string, try int, res Result, role Role) []Action {
--- a/balance/cells_test.go
+++ b/balance/cells_test.go
@@ -286,7 +286,7 @@
 			}
 			r.Handle(now, c, nil)
 			for i := range 20 {
-				r.learn(r.members[fmt.Sprint("s", i)], Replica, now, now+time.Hour, Report{})
+				r.learn(r.members[fmt.Sprint("s", i)], Statement{Role: Replica, Position: now + time.Hour, Made: Made{NotBefore: now, NotAfter: now}})
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -66,19 +66,6 @@
 	return nil
 }
 
-// believed is the last that answered as primary, else the list's, unless that has answered as a replica.
-func (r *Router) believed(g *group) *member {
-	if g.primary != nil {
-		return g.primary
-	}
-	for _, m := range g.members {
-		if m.Primary && m.role != Replica && r.open(m, true) {
-			return m
-		}
-	}
-	return nil
-}
-
 // primaryFor finds the primary for q, nil while q has to wait. Only writes scout: others miss them unrun.
 func (r *Router) primaryFor(q *request, part, share float64) *member {
 	g := q.group
@@ -139,7 +126,13 @@
 		return
 	}
 	g.soughtAt, g.next = r.now, g.next+1
-	if m := g.members[g.next%len(g.members)]; r.open(m, true) {
+	m := g.members[g.next%len(g.members)]
+	for _, o := range g.members {
+		if o.Primary && r.now-o.probedAt >= downProbe { // the list's word proves nothing, but that is whom to ask first
+			m = o
+		}
+	}
+	if r.open(m, true) {
 		r.probe(m)
 	}
 }
--- /dev/null
+++ b/balance/evidence.go
@@ -0,0 +1,286 @@
+package balance
+
+// Evidence of roles and positions: what answers, reports, other routers, the list and an earlier process said of members, and since
+// when it was true at the earliest and at the latest. This file alone writes it and says who may be read from as a primary, and on
+// what grounds. docs/freshness.md has the table of sources.
+//
+// What is kept of a member is a maximum over all that was said, so that the order in which statements come does not matter: older
+// news never takes the place of newer.
+
+import (
+	"cmp"
+	"time"
+)
+
+// Source is who made a statement.
+type Source int
+
+const (
+	FromAnswer   Source = iota // an answer of the member's, whole
+	FromPart                   // the part that came of an answer which broke off, or which can't be read otherwise
+	FromReport                 // a load report that came without a role beside it
+	FromGossip                 // another router
+	FromHandover               // an earlier process of this router
+	FromList                   // the list of servers
+)
+
+// String is the source in a word.
+func (s Source) String() string {
+	return [...]string{"answer", "part of an answer", "report", "gossip", "handover", "list"}[s]
+}
+
+// Made bounds when a statement was made, by the router's clock.
+type Made struct {
+	NotBefore, NotAfter time.Duration
+	Epoch               int // of the clock by which positions were read; the router itself knows one only
+}
+
+// Statement is what a source said of a member.
+type Statement struct {
+	Source   Source
+	Role     Role          // Unknown: nothing was said of it
+	Position time.Duration // that its log had reached; 0: not told
+	Made     Made
+}
+
+// evidence is what is known of one member's role and log.
+type evidence struct {
+	position     time.Duration // highest that was told: it never goes back
+	positionFrom Source
+	leads        time.Duration // the newest word that it is the primary was made no earlier; 0: there was none
+	leadsFrom    Source
+	follows      time.Duration // the newest word that it is none was made no later; 0: there was none
+	followsFrom  Source
+	told         bool          // it has told its role at any time
+	started      time.Duration // its process started no later, by the list; 0: long ago
+}
+
+// add takes a statement that reached the router at a time. Words against being read from bind as if they had been made as late as
+// possible, words for it as if they had been made as early as possible.
+func (e *evidence) add(now time.Duration, s Statement) {
+	if s.Position > e.position {
+		e.position, e.positionFrom = s.Position, s.Source
+	}
+	e.told = e.told || s.Role != Unknown
+	switch s.Role {
+	case Primary:
+		if made := min(s.Made.NotBefore, now); made > e.leads {
+			e.leads, e.leadsFrom = made, s.Source
+		}
+	case Replica:
+		if made := min(cmp.Or(s.Made.NotAfter, now), now); made > e.follows {
+			e.follows, e.followsFrom = made, s.Source
+		}
+	}
+}
+
+// start takes the time at which the member's process started at the latest. Who starts goes on as a replica.
+func (e *evidence) start(at time.Duration) { e.started = max(e.started, at) }
+
+// leading says that its newest word is that it is the primary: one made, for certain, after all that speaks against it.
+func (e *evidence) leading() bool { return e.leads > max(e.follows, e.started) }
+
+// silent says that it has never told its role.
+func (e *evidence) silent() bool { return !e.told }
+
+// clockMoved drops what was dated by positions: the clock by which they were read was wrong.
+func (e *evidence) clockMoved() { e.position, e.leads, e.started = 0, 0, 0 }
+
+// role is what the newest certain word makes the member.
+func (e *evidence) role() Role {
+	switch {
+	case e.leading():
+		return Primary
+	case e.follows > 0:
+		return Replica
+	}
+	return Unknown
+}
+
+// Grounds say on what evidence an attempt goes to a member.
+type Grounds struct {
+	Kind     GroundsKind
+	Source   Source        // of that evidence
+	Position time.Duration // the member's, as far as it is known; 0: it is not
+	Leads    time.Duration // with LeaderWord: the word was made no earlier
+	// SendBy is when the evidence no longer holds, so that the attempt must not begin later; 0: it holds for good.
+	SendBy time.Duration
+}
+
+// GroundsKind is a kind of Grounds.
+type GroundsKind int
+
+const (
+	NotNeeded  GroundsKind = iota // a write, or a read that any member may serve: the member itself turns away what it can't
+	ByPosition                    // a replica that has applied the log far enough
+	LeaderWord                    // the member said that it is the primary, and nothing later speaks against it
+	Excused                       // the list names it, and it has told this router nothing of its role
+)
+
+// String is the kind in a word or two.
+func (k GroundsKind) String() string {
+	return [...]string{"not needed", "position", "leader's word", "list"}[k]
+}
+
+// NeedsLeader says that a word of the member's that it follows takes the grounds away.
+func (g Grounds) NeedsLeader() bool { return g.Kind == LeaderWord || g.Kind == Excused }
+
+// learn takes a statement on m, and notes who is its group's primary now.
+func (r *Router) learn(m *member, s Statement) {
+	before := m.evidence
+	m.evidence.add(r.now, s)
+	r.noteRole(m, s.Source, before)
+}
+
+// learnStart takes a start that the list tells.
+func (r *Router) learnStart(m *member, at time.Duration) {
+	before := m.evidence
+	m.evidence.start(at)
+	r.noteRole(m, FromList, before)
+}
+
+// noteRole finds the group's primary anew after evidence on m has changed, and reports a change of who it is.
+func (r *Router) noteRole(m *member, source Source, before evidence) {
+	after := m.evidence
+	if after.leads == before.leads && after.follows == before.follows && after.started == before.started {
+		return
+	}
+	g, was := m.group, m.group.primary
+	g.primary = g.newestLeader()
+	if g.primary == was {
+		return
+	}
+	x := PrimaryChange{Group: g.id, Source: source, About: m.Server, Leads: after.leads, Follows: after.follows, Started: after.started}
+	if was != nil {
+		x.From = was.Server
+	}
+	if g.primary != nil {
+		x.To = g.primary.Server
+	}
+	if len(r.changes) < changesMost {
+		r.changes = append(r.changes, x)
+	}
+}
+
+// changesMost is how many changes are kept for who asks for them; the simulator never does.
+const changesMost = 100
+
+// Changes gives what has changed since the last call, of who counts as a group's primary.
+func (r *Router) Changes() []PrimaryChange {
+	out := r.changes
+	r.changes = nil
+	return out
+}
+
+// newestLeader is the member with the newest word that it is the primary, if that still stands. Where it does not, no older word of
+// another member takes its place: that one had been replaced before.
+func (g *group) newestLeader() *member {
+	var newest *member
+	for _, m := range g.members {
+		if m.evidence.leads > 0 && (newest == nil || m.evidence.leads > newest.evidence.leads) {
+			newest = m
+		}
+	}
+	if newest == nil || newest.evidence.leads < g.ledBefore || !newest.evidence.leading() {
+		return nil
+	}
+	return newest
+}
+
+// believed is the member that last said it is the primary, else the one that the list names as long as it has not told its role.
+func (r *Router) believed(g *group) *member {
+	if g.primary != nil {
+		return g.primary
+	}
+	for _, m := range g.members {
+		if m.Primary && m.evidence.silent() && !m.relisted && r.open(m, true) {
+			return m
+		}
+	}
+	return nil
+}
+
+// grounds says on what evidence q may be sent to m now.
+func (r *Router) grounds(q *request, m *member) Grounds {
+	e := &m.evidence
+	if r.s.Checks != ChecksNone || q.cls.Need == Write || q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 {
+		return Grounds{Kind: NotNeeded, Position: e.position}
+	}
+	switch {
+	case m == m.group.primary:
+		return Grounds{Kind: LeaderWord, Source: e.leadsFrom, Position: e.position, Leads: e.leads}
+	case r.fresh(q, m):
+		g := Grounds{Kind: ByPosition, Source: e.positionFrom, Position: e.position}
+		if q.cls.Need == Bounded {
+			g.SendBy = e.position + r.usableAge(q.cls)
+		}
+		return g
+	}
+	return Grounds{Kind: Excused, Source: FromList, Position: e.position}
+}
+
+// learnOutcome takes what an attempt told. Of an answer that did not come whole only what speaks against the member counts.
+func (r *Router) learnOutcome(m *member, e Outcome) {
+	if e.Made == (Made{}) {
+		e.Made.NotBefore = r.now - e.Took
+		if e.Role == Primary { // its position is the present; of a write, its commit, rounded up
+			e.Made.NotBefore = max(e.Made.NotBefore, e.Position-slack)
+		}
+	}
+	if !wholeAnswer(e.Result) {
+		if e.Role == Replica {
+			r.learn(m, Statement{Source: FromPart, Role: Replica, Made: e.Made})
+		}
+		return
+	}
+	r.learn(m, Statement{Source: FromAnswer, Role: e.Role, Position: e.Position, Made: e.Made})
+	if e.Role != Unknown {
+		e.Report.Role = Unknown // the report beside it is older
+	}
+	r.learnReport(m, e.Made, e.Report)
+}
+
+// learnReport takes a load report, which says itself how old it is.
+func (r *Router) learnReport(m *member, made Made, rep Report) {
+	if rep.Has {
+		made.NotBefore = rep.NotBefore
+		r.learn(m, Statement{Source: FromReport, Role: rep.Role, Position: rep.Position, Made: made})
+	}
+}
+
+// onClockMoved forgets all positions, and what rests on them. Reads that have to see a session's write have to see all up to now.
+func (r *Router) onClockMoved() {
+	for _, m := range r.members {
+		before := m.evidence
+		m.evidence.clockMoved()
+		r.noteRole(m, FromAnswer, before)
+	}
+	for _, g := range r.groups {
+		g.ledBefore = 0
+	}
+	for _, q := range r.seqs {
+		if q.wrote > 0 {
+			q.wrote = r.now
+		}
+	}
+}
+
+// onInherited takes what an earlier router knew of a member.
+func (r *Router) onInherited(e Inherited) {
+	m := r.members[e.Server]
+	if m == nil {
+		return
+	}
+	if e.Leads > 0 {
+		r.learn(m, Statement{Source: FromHandover, Role: Primary, Made: Made{NotBefore: e.Leads}})
+	}
+	if e.Follows > 0 {
+		r.learn(m, Statement{Source: FromHandover, Role: Replica, Made: Made{NotAfter: e.Follows}})
+	}
+	r.learn(m, Statement{Source: FromHandover, Position: e.Position})
+	m.suspect = m.suspect || !e.Alive // a probe comes before what is sent
+	r.release(m.group)
+}
+
+// wholeAnswer says that a result is told by an answer that came whole.
+func wholeAnswer(x Result) bool { return x == OK || x == Failed || x == Full || x == Miss }
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -1,48 +1,29 @@
 package balance
 
-// What is known of members' logs and roles, and which of them are fresh enough for a read.
+// Which members are fresh enough for a read, by the evidence of their logs.
 
 import (
 	"cmp"
 	"time"
 )
 
-// learn takes the role that m had at a time, and a position of its log.
-func (r *Router) learn(m *member, role Role, at, pos time.Duration, rep Report) {
-	if rep.Has {
-		pos = max(pos, rep.Position)
-	}
-	m.pos = max(m.pos, pos)
-	g := m.group
-	if role == Unknown && rep.Has && rep.Primary {
-		// A primary stands at the present, so its report's position is the report's age.
-		role, at = Primary, rep.Position
-	}
-	p := g.primary
-	if at < r.now && (at <= m.roleAt || role == Primary && p != nil && p != m && at <= p.roleAt) {
-		return // old news
-	}
-	switch role {
-	case Primary:
-		m.role, m.roleAt, g.primary = Primary, at, m
-	case Replica:
-		if m.role, m.roleAt = Replica, at; p == m {
-			g.primary = nil
-		}
-	}
-}
-
 // fresh says whether m may be sent q by its known position; members that check reads need no proof.
 func (r *Router) fresh(q *request, m *member) bool {
 	switch {
 	case q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 || r.s.Checks != ChecksNone:
 		return true
-	case m.pos == 0:
+	case m.evidence.position == 0:
 		return false
 	case q.cls.Need == Session:
-		return m.pos >= q.wrote
+		return m.evidence.position >= q.wrote
 	}
-	return r.now-m.pos <= q.cls.Bound-slack
+	return r.now-m.evidence.position <= r.usableAge(q.cls)
+}
+
+// usableAge is how old a position may be that a bounded read is sent on. Where the bound has room for it, it leaves time for a
+// process that is held up between this look and the write.
+func (r *Router) usableAge(c *class) time.Duration {
+	return c.Bound - slack - max(0, min(r.s.HoldUp-holdUpSlack, c.Bound/holdUpPart))
 }
 
 // asking re-probes a replica for q, once per bound and less often if far behind; q waits for the answer.
@@ -56,7 +37,7 @@
 		if m.probeOut && r.now-m.probedAt < beat {
 			return true
 		}
-		if !m.probeOut && r.now-m.probedAt >= max(r.bound, min((m.probedAt-m.pos)/4, time.Second)) {
+		if !m.probeOut && r.now-m.probedAt >= max(r.bound, min((m.probedAt-m.evidence.position)/4, time.Second)) {
 			if n++; r.rng.IntN(n) == 0 {
 				next = m
 			}
--- a/balance/health.go
+++ b/balance/health.go
@@ -2,7 +2,7 @@
 
 // Which members are set aside, and the probes that bring them back.
 
-import ()
+import "cmp"
 
 // quiet says that m has work out and has been silent for longer than its answers usually take.
 func (r *Router) quiet(m *member) bool {
@@ -54,7 +54,7 @@
 	m.probeOut = false
 	if e.Result == OK || e.Result == Garbled {
 		r.lives(m)
-		r.learn(m, Unknown, r.now, 0, e.Report)
+		r.learnReport(m, e.Made, e.Report)
 		m.suspect = false
 		if m.timeouts == 0 {
 			m.downUntil = 0
@@ -72,12 +72,12 @@
 	if m == nil {
 		return
 	}
-	r.learn(m, e.Role, e.At, e.Position, Report{})
+	r.learn(m, Statement{Source: e.Source, Role: e.Role, Position: e.Position, Made: Made{NotBefore: e.At, NotAfter: cmp.Or(e.AtMost, r.now)}})
 	switch {
 	case e.Result == NoConnection:
 		m.suspect = m.suspect || e.At > m.quietFrom // a probe comes before what is sent
 	case e.Result != TimedOut && e.Result != Reset && e.At > m.quietFrom && !m.dead:
-		m.quietFrom, m.suspect = e.At, false
+		m.quietFrom, m.aliveAt, m.suspect = e.At, max(m.aliveAt, e.At), false
 		if e.Result == OK && m.timeouts == 0 {
 			m.downUntil = 0
 		}
--- a/balance/look.go
+++ b/balance/look.go
@@ -7,6 +7,7 @@
 	r.now = now
 	for _, m := range r.members {
 		see(Seen{m.Server, m.group.id, m.limit, len(m.out), r.warmth(m), r.open(m, false) && r.alive(m),
-			m == r.believed(m.group), m.pos > 0, m.role, m.roleAt, m.pos, max(m.Started, m.revived)})
+			m == r.believed(m.group), m.evidence.position > 0, m.evidence.leads, m.evidence.follows, m.evidence.position,
+			max(m.Started, m.revived)})
 	}
 }
--- a/balance/membership.go
+++ b/balance/membership.go
@@ -14,9 +14,10 @@
 	group                   *group
 	toldAt                  time.Duration // when this router heard that it drains or is gone
 	drained                 bool          // was listed as draining
-	role                    Role          // by the newest answer
-	roleAt, cutAt           time.Duration
-	pos                     time.Duration // known log position; only ever grows
+	evidence                evidence
+	relisted                bool          // it may have told its role before, and that is forgotten
+	cutAt                   time.Duration // when its limit was cut last
+	aliveAt                 time.Duration // last sign of life
 	revived                 time.Duration // first heard of after its death was seen: a start not told yet
 	out                     []*request    // attempts out, oldest first
 	of                      map[*cell]int // how many of them each cell has
@@ -45,19 +46,19 @@
 			continue
 		} else if m == nil {
 			g := r.group(l.Group)
-			m = &member{group: g, of: map[*cell]int{}, limit: firstLimit, probedAt: r.now - time.Hour}
+			m = &member{group: g, of: map[*cell]int{}, limit: firstLimit, probedAt: r.now - time.Hour, relisted: r.forgotSome || r.forgotten[l.Server]}
 			r.members[l.Server] = m
 			i, _ := slices.BinarySearchFunc(g.members, l.Server,
 				func(o *member, server string) int { return strings.Compare(o.Server, server) })
 			g.members = slices.Insert(g.members, i, m) // in the same order at every router
-		} else if l.Started > m.Started {
-			if m.role = Unknown; m.group.primary == m {
-				m.group.primary = nil
-			}
-			m.downUntil, m.suspect, m.fails, m.limit, m.share = 0, false, 0, firstLimit, 0 // a new process
+		} else if l.incarnation() != m.incarnation() && l.Started > m.aliveAt {
+			m.downUntil, m.suspect, m.fails, m.limit, m.share = 0, false, 0, firstLimit, 0 // a new process, not met yet
 		}
 		r.setState(m, l.State)
 		m.Member = l
+		if l.Started > 0 {
+			r.learnStart(m, l.Started)
+		}
 	}
 	for _, m := range r.members {
 		if e.Whole && !named[m.Server] {
@@ -68,12 +69,30 @@
 			continue
 		}
 		// Gone for good: a fleet that is replaced again and again must not fill memory.
-		delete(r.members, m.Server)
-		m.group.members = slices.DeleteFunc(m.group.members, func(o *member) bool { return o == m })
-		if m.group.primary == m {
-			m.group.primary = nil
-		}
+		r.forget(m)
+	}
+}
+
+// incarnation tells one process of a member from another: the start as the list tells it.
+func (m *Member) incarnation() time.Duration { return cmp.Or(m.Incarnation, m.Started) }
+
+// forget drops a member. That it has told its role is remembered: a list that names it the primary again proves nothing.
+func (r *Router) forget(m *member) {
+	delete(r.members, m.Server)
+	g := m.group
+	g.members = slices.DeleteFunc(g.members, func(o *member) bool { return o == m })
+	g.ledBefore = max(g.ledBefore, m.evidence.leads)
+	if g.primary == m {
+		g.primary = nil
+	}
+	if m.evidence.silent() {
+		return
+	}
+	if len(r.forgotten) >= forgottenMost {
+		clear(r.forgotten)
+		r.forgotSome = true // any member that is listed from now on may be one of them
 	}
+	r.forgotten[m.Server] = true
 }
 
 func (r *Router) setState(m *member, s State) {
@@ -95,7 +114,7 @@
 
 // lives notes a sign of life. After a death that was seen it means a start, told late.
 func (r *Router) lives(m *member) {
-	m.quietFrom = r.now
+	m.quietFrom, m.aliveAt = r.now, r.now
 	if m.dead {
 		m.dead, m.revived = false, r.now
 	}
--- a/balance/router.go
+++ b/balance/router.go
@@ -27,6 +27,11 @@
 	forgetAfter  = time.Minute     // a member that left
 	slack        = ms              // positions are whole milliseconds: doubt counts as stale
 
+	// holdUpSlack is the part of the protocol's 50 ms of slack that a process held up before a send may use; the rest is for the
+	// clock. At most one part in holdUpPart of a bound is kept free for that: short bounds would leave no replica to read from.
+	holdUpSlack, holdUpPart = 25 * ms, 4
+
+	forgottenMost        = 10000   // members that left, remembered as having told a role
 	sessionLimit         = 20000   // remembered writes
 	fallbackPart         = 0.6     // of the primary's limit that reads a replica could serve may fill
 	coldMargin           = 0.6     // of the overload factor may be used, the rest is for retries
@@ -54,7 +59,8 @@
 type group struct {
 	id                      int
 	members                 []*member
-	primary                 *member // last that answered as primary
+	primary                 *member       // who said so last, if nothing later speaks against it
+	ledBefore               time.Duration // newest such word of members that are forgotten
 	parked                  []*request
 	scout                   *request // the one write that looks for the primary while there is none
 	scoutAfter, soughtAt    time.Duration
@@ -92,6 +98,8 @@
 	shared             map[string]sharers // of a replica
 	bound              time.Duration      // the least bound of a bounded class: the pace of position probes
 	members            map[string]*member
+	forgotten          map[string]bool // members that left, of which a role had been told
+	forgotSome         bool            // more of them than are remembered
 	groups             map[int]*group
 	waiting            []*group
 	reqs               map[string]*request
@@ -105,6 +113,7 @@
 	newest, floor      time.Duration            // of those writes; none forgotten is later than the floor
 	beating, watchSent bool                     // a beat is asked for; the list is watched
 	acts               []Action
+	changes            []PrimaryChange // not asked for yet
 }
 
 // New makes a router; the error names the setting that makes no sense.
@@ -113,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), members: map[string]*member{},
+	r := &Router{rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), members: map[string]*member{}, forgotten: map[string]bool{},
 		groups: map[int]*group{}, reqs: map[string]*request{}, seqs: map[int64]*request{}, seq: firstSeq,
 		sessions: map[string]time.Duration{}}
 	r.take(s)
@@ -135,6 +144,7 @@
 		}
 	}
 	r.bound, r.floor = cmp.Or(r.bound, pinWindow), max(r.floor, s.Floor)
+	r.forgotSome = r.forgotSome || s.Restarted
 	r.onCells(r.listed)
 }
 
@@ -164,6 +174,10 @@
 		r.onProbe(e)
 	case Heard:
 		r.onHeard(e)
+	case ClockMoved:
+		r.onClockMoved()
+	case Inherited:
+		r.onInherited(e)
 	case Timer:
 		r.onTimer(e.Tag)
 	case Gone:
--- a/cmd/yokemast/admin_test.go
+++ b/cmd/yokemast/admin_test.go
@@ -101,6 +101,10 @@
 	}
 	g := start(t, edit, h, slow)
 	idle, busy := g.client(), g.client()
+	// No position is believed before a primary's answer has shown how the clock stands.
+	if got := idle.Ask(write("k", "9f", comment("order", ""))); got != "row k" {
+		t.Fatalf("the first write is answered %q", got)
+	}
 	busy.Send(read("slow", comment("view", "")))
 	for end := time.Now().Add(patience); !asked(slow, "slow"); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
--- a/cmd/yokemast/peers_test.go
+++ b/cmd/yokemast/peers_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	heard, err := state.Receive(time.Duration(time.Now().UnixNano()), 0, b[:n], nil)
+	heard, err := state.Receive(time.Duration(time.Now().UnixNano()), gossip.Offsets{}, b[:n], nil)
 	if err != nil || len(heard) != 1 || heard[0].Server != "s-1" || heard[0].Class != "order" || heard[0].Role != balance.Primary {
 		t.Errorf("told %+v, %v", heard, err)
 	}
--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -522,8 +522,17 @@
 func TestSIGHUPMovesToAnotherDiscovery(t *testing.T) {
 	a, b := newHost(t, "s-1", "leader", nil), newHost(t, "s-2", "leader", nil)
 	release, calls := make(chan struct{}), make(chan string, 100)
-	a.Script = func(_ int, query string) []byte { <-release; return a.Row(query) }
+	a.Script = func(n int, query string) []byte {
+		if n > 0 {
+			<-release
+		}
+		return a.Row(query)
+	}
 	g := start(t, nil, a)
+	first := g.client() // no position is believed before a primary's answer has shown how the clock stands
+	if got := first.Ask(write("k", "9f", comment("order", ""))); got != "row k" {
+		t.Fatalf("the first write is answered %q", got)
+	}
 	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.RawQuery
 		if len(calls) > 1 {
@@ -543,7 +552,7 @@
 	}
 	taken := g.client()
 	taken.Send(write("k", "9f", comment("order", "")))
-	for len(a.Asked()) == 0 {
+	for len(a.Asked()) < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	old, _ := os.ReadFile(g.path)
@@ -567,7 +576,7 @@
 	for end := time.Now().Add(patience); len(b.Asked()) == 0; { // the old primary is used until the hand-over
 		c.Send(read("k", comment("view", "")))
 		if got := c.Answer(); got != "row k" || time.Now().After(end) {
-			t.Fatalf("answered %q", got)
+			t.Fatalf("answered %q: %s", got, g.log)
 		}
 	}
 	close(release)
--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -1,29 +1,52 @@
 // Package fleetclock learns how far this machine's clock is off the fleet's. It does no I/O and has no clock.
 //
 // Positions of logs and starts of hosts are readings of the fleet's clock. A process reads its machine's wall clock once, when it
-// starts, and that may just have been stepped, by seconds or by an hour. What hosts tell corrects it: a position is never ahead of
-// the fleet's clock, and a primary's is that clock's reading while it made its answer.
+// starts, and that may just have been stepped, by a tenth of a second or by an hour. What hosts tell bounds the difference, and only
+// bounds it, so an estimate is an interval and each use takes the end that is safe for it: data is at least as old as Most makes it,
+// a host has started at the latest when Least says.
 //
-// A clock that one primary's answer agrees with is right for good, as it runs on without steps. So is one that two hosts' logs
-// agree with, whatever their roles: that two lag by just as much as the clock is behind is not to be expected. One that is off has
-// to be shown so by several primaries' answers in a row that agree with each other, as a single one may be spoilt.
+//   - No position is ahead of the fleet's clock: each answer of any host bounds the offset from below.
+//   - A primary's position is the fleet's time while it made its answer, which was after the query was sent: each answer of a primary
+//     bounds the offset from above as well. A load report may be older than the query, so that it does not.
+//
+// A single answer may be spoilt. An interval is believed from the first primary's answer on that allows for a clock that is right;
+// one that does not has to be told by several answers in a row that agree with each other. The same number of answers in a row that
+// contradict what is believed replace it.
 package fleetclock
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// tolerance is how far an answer may lie outside the time in which it was made: positions are rounded, and a report may be a
-	// moment old. A smaller step than this is not noticed.
-	tolerance = 500 * time.Millisecond
-	// ahead is how far a position may lie ahead of a clock that is right: commits are rounded up, and clocks are read apart.
+	// rounding is by how much a position may be off in either direction: replicas' are rounded down, commits up, to milliseconds.
+	rounding = time.Millisecond
+	// ahead is how far a position may lie ahead of a clock that is taken for right.
 	ahead = 50 * time.Millisecond
-	// agreeing is how many answers have to agree that the clock is off, and agreeingHosts how many hosts that it is right.
-	agreeing, agreeingHosts = 3, 2
+	// current is how old a host's log may be that stands at about the present of a clock that is right.
+	current = 500 * time.Millisecond
+	// agreeing is how many answers in a row have to contradict what is believed, and agree with each other, to replace it.
+	agreeing = 3
+	// unbounded is the upper end as long as no primary has answered.
+	unbounded = time.Duration(math.MaxInt64)
 )
 
+// Interval is what the fleet's clock shows more than this machine's: at least Least and at most Most.
+type Interval struct{ Least, Most time.Duration }
+
+// Width is how much is not known.
+func (i Interval) Width() time.Duration { return i.Most - i.Least }
+
+func (i Interval) intersects(o Interval) bool { return i.Least <= o.Most && o.Least <= i.Most }
+
+func (i Interval) intersect(o Interval) Interval {
+	return Interval{max(i.Least, o.Least), min(i.Most, o.Most)}
+}
+
+func (i Interval) contains(offset time.Duration) bool { return i.Least <= offset && offset <= i.Most }
+
 // Observation is what one answer of a primary tells.
 type Observation struct {
 	Position       time.Duration // of its log, by the fleet's clock
@@ -32,61 +55,115 @@
 
 // Estimate is what is known of the fleet's clock. Its zero value knows nothing. It is not safe for concurrent use.
 type Estimate struct {
-	offset    time.Duration
-	confirmed bool
-	candidate time.Duration // offset that the last answers agree on
-	seen      int           // how many do
-	behind    bool          // a position was ahead of this clock
-	current   []string      // hosts whose logs stand about at this clock's present
-	old       bool          // a host's log lies well before it
+	known    bool     // believed counts
+	believed Interval // Least is told by two answers at least, or is the only one there is
+	highest  time.Duration
+
+	dissent    Interval // that the last answers agree on, against what is believed
+	dissenters int
+
+	epoch  int      // counts how often what was believed has been given up
+	behind bool     // a position was ahead of this clock
+	hosts  []string // whose logs stand about at this clock's present
+	old    bool     // a host's log lies well before it
 }
 
-// Offset is what the fleet's clock shows more than this machine's; confirmed: an answer, or several, have told so.
-func (e *Estimate) Offset() (offset time.Duration, confirmed bool) { return e.offset, e.confirmed }
+// Offset is what the fleet's clock shows more than this machine's, as far as answers have told; confirmed: they have.
+func (e *Estimate) Offset() (offset Interval, confirmed bool) {
+	if !e.known {
+		return Interval{}, false
+	}
+	return e.believed, true
+}
 
-// Observe takes an answer. changed says that the offset is now another, or confirmed.
+// Observe takes an answer of a primary. changed says that the offset is now another, or confirmed.
 func (e *Estimate) Observe(o Observation) (changed bool) {
-	if e.confirmed || o.Position <= 0 || o.Received < o.Sent {
+	if o.Position <= 0 || o.Received < o.Sent {
 		return false
 	}
-	least, most := o.Position-o.Received, o.Position-o.Sent
-	if least <= tolerance && most >= -tolerance {
-		e.confirmed = true
-		return true
-	}
-	// The upper end: data is never taken for fresher than it is.
-	if e.seen == 0 || (most-e.candidate).Abs() > tolerance {
-		e.candidate, e.seen = most, 0
-	}
-	e.candidate = max(e.candidate, most)
-	if e.seen++; e.seen < agreeing {
-		return false
-	}
-	e.offset, e.confirmed = e.candidate, true
-	return true
+	return e.take(Interval{o.Position - rounding - o.Received, o.Position + rounding - o.Sent})
 }
 
-// ObserveHost takes a position that any host told, in an answer received at a time. changed says that the offset is confirmed.
+// ObserveHost takes a position that any host told, in an answer received at a time. changed says that the offset is now another.
 func (e *Estimate) ObserveHost(host string, position, received time.Duration) (changed bool) {
-	switch {
-	case e.confirmed || position <= 0:
+	if position <= 0 {
 		return false
+	}
+	if e.known {
+		return e.take(Interval{position - rounding - received, unbounded})
+	}
+	switch {
 	case position > received+ahead:
 		e.behind = true
-		return false
-	case received-position > tolerance:
+	case received-position > current:
 		e.old = true
+	case !slices.Contains(e.hosts, host):
+		e.hosts = append(e.hosts, host)
+	}
+	return false
+}
+
+// take narrows what is believed, or counts an answer that contradicts it.
+func (e *Estimate) take(seen Interval) (changed bool) {
+	if !e.known {
+		if seen.Most == unbounded || !seen.contains(0) {
+			return e.disagree(seen)
+		}
+		e.believe(seen)
+		return true
+	}
+	if !e.believed.intersects(seen) {
+		return e.disagree(seen)
+	}
+	if seen.Most != unbounded {
+		e.dissenters = 0
+	}
+	before := e.believed
+	e.believed.Most = min(e.believed.Most, seen.Most)
+	e.raise(seen.Least)
+	return e.believed != before
+}
+
+// raise takes a lower bound. The highest of all counts only once another answer has come as far: it may be spoilt.
+func (e *Estimate) raise(least time.Duration) {
+	if least > e.highest {
+		e.believed.Least, e.highest = max(e.believed.Least, min(e.highest, e.believed.Most)), least
+		return
+	}
+	e.believed.Least = max(e.believed.Least, least)
+}
+
+// disagree counts an answer that contradicts what is believed, or a clock that is right. Enough of them in a row that agree with
+// each other replace it.
+func (e *Estimate) disagree(seen Interval) (changed bool) {
+	if e.dissenters == 0 || !e.dissent.intersects(seen) {
+		e.dissent, e.dissenters = seen, 0
+	}
+	e.dissent = e.dissent.intersect(seen)
+	if e.dissenters++; e.dissenters < agreeing {
 		return false
-	case e.behind || slices.Contains(e.current, host):
-		return false
 	}
-	e.current = append(e.current, host)
-	e.confirmed = len(e.current) >= agreeingHosts
-	return e.confirmed
+	if e.dissent.Most == unbounded { // replicas alone: that what was believed is wrong is all that is known
+		was := e.known
+		*e = Estimate{behind: true, epoch: e.epoch + 1}
+		return was
+	}
+	if e.known {
+		e.epoch++
+	}
+	e.believe(e.dissent)
+	return true
+}
+
+func (e *Estimate) believe(i Interval) {
+	e.known, e.believed, e.highest, e.dissenters = true, i, i.Least, 0
 }
 
 // Doubtful says that it is not known how the clock stands, and that what was told speaks against its being right.
-func (e *Estimate) Doubtful() bool { return !e.confirmed && (e.behind || e.old && len(e.current) == 0) }
+func (e *Estimate) Doubtful() bool { return !e.known && (e.behind || e.old && len(e.hosts) == 0) }
+
+// Epoch changes whenever what was believed turns out wrong: times that were converted before do not compare with later ones.
+func (e *Estimate) Epoch() int { return e.epoch }
 
 // Inherit takes what an earlier process on this machine knew, in terms of this process's clock.
-func (e *Estimate) Inherit(offset time.Duration) { e.offset, e.confirmed = offset, true }
+func (e *Estimate) Inherit(offset Interval) { e.believe(offset) }
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -7,7 +7,8 @@
 //	3 bytes  the host: a hash of its id
 //	2 bytes  from the top: 4 bits how it ended, 2 bits the host's role, 2 bits the class (3: none), 4 bits the time
 //	         that it took (k stands for 4 ms * 2^(k/2), rounded to the nearest), 4 bits how long before the head's
-//	         clock it ended, in steps of 16 ms, rounded up; a role seen longer ago than 15 is not told
+//	         clock it ended, in steps of 16 ms, rounded up; with the role of a primary, since when it was that for certain. A
+//	         role seen longer ago than 15 is not told
 //	1 byte   the host's log position: 1 + its age at the head's clock in steps of 4 ms, rounded up; 0: not told
 //
 // Numbers are big-endian.
@@ -26,7 +27,7 @@
 )
 
 const (
-	version  = 1
+	version  = 2 // 1 told of a primary when its answer was handled, which may be long after it was made
 	headSize = 5
 	noteSize = 6
 	maxBytes = 256 // of a datagram, by the platform's protocol
@@ -179,9 +180,12 @@
 	ErrNote    = errors.New("gossip: a note with an unknown result or role")
 )
 
+// Offsets are what the fleet's clock shows more than the one of this gateway: at least, as far as ages of data count by it, and at most.
+type Offsets struct{ Least, Ages, Most time.Duration }
+
 // Receive reads a datagram. One that is at fault in any part is not used at all. Notes on hosts that this gateway's list does not
-// name are left out. ahead is what the fleet's clock shows more than the one that now is read from.
-func (s *State) Receive(now, ahead time.Duration, b []byte, out []balance.Heard) ([]balance.Heard, error) {
+// name are left out. What is told comes as the earliest that it may have been, by the clock that now is read from.
+func (s *State) Receive(now time.Duration, ahead Offsets, b []byte, out []balance.Heard) ([]balance.Heard, error) {
 	switch {
 	case len(b) < 1 || b[0] != version:
 		return out, ErrVersion
@@ -189,17 +193,18 @@
 		return out, fmt.Errorf("%w: %d bytes", ErrLength, len(b))
 	}
 	// The sender's clock: the moment of that reading that is nearest to now.
-	ms := (now + ahead) / time.Millisecond
-	sent := (ms+time.Duration(int32(binary.BigEndian.Uint32(b[1:])-uint32(ms))))*time.Millisecond - ahead
+	ms := (now + ahead.Least) / time.Millisecond
+	head := (ms + time.Duration(int32(binary.BigEndian.Uint32(b[1:])-uint32(ms)))) * time.Millisecond
+	sent := head - ahead.Least
 	if sent > now+early || sent < now-latest {
 		return out, fmt.Errorf("%w: %s", ErrClock, now-sent)
 	}
-	sent = min(sent, now)
+	ended, logAt := min(head-ahead.Most, now), min(head-ahead.Ages, now)
 	from := len(out)
 	for b = b[headSize:]; len(b) > 0; b = b[noteSize:] {
 		info := binary.BigEndian.Uint16(b[3:])
-		n := balance.Heard{Result: balance.Result(info >> 12), Role: balance.Role(info >> 10 & 3), At: sent - time.Duration(info&15)*endedStep,
-			Took: tookOf(int(info >> 4 & 15))}
+		n := balance.Heard{Result: balance.Result(info >> 12), Role: balance.Role(info >> 10 & 3), At: ended - time.Duration(info&15)*endedStep,
+			Took: tookOf(int(info >> 4 & 15)), Source: balance.FromGossip}
 		if n.Result > balance.Garbled || n.Role > balance.Replica {
 			return out[:from], ErrNote
 		}
@@ -207,7 +212,7 @@
 			n.Class = s.cfg.Classes[class].Name
 		}
 		if b[5] > 0 {
-			n.Position = sent - time.Duration(b[5]-1)*ageStep
+			n.Position = logAt - time.Duration(b[5]-1)*ageStep
 		}
 		if n.Server = s.hosts[uint32(b[0])<<16|uint32(b[1])<<8|uint32(b[2])]; n.Server != "" {
 			out = append(out, n)
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -32,7 +32,7 @@
 // hear passes what is due at from on to another gateway.
 func hear(t *testing.T, from, to *State, sent, come time.Duration) []balance.Heard {
 	t.Helper()
-	out, err := to.Receive(come, 0, from.Datagram(sent, 0, nil), nil)
+	out, err := to.Receive(come, Offsets{}, from.Datagram(sent, 0, nil), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,6 +62,7 @@
 		if !s.Note(now, c.told) {
 			t.Fatalf("%s: not told", c.name)
 		}
+		c.want.Source = balance.FromGossip
 		if diff := cmp.Diff([]balance.Heard{c.want}, hear(t, s, to, now, now+20*ms)); diff != "" {
 			t.Errorf("%s: %s", c.name, diff)
 		}
@@ -77,7 +78,7 @@
 		come := sent + time.Duration(rapid.Int64Range(-int64(early), int64(latest)-int64(ms)).Draw(t, "on its way"))
 		s, to := state(nil), state(nil)
 		s.Note(at, balance.Heard{Server: "s-1", Position: position, At: at})
-		out, err := to.Receive(come, 0, s.Datagram(sent, 0, nil), nil)
+		out, err := to.Receive(come, Offsets{}, s.Datagram(sent, 0, nil), nil)
 		if err != nil || len(out) != 1 {
 			t.Fatalf("%v, %v", out, err)
 		}
@@ -111,7 +112,7 @@
 		{"old", aged, ErrClock}, {"ahead of the clock", ahead, ErrClock}, {"unknown result", with(headSize+noteSize+3, 0xf0), ErrNote},
 		{"unknown role", with(headSize+3, 0x0c), ErrNote},
 	} {
-		if out, err := state(nil).Receive(now, 0, c.b, nil); !errors.Is(err, c.want) || len(out) > 0 {
+		if out, err := state(nil).Receive(now, Offsets{}, c.b, nil); !errors.Is(err, c.want) || len(out) > 0 {
 			t.Errorf("%s: %v, %v", c.name, out, err)
 		}
 	}
@@ -178,7 +179,7 @@
 	s.Note(now, balance.Heard{Server: "s-1", At: now})
 	f.Add(s.Datagram(now, 0, nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		out, err := state(nil).Receive(now, 0, b, nil)
+		out, err := state(nil).Receive(now, Offsets{}, b, nil)
 		for _, n := range out {
 			if err != nil || n.At > now || n.Position > now || n.Server == "" {
 				t.Errorf("%+v, %v", n, err)
@@ -196,6 +197,30 @@
 	var out []balance.Heard
 	b.ReportAllocs()
 	for b.Loop() {
-		out, _ = s.Receive(now, 0, datagram, out[:0])
+		out, _ = s.Receive(now, Offsets{}, datagram, out[:0])
 	}
 }
+
+// Two gateways whose clocks stand differently, and are known only within some milliseconds: nothing is heard as later than it was.
+func TestNothingIsHeardAsLaterThanItWasAcrossClocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string, least, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, name))
+		}
+		// The fleet's clock shows so much more than the sender's and the receiver's.
+		from, to := draw("sender's offset", -time.Second, time.Second), draw("receiver's offset", -time.Second, time.Second)
+		below, above := draw("not known below", 0, 4*ms), draw("not known above", 0, 100*ms)
+		position, led := now-draw("age", 0, 300*ms), now-draw("led", 0, 200*ms) // by the fleet's clock
+		s, r := state(nil), state(nil)
+		// The sender's own knowledge is never later than it was.
+		s.Note(now-from, balance.Heard{Server: "s-1", Role: balance.Primary, Position: position - from, At: led - from})
+		offsets := Offsets{Least: to - below, Ages: to, Most: to + above}
+		out, err := r.Receive(now-to+20*ms, offsets, s.Datagram(now-from, from-below, nil), nil)
+		if err != nil || len(out) != 1 {
+			t.Fatalf("%v, %v", out, err)
+		}
+		if n := out[0]; n.Position+to > position || n.Role == balance.Primary && n.At+to > led {
+			t.Errorf("a position %s too new, a word %s too new", n.Position+to-position, n.At+to-led)
+		}
+	})
+}
--- a/internal/disk/handover/handover.go
+++ b/internal/disk/handover/handover.go
@@ -16,11 +16,14 @@
 	"github.com/tidwall/gjson"
 
 	"yokemast/balance"
+	"yokemast/internal/control/fleetclock"
 )
 
 const (
-	magic    = "ymho"
-	version  = 1
+	magic   = "ymho"
+	version = 2
+	// earlier is the version that told a role and when the answer that told it was handled.
+	earlier  = 1
 	headSize = 16
 	// MaxBytes bounds a handover: some thousands of hosts. A longer one is torn or none.
 	MaxBytes = 4 << 20
@@ -39,8 +42,8 @@
 	Listed          bool // as the primary
 	Weight          float64
 	Started         time.Duration // told or seen, whichever is later; 0: long ago
-	Role            balance.Role
-	RoleAt          time.Duration // when it had it
+	Leads           time.Duration // the newest word that it is the primary was made no earlier; 0: none
+	Follows         time.Duration // the newest word that it is none was made no later; 0: none
 	Position        time.Duration // of its log; 0: not known
 	Alive           bool          // not set aside
 	NotifiedFor     time.Duration // since the gateway was notified that it drains, at the time of the handover; 0: it does not
@@ -53,8 +56,8 @@
 	Newest   time.Duration // of the writes of sessions that were remembered; 0: none were
 	Hosts    []Host
 
-	ClockKnown bool          // Ahead is
-	Ahead      time.Duration // what the fleet's clock shows more than that of At
+	ClockKnown bool                // Ahead is
+	Ahead      fleetclock.Interval // what the fleet's clock shows more than that of At
 }
 
 // The JSON names, in one place for both directions.
@@ -64,7 +67,8 @@
 	Newest   int64  `json:"newest"`
 	Hosts    []host `json:"hosts"`
 	Clock    bool   `json:"clock"`
-	Ahead    int64  `json:"ahead"`
+	Ahead    int64  `json:"ahead_least"`
+	Most     int64  `json:"ahead_most"`
 }
 
 type host struct {
@@ -75,33 +79,42 @@
 	Listed   bool    `json:"listed"`
 	Weight   float64 `json:"weight"`
 	Started  int64   `json:"started"`
-	Role     int     `json:"role"`
-	RoleAt   int64   `json:"role_at"`
+	Leads    int64   `json:"leads"`
+	Follows  int64   `json:"follows"`
 	Position int64   `json:"position"`
 	Alive    bool    `json:"alive"`
 	Notified int64   `json:"notified_for"`
 }
 
-func down(d time.Duration) int64 { return d.Milliseconds() }
-func up(d time.Duration) int64   { return (d + time.Millisecond - 1).Milliseconds() }
-func of(ms int64) time.Duration  { return time.Duration(ms) * time.Millisecond }
+// down and up round to milliseconds, also what is below zero.
+func down(d time.Duration) int64 {
+	ms := d.Milliseconds()
+	if of(ms) > d {
+		ms--
+	}
+	return ms
+}
+func up(d time.Duration) int64  { return -down(-d) }
+func of(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // Encode gives the handover.
 func Encode(k Knowledge) ([]byte, error) {
 	b := body{At: down(k.At), Revision: k.Revision, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
-		Clock: k.ClockKnown, Ahead: up(k.Ahead)}
+		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least), Most: up(k.Ahead.Most)}
 	for _, h := range k.Hosts {
-		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(h.Started), int(h.Role),
-			down(h.RoleAt), down(h.Position), h.Alive, up(h.NotifiedFor)})
+		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(h.Started), down(h.Leads),
+			up(h.Follows), down(h.Position), h.Alive, up(h.NotifiedFor)})
 	}
 	text, err := json.Marshal(b)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	return append(head(text), text...), nil
+	return append(head(version, text), text...), nil
 }
 
-func head(text []byte) []byte {
+func headVersion(b []byte) uint16 { return binary.BigEndian.Uint16(b[4:]) }
+
+func head(version uint16, text []byte) []byte {
 	out := append(make([]byte, 0, headSize+len(text)), magic...)
 	out = binary.BigEndian.AppendUint16(out, version)
 	out = binary.BigEndian.AppendUint16(out, 0)
@@ -126,20 +139,21 @@
 		return Knowledge{}, fmt.Errorf("%w: it took %s", ErrOld, now-asked)
 	case len(b) < headSize || len(b) > MaxBytes || string(b[:4]) != magic:
 		return Knowledge{}, fmt.Errorf("%w: %d bytes", ErrTorn, len(b))
-	case binary.BigEndian.Uint16(b[4:]) != version:
-		return Knowledge{}, fmt.Errorf("%w: %d, this program's is %d", ErrVersion, binary.BigEndian.Uint16(b[4:]), version)
+	case headVersion(b) != version && headVersion(b) != earlier:
+		return Knowledge{}, fmt.Errorf("%w: %d, this program's is %d", ErrVersion, headVersion(b), version)
 	}
 	text := b[headSize:]
-	if string(head(text)) != string(b[:headSize]) || !gjson.ValidBytes(text) {
+	if string(head(headVersion(b), text)) != string(b[:headSize]) || !gjson.ValidBytes(text) {
 		return Knowledge{}, fmt.Errorf("%w: length or checksum", ErrTorn)
 	}
 	root := gjson.ParseBytes(text)
 	k := Knowledge{At: of(root.Get("at").Int()), Revision: root.Get("revision").Int(), Newest: of(root.Get("newest").Int())}
-	k.ClockKnown, k.Ahead = root.Get("clock").Bool(), of(root.Get("ahead").Int())
+	k.ClockKnown = root.Get("clock").Bool() && headVersion(b) == version // an earlier one took a clock for right that was nearly so
+	k.Ahead = fleetclock.Interval{Least: of(root.Get("ahead_least").Int()), Most: of(root.Get("ahead_most").Int())}
 	step := time.Duration(0)
 	if k.At < asked-readApart || k.At > now+readApart {
 		step = asked - k.At
-		k.At, k.Ahead = asked, k.Ahead-step
+		k.At, k.Ahead = asked, fleetclock.Interval{Least: k.Ahead.Least - step, Most: k.Ahead.Most - step}
 		if k.Newest > 0 {
 			k.Newest += step + now - asked
 		}
@@ -147,17 +161,23 @@
 	for i, e := range root.Get("hosts").Array() {
 		h := Host{Server: e.Get("id").Str, Address: e.Get("address").Str, Group: int(e.Get("group").Int()),
 			State: balance.State(e.Get("state").Int()), Listed: e.Get("listed").Bool(), Weight: e.Get("weight").Num,
-			Started: of(e.Get("started").Int()), Role: balance.Role(e.Get("role").Int()), RoleAt: of(e.Get("role_at").Int()),
+			Started: of(e.Get("started").Int()), Leads: of(e.Get("leads").Int()), Follows: of(e.Get("follows").Int()),
 			Position: of(e.Get("position").Int()), Alive: e.Get("alive").Bool(),
 			NotifiedFor: of(e.Get("notified_for").Int())}
-		for _, t := range []*time.Duration{&h.Started, &h.RoleAt, &h.Position} {
+		if headVersion(b) == earlier {
+			h.Position = 0 // by a clock that may have been off
+			if balance.Role(e.Get("role").Int()) == balance.Replica {
+				h.Follows = of(e.Get("role_at").Int()) // never earlier than the answer
+			}
+		}
+		for _, t := range []*time.Duration{&h.Started, &h.Leads, &h.Follows, &h.Position} {
 			if *t > 0 {
 				*t += step
 			}
 		}
 		// What lies ahead would pass stale data as fresh for good.
-		if h.Server == "" || h.State < balance.Active || h.State > balance.Left || h.Role < balance.Unknown || h.Role > balance.Replica ||
-			h.Position > now || h.RoleAt > now || h.Position < 0 || h.RoleAt < 0 || h.Started < 0 || h.NotifiedFor < 0 {
+		if h.Server == "" || h.State < balance.Active || h.State > balance.Left || h.Position > now || h.Leads > now ||
+			h.Position < 0 || h.Leads < 0 || h.Follows < 0 || h.Started < 0 || h.NotifiedFor < 0 {
 			return Knowledge{}, fmt.Errorf("%w: hosts.%d", ErrHost, i)
 		}
 		k.Hosts = append(k.Hosts, h)
--- a/internal/disk/handover/handover_test.go
+++ b/internal/disk/handover/handover_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"yokemast/balance"
+	"yokemast/internal/control/fleetclock"
 )
 
 const now = 1_767_225_600 * time.Second
@@ -15,10 +16,10 @@
 func known() Knowledge {
 	ms := time.Millisecond
 	return Knowledge{At: now - 3*ms, Revision: 41, Newest: now - 200*ms, Hosts: []Host{
-		{Server: "s-1", Address: "127.0.0.9:5432", Group: 3, Listed: true, Weight: 1, Role: balance.Primary, RoleAt: now - 5*ms,
+		{Server: "s-1", Address: "127.0.0.9:5432", Group: 3, Listed: true, Weight: 1, Leads: now - 5*ms, Follows: now - time.Minute,
 			Position: now - 9*ms, Alive: true},
-		{Server: "s-2", Address: "127.0.0.8:5432", State: balance.Draining, Weight: 0.5, Started: now - time.Second, Role: balance.Replica,
-			NotifiedFor: 300 * ms}}, ClockKnown: true, Ahead: 2 * time.Second}
+		{Server: "s-2", Address: "127.0.0.8:5432", State: balance.Draining, Weight: 0.5, Started: now - time.Second, Follows: now - ms,
+			NotifiedFor: 300 * ms}}, ClockKnown: true, Ahead: fleetclock.Interval{Least: -30 * ms, Most: 2 * time.Second}}
 }
 
 func TestThereAndBack(t *testing.T) {
@@ -75,9 +76,11 @@
 		}
 		want := known()
 		moved := asked - want.At
-		want.At, want.Ahead = asked, want.Ahead-moved
+		want.At, want.Ahead = asked, fleetclock.Interval{Least: want.Ahead.Least - moved, Most: want.Ahead.Most - moved}
 		want.Newest += moved + 4*time.Millisecond
-		want.Hosts[0].RoleAt += moved
+		want.Hosts[0].Leads += moved
+		want.Hosts[0].Follows += moved
+		want.Hosts[1].Follows += moved
 		want.Hosts[0].Position += moved
 		want.Hosts[1].Started += moved
 		if d := cmp.Diff(want, got); d != "" {
@@ -85,3 +88,18 @@
 		}
 	}
 }
+
+// The version before told a role and when the answer that told it was handled, and took clocks for right that were nearly so. Only
+// that a host follows is taken from it.
+func TestAHandoverOfTheVersionBefore(t *testing.T) {
+	text := []byte(`{"at":1767225599997,"revision":41,"newest":0,"clock":true,"ahead":0,"hosts":[
+		{"id":"s-1","address":"127.0.0.9:5432","group":3,"listed":true,"weight":1,"role":1,"role_at":1767225599995,"position":1767225599991,"alive":true},
+		{"id":"s-2","address":"127.0.0.8:5432","group":3,"listed":true,"weight":1,"role":2,"role_at":1767225599990,"position":1767225599980,"alive":true}]}`)
+	got, err := Decode(now-5*time.Millisecond, now, append(head(earlier, text), text...))
+	want := Knowledge{At: now - 3*time.Millisecond, Revision: 41, Hosts: []Host{
+		{Server: "s-1", Address: "127.0.0.9:5432", Group: 3, Listed: true, Weight: 1, Alive: true},
+		{Server: "s-2", Address: "127.0.0.8:5432", Group: 3, Listed: true, Weight: 1, Follows: now - 10*time.Millisecond, Alive: true}}}
+	if d := cmp.Diff(want, got); d != "" || err != nil {
+		t.Error(err, d)
+	}
+}
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -42,6 +42,8 @@
 	Large, LargeRefused, LargeHeld                 Count    // large statements: come, refused for lack of memory, bytes held
 	Drains, Resumes                                Count    // words of staff that were followed
 	LogDropped                                     Count    // lines of the log that were left out
+	Grounds                                        [4]Count // attempts, by the evidence on which they went
+	Primaries                                      Count    // changes of who counts as a group's primary
 	Stalls                                         Count    // times that events waited long to be handled
 	Panics, Timers                                 Count
 }
@@ -49,6 +51,9 @@
 var outcomeNames = [10]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
 	"not_sent", "miss", "garbled"}
 
+// groundsNames are in the order of balance.GroundsKind.
+var groundsNames = [4]string{"none_needed", "position", "leader", "list"}
+
 var stageNames = [5]string{"planned", "warming", "fenced", "settled", "aborted"}
 
 // Fields gives every counter with its name, for the log.
@@ -78,7 +83,7 @@
 		{"clients_passed", &s.ClientsPassed}, {"clients_adopted", &s.ClientsAdopted},
 		{"streams", &s.Streams}, {"streams_open", &s.StreamsOpen}, {"streams_cut", &s.StreamsCut},
 		{"statements_large", &s.Large}, {"statements_large_refused", &s.LargeRefused}, {"statements_large_held", &s.LargeHeld},
-		{"drains", &s.Drains}, {"resumes", &s.Resumes},
+		{"drains", &s.Drains}, {"resumes", &s.Resumes}, {"primary_changes", &s.Primaries},
 		{"log_dropped", &s.LogDropped}, {"stalls", &s.Stalls}, {"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	} {
 		out = append(out, zap.Int64(c.name, c.count.Get()))
@@ -86,6 +91,9 @@
 	for i, name := range stageNames {
 		out = append(out, zap.Int64("moves_"+name, s.Moves[i].Get()))
 	}
+	for i, name := range groundsNames {
+		out = append(out, zap.Int64("attempts_by_"+name, s.Grounds[i].Get()))
+	}
 	for i, name := range outcomeNames {
 		out = append(out, zap.Int64("outcome_"+name, s.Outcomes[i].Get()))
 	}
--- a/internal/memory/exchange/clock.go
+++ b/internal/memory/exchange/clock.go
@@ -21,13 +21,26 @@
 	mu       sync.Mutex
 	estimate fleetclock.Estimate
 
-	offset    atomic.Int64
-	confirmed atomic.Bool
-	doubtful  atomic.Bool
+	now atomic.Pointer[fleetNow]
 }
 
+// fleetNow is what is known at a moment.
+type fleetNow struct {
+	offset              fleetclock.Interval
+	confirmed, doubtful bool
+	epoch               int
+}
+
+// ageSlack is the part of the protocol's 50 ms of slack that data may be older than its position tells because it is not known
+// exactly how this clock stands. The rest is for a process that is held up before a send.
+const ageSlack = 25 * time.Millisecond
+
 // NewClock reads the wall.
-func NewClock() Clock { return Clock{start: time.Now(), fleet: &fleetTime{}} }
+func NewClock() Clock {
+	c := Clock{start: time.Now(), fleet: &fleetTime{}}
+	c.fleet.publish()
+	return c
+}
 
 // Held gives the same clock, whose readings reach their caller only when hold returns. Tests use it to stop a goroutine between
 // reading the clock and acting on what it read.
@@ -45,65 +58,72 @@
 	return now
 }
 
-// Confirmed says that it is known how this clock stands to the fleet's.
-func (c Clock) Confirmed() bool { return c.fleet.confirmed.Load() }
+// Confirmed says that it is known how this clock stands to the fleet's, within Offset.
+func (c Clock) Confirmed() bool { return c.fleet.now.Load().confirmed }
 
 // Doubtful says that it is not known how this clock stands, and that what was told speaks against its being right.
-func (c Clock) Doubtful() bool { return c.fleet.doubtful.Load() }
+func (c Clock) Doubtful() bool { return c.fleet.now.Load().doubtful }
 
-// Offset is what the fleet's clock shows more than this one; 0 as long as that is not known.
-func (c Clock) Offset() time.Duration { return time.Duration(c.fleet.offset.Load()) }
+// Epoch changes whenever what was known of the fleet's clock turns out wrong: positions converted before do not compare with later ones.
+func (c Clock) Epoch() int { return c.fleet.now.Load().epoch }
 
-// Local converts a time of the fleet's clock to this one's; 0, which stands for none, stays so.
-func (c Clock) Local(t time.Duration) time.Duration {
-	if t == 0 {
-		return 0
-	}
-	return t - c.Offset()
+// Offset is what the fleet's clock shows more than this one; nothing as long as that is not known.
+func (c Clock) Offset() fleetclock.Interval { return c.fleet.now.Load().offset }
+
+// AgeOffset is the offset by which ages of data are counted: with it no data is older than it seems by more than ageSlack.
+func (c Clock) AgeOffset() time.Duration {
+	offset := c.Offset()
+	return max(offset.Least, offset.Most-ageSlack)
 }
 
-// Fleet converts a time of this clock to the fleet's; 0, which stands for none, stays so.
-func (c Clock) Fleet(t time.Duration) time.Duration {
+// Position converts a position of a log, or one that a read must see, to this clock; 0, which stands for none, stays so.
+func (c Clock) Position(t time.Duration) time.Duration { return minus(t, c.AgeOffset()) }
+
+// Earliest converts a time of the fleet's clock to the earliest that it may be by this one; 0, which stands for none, stays so.
+func (c Clock) Earliest(t time.Duration) time.Duration { return minus(t, c.Offset().Most) }
+
+// Latest converts a time of the fleet's clock to the latest that it may be by this one; 0, which stands for none, stays so.
+func (c Clock) Latest(t time.Duration) time.Duration { return minus(t, c.Offset().Least) }
+
+func minus(t, offset time.Duration) time.Duration {
 	if t == 0 {
 		return 0
 	}
-	return t + c.Offset()
+	return t - offset
 }
 
+// FleetAtMost is the latest time that the fleet's clock may show now.
+func (c Clock) FleetAtMost() time.Duration { return c.Now() + c.Offset().Most }
+
+// FleetOfLatest takes Latest back.
+func (c Clock) FleetOfLatest(t time.Duration) time.Duration { return minus(t, -c.Offset().Least) }
+
 // Observe learns from an answer of a primary.
 func (c Clock) Observe(o fleetclock.Observation) {
-	if c.Confirmed() {
-		return
-	}
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	c.fleet.estimate.Observe(o)
-	c.fleet.publish()
+	c.fleet.update(func(e *fleetclock.Estimate) bool { return e.Observe(o) })
 }
 
 // ObserveHost learns from a position that any host told in an answer that was received at a time.
 func (c Clock) ObserveHost(host string, position, received time.Duration) {
-	if c.Confirmed() {
-		return
-	}
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	c.fleet.estimate.ObserveHost(host, position, received)
-	c.fleet.publish()
+	c.fleet.update(func(e *fleetclock.Estimate) bool { return e.ObserveHost(host, position, received) })
 }
 
 // Inherit takes the offset that an earlier process on this machine knew, in terms of this clock.
-func (c Clock) Inherit(offset time.Duration) {
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	c.fleet.estimate.Inherit(offset)
-	c.fleet.publish()
+func (c Clock) Inherit(offset fleetclock.Interval) {
+	c.fleet.update(func(e *fleetclock.Estimate) bool { e.Inherit(offset); return true })
+}
+
+// update changes the estimate and makes it visible.
+func (f *fleetTime) update(change func(*fleetclock.Estimate) (changed bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	doubtful := f.estimate.Doubtful()
+	if change(&f.estimate) || f.estimate.Doubtful() != doubtful {
+		f.publish()
+	}
 }
 
-// publish makes the estimate visible; the offset first, as it counts from when it is confirmed.
 func (f *fleetTime) publish() {
 	offset, confirmed := f.estimate.Offset()
-	f.offset.Store(int64(offset))
-	f.confirmed.Store(confirmed)
-	f.doubtful.Store(f.estimate.Doubtful())
+	f.now.Store(&fleetNow{offset, confirmed, f.estimate.Doubtful(), f.estimate.Epoch()})
 }
--- a/internal/memory/exchange/events.go
+++ b/internal/memory/exchange/events.go
@@ -49,12 +49,46 @@
 func (x *Exchange) attemptEnded(o *open, e Outcome) {
 	fields := []zap.Field{zap.String("id", o.ID), zap.Int("attempt", e.Attempt), zap.String("host", e.Server),
 		zap.Stringer("result", e.Result), zap.Duration("took", e.Took.Round(time.Microsecond)), zap.String("class", o.Class)}
+	fields = append(fields, x.groundsFields(o.grounds)...)
 	if at, drains := x.bounds.notifiedAt(e.Server); drains {
 		fields = append(fields, zap.Duration("notified_for", x.cfg.Clock.Now()-at))
 	}
 	x.cfg.Log.Info("attempt ended", fields...)
 }
 
+// primaryChanged says that another host counts as a group's primary, or none, and on what evidence.
+func (x *Exchange) primaryChanged(c balance.PrimaryChange) {
+	x.cfg.Counters.Primaries.Add(1)
+	now := x.cfg.Clock.Now()
+	fields := []zap.Field{zap.Int("group", c.Group), zap.String("from", c.From), zap.String("to", c.To), zap.Stringer("source", c.Source),
+		zap.String("about", c.About)}
+	for _, age := range []struct {
+		name string
+		at   time.Duration
+	}{{"led_ago", c.Leads}, {"followed_ago", c.Follows}, {"started_ago", c.Started}} {
+		if age.at > 0 {
+			fields = append(fields, zap.Duration(age.name, (now-age.at).Round(time.Microsecond)))
+		}
+	}
+	x.cfg.Log.Info("primary", fields...)
+}
+
+// groundsFields say on what evidence an attempt went to its host.
+func (x *Exchange) groundsFields(g balance.Grounds) []zap.Field {
+	if g.Kind == balance.NotNeeded {
+		return nil
+	}
+	now := x.cfg.Clock.Now()
+	fields := []zap.Field{zap.Stringer("grounds", g.Kind), zap.Stringer("grounds_source", g.Source)}
+	if g.Position > 0 {
+		fields = append(fields, zap.Duration("position_age", (now-g.Position).Round(time.Millisecond)))
+	}
+	if g.Leads > 0 {
+		fields = append(fields, zap.Duration("led_ago", (now-g.Leads).Round(time.Millisecond)))
+	}
+	return fields
+}
+
 // stallFor is how long an event may wait to be handled before the log says so: by then clients notice.
 const stallFor = 100 * time.Millisecond
 
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -36,8 +36,6 @@
 	// answerMargin is kept free before the client stops waiting: its wait runs from when it sent, and the answer has
 	// to travel.
 	answerMargin = 15 * time.Millisecond
-	// sendMargin is how long a send may take to get out before what it was decided on no longer holds.
-	sendMargin = 30 * time.Millisecond
 	// windowMargin is kept free before the end of a keyed class's window, for the way to the host and a process that is held up.
 	windowMargin = 20*time.Millisecond + draining.HoldUp
 	// retryAfter is when a client may try a group again that no list has named yet.
@@ -58,11 +56,12 @@
 	out      bool // an attempt has no outcome yet
 	answered bool
 	last     balance.Result // of the attempt before, if there was one
-	sentAt   time.Duration  // of the last attempt
-	ranAt    time.Duration  // when the first attempt was sent that may have run; 0: none has
-	waits    bool           // at a fence; the module has not got it yet
-	again    bool           // its client has tried before
-	ticket   cells.Ticket   // of its cell
+	grounds  balance.Grounds
+	sentAt   time.Duration // of the last attempt
+	ranAt    time.Duration // when the first attempt was sent that may have run; 0: none has
+	waits    bool          // at a fence; the module has not got it yet
+	again    bool          // its client has tried before
+	ticket   cells.Ticket  // of its cell
 }
 
 type posted struct {
@@ -105,6 +104,7 @@
 	clockProbes map[string]bool // hosts that are being asked for the time; nil: none has been
 	// What is known of the fleet's clock, as far as it is in force everywhere.
 	clockKnown, clockDoubtful bool
+	clockEpoch                int
 }
 
 // New makes an exchange; the error names the setting that makes no sense.
@@ -150,11 +150,42 @@
 
 type learning struct {
 	heard  balance.Heard
+	made   balance.Made
 	report balance.Report
 }
 
-// Learned takes what a host said of itself behind an outcome.
-func (x *Exchange) Learned(h balance.Heard, r balance.Report) { x.post(learning{h, r}) }
+// Learned takes what a host said of itself beside the outcomes: behind one, or in an answer that may yet break off.
+func (x *Exchange) Learned(h balance.Heard, made balance.Made, r balance.Report) {
+	x.post(learning{h, made, r})
+}
+
+// dropOutdated takes out what a host told by a reading of the fleet's clock that has turned out wrong since. That it is no primary
+// stands whatever the clock.
+func (x *Exchange) dropOutdated(made balance.Made, role *balance.Role, position *time.Duration, report *balance.Report) {
+	if made.Epoch == x.clockEpoch {
+		return
+	}
+	if *role == balance.Primary {
+		*role = balance.Unknown
+	}
+	if report.Role == balance.Primary {
+		report.Role = balance.Unknown
+	}
+	*position, report.Position, report.NotBefore = 0, 0, 0
+}
+
+func (x *Exchange) learned(e learning) {
+	x.dropOutdated(e.made, &e.heard.Role, &e.heard.Position, &e.report)
+	x.note(e.heard, e.made, e.report)
+	if e.report.Has {
+		e.heard.Position = max(e.heard.Position, e.report.Position)
+	}
+	if e.heard.At = e.made.NotAfter; e.heard.Role == balance.Primary {
+		e.heard.At = e.made.NotBefore
+	}
+	e.heard.AtMost = e.made.NotAfter
+	x.decide(e.heard)
+}
 
 type datagram []byte
 
@@ -246,14 +277,11 @@
 				return // it was not the module that asked: a host is not set aside for it
 			}
 		}
-		x.note(balance.Heard{Server: e.Server, Result: e.Result}, e.Report)
+		x.dropOutdated(e.Made, new(balance.Role), new(time.Duration), &e.Report)
+		x.note(balance.Heard{Server: e.Server, Result: e.Result}, e.Made, e.Report)
 		x.decide(e)
 	case learning:
-		if e.report.Has {
-			e.heard.Position = max(e.heard.Position, e.report.Position)
-		}
-		x.note(e.heard, e.report)
-		x.decide(e.heard)
+		x.learned(e)
 	case datagram:
 		x.receive(e)
 	case members:
@@ -326,6 +354,7 @@
 }
 
 func (x *Exchange) outcome(e Outcome) {
+	x.dropOutdated(e.Made, &e.Role, &e.Position, &e.Report)
 	x.cfg.Counters.Outcomes[e.Result].Add(1)
 	o := x.open[e.ID]
 	if o == nil || e.Attempt != o.attempts-1 || !o.out {
@@ -345,7 +374,7 @@
 		x.answer(o, Answer{Kind: Served, Value: e.Value}, &x.cfg.Counters.Served)
 	}
 	e.Final = o.answered
-	x.note(balance.Heard{Server: e.Server, Class: o.Class, Result: e.Result, Took: e.Took, Role: e.Role, Position: e.Position}, e.Report)
+	x.note(balance.Heard{Server: e.Server, Class: o.Class, Result: e.Result, Took: e.Took, Role: e.Role, Position: e.Position}, e.Made, e.Report)
 	x.decide(e.Outcome)
 	x.forget(o)
 }
@@ -364,6 +393,9 @@
 	for _, a := range x.acts {
 		x.act(a)
 	}
+	for _, c := range x.router.Changes() {
+		x.primaryChanged(c)
+	}
 }
 
 func (x *Exchange) restart() {
@@ -371,7 +403,10 @@
 		x.answer(o, Answer{Kind: Failed, Reason: "internal error"}, &x.cfg.Counters.Failed)
 	}
 	x.cfg.Seed++
-	x.router, _ = balance.New(x.cfg.Settings, x.cfg.Seed) // New took these settings before
+	known := x.recall()
+	s := x.cfg.Settings
+	s.Restarted = true
+	x.router, _ = balance.New(s, x.cfg.Seed) // New took these settings before
 	x.cfg.Counters.Timers.Add(-int64(len(x.timers)))
 	x.timers = nil
 	list := balance.Members{Whole: true}
@@ -379,6 +414,9 @@
 		list.List = append(list.List, x.bound(m))
 	}
 	x.router.Handle(x.cfg.Clock.Now(), list, nil)
+	for _, k := range known {
+		x.router.Handle(x.cfg.Clock.Now(), k, nil)
+	}
 	if x.cells != nil {
 		x.router.Handle(x.cfg.Clock.Now(), x.cells.Cells(), nil)
 	}
@@ -424,9 +462,11 @@
 	if a.Timeout != 0 {
 		t.Until = min(t.Until, now+a.Timeout)
 	}
-	if o.class.Need == balance.Bounded {
+	t.Grounds, o.grounds = a.Grounds, a.Grounds
+	x.cfg.Counters.Grounds[a.Grounds.Kind].Add(1)
+	if a.Grounds.SendBy > 0 {
 		// The known position is inside the bound now; a slow connect must not carry the read past it.
-		t.StartBy = now + sendMargin
+		t.startBy(a.Grounds.SendBy)
 	}
 	if by := x.bounds.until(a.Server); by != draining.Open {
 		// Nothing may go out after the grace, however long the connection takes to come up.
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -82,9 +82,9 @@
 	if len(h.sent) != 3 {
 		t.Fatalf("sent %v", h.sent)
 	}
-	write, bounded, draining := h.sent[0].StartBy, h.sent[1].StartBy, h.sent[2].StartBy
-	if write != 0 || bounded <= before || bounded > told+sendMargin || draining <= told || draining > told+time.Second {
-		t.Errorf("bounds %v, %v, %v after %v", write, bounded-before, draining-told, told-before)
+	write, excused, draining := h.sent[0].StartBy, h.sent[1], h.sent[2].StartBy
+	if write != 0 || excused.StartBy != 0 || excused.Grounds.Kind != balance.Excused || draining <= told || draining > told+time.Second {
+		t.Errorf("bounds %v, %v (%v), %v after %v", write, excused.StartBy, excused.Grounds, draining-told, told-before)
 	}
 }
 
--- a/internal/memory/exchange/gossip.go
+++ b/internal/memory/exchange/gossip.go
@@ -6,34 +6,49 @@
 	"go.uber.org/zap"
 
 	"yokemast/balance"
+	"yokemast/internal/control/gossip"
 )
 
-// note tells the other gateways how an attempt or a probe ended.
-func (x *Exchange) note(n balance.Heard, rep balance.Report) {
+// note tells the other gateways how an attempt or a probe ended, and when the host said what it said of its role.
+func (x *Exchange) note(n balance.Heard, made balance.Made, rep balance.Report) {
 	if x.cfg.Gossip == nil || n.Result == balance.Cancelled || n.Result == balance.NotSent {
 		return // that is this gateway's own doing and says nothing of the host
 	}
 	now := x.cfg.Clock.Now()
-	n.At = now
+	if n.At = now; made.NotAfter > 0 {
+		n.At = made.NotAfter
+	}
 	if rep.Has {
 		n.Position = max(n.Position, rep.Position)
-		if rep.Primary && n.Role == balance.Unknown {
-			// A primary stands at the present, so its report's position is the time of the report.
-			n.Role, n.At = balance.Primary, rep.Position
+		if n.Role == balance.Unknown {
+			n.Role, made.NotBefore = rep.Role, rep.NotBefore
 		}
 	}
+	switch {
+	case n.Role != balance.Primary:
+	case !x.cfg.Clock.Confirmed():
+		n.Role = balance.Unknown // others could not tell when it was made
+	default:
+		n.At = made.NotBefore
+	}
 	if !x.cfg.Gossip.Note(now, n) {
 		x.cfg.Counters.Untold.Add(1)
 	}
 }
 
+// gossipOffsets are the offsets of this clock for what gateways tell each other.
+func (x *Exchange) gossipOffsets() gossip.Offsets {
+	offset := x.cfg.Clock.Offset()
+	return gossip.Offsets{Least: offset.Least, Ages: x.cfg.Clock.AgeOffset(), Most: offset.Most}
+}
+
 // tell sends what is due to the other gateways.
 func (x *Exchange) tell(now time.Duration) {
 	if x.cfg.Gossip == nil {
 		return
 	}
 	if at, ok := x.cfg.Gossip.Due(); ok && at <= now {
-		x.cfg.Tell(x.cfg.Gossip.Datagram(now, x.cfg.Clock.Offset(), nil))
+		x.cfg.Tell(x.cfg.Gossip.Datagram(now, x.cfg.Clock.Offset().Least, nil))
 	}
 }
 
@@ -42,7 +57,7 @@
 	if x.cfg.Gossip == nil {
 		return
 	}
-	heard, err := x.cfg.Gossip.Receive(x.cfg.Clock.Now(), x.cfg.Clock.Offset(), b, x.heard[:0])
+	heard, err := x.cfg.Gossip.Receive(x.cfg.Clock.Now(), x.gossipOffsets(), b, x.heard[:0])
 	x.heard = heard
 	if err != nil {
 		x.cfg.Counters.HeardBad.Add(1)
@@ -51,6 +66,11 @@
 	}
 	x.cfg.Counters.Heard.Add(int64(len(heard)))
 	for _, n := range heard {
+		if !x.cfg.Clock.Confirmed() { // it is not known when that was by this clock: only what speaks against a host counts
+			if n.Position = 0; n.Role == balance.Primary {
+				n.Role = balance.Unknown
+			}
+		}
 		x.decide(n)
 	}
 }
--- a/internal/memory/exchange/handover.go
+++ b/internal/memory/exchange/handover.go
@@ -40,7 +40,7 @@
 	e := inheriting{known: k, list: members{whole: true, list: make([]Member, 0, len(k.Hosts))}}
 	for _, h := range k.Hosts {
 		m := Member{Address: h.Address, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
-			Primary: h.Listed, Weight: h.Weight, Started: x.cfg.Clock.Fleet(h.Started)}}
+			Primary: h.Listed, Weight: h.Weight, Started: x.cfg.Clock.FleetOfLatest(h.Started)}}
 		if h.NotifiedFor > 0 {
 			m.NotifiedAt = askedAt - h.NotifiedFor
 		}
@@ -60,7 +60,7 @@
 			return
 		}
 		h := handover.Host{Server: s.Server, Address: m.Address, Group: m.Group, State: m.State, Listed: m.Primary,
-			Weight: m.Weight, Started: s.Started, Role: s.Role, RoleAt: s.RoleAt, Position: s.Position, Alive: s.Usable || s.Primary}
+			Weight: m.Weight, Started: s.Started, Leads: s.Leads, Follows: s.Follows, Position: s.Position, Alive: s.Usable || s.Primary}
 		if at, ok := x.bounds.notifiedAt(s.Server); ok {
 			h.NotifiedFor = now - at
 		}
@@ -70,24 +70,39 @@
 	return k
 }
 
-// inherit hands the module the list, and what was known of each host as another router's word: a role and a position count by
-// their time, and a host that was set aside is probed before it is used.
+// recall is what the module knows of the hosts, for another one that takes its place after a panic. Where even that fails, each
+// host counts as a follower until it says otherwise.
+func (x *Exchange) recall() (out []balance.Inherited) {
+	now := x.cfg.Clock.Now()
+	defer func() {
+		if p := recover(); p == nil {
+			return
+		}
+		out = nil
+		for server := range x.list {
+			out = append(out, balance.Inherited{Server: server, Follows: now, Alive: true})
+		}
+	}()
+	x.router.Look(now, func(s balance.Seen) {
+		out = append(out, balance.Inherited{Server: s.Server, Leads: s.Leads, Follows: s.Follows, Position: s.Position, Alive: true})
+	})
+	return out
+}
+
+// inherit hands the module the list, and what was known of each host. A host that was set aside is probed before it is used.
 func (x *Exchange) inherit(e inheriting) {
 	k := e.known
 	x.members(e.list)
 	for _, h := range k.Hosts {
-		n := balance.Heard{Server: h.Server, Result: balance.OK, Role: h.Role, Position: h.Position, At: h.RoleAt}
-		if !h.Alive {
-			n.Result = balance.NoConnection
-		}
-		x.decide(n)
+		x.decide(balance.Inherited{Server: h.Server, Leads: h.Leads, Follows: h.Follows, Position: h.Position, Alive: h.Alive})
 	}
-	if s := x.cfg.Settings; !s.TokensCarried && k.Newest > s.Floor {
+	s := x.cfg.Settings
+	if s.Restarted = true; !s.TokensCarried {
 		// What each session wrote stays behind: to a read of any, the last write of all counts as its own.
-		s.Floor = k.Newest
-		x.cfg.Settings = s
-		x.decide(balance.Retune{Settings: s})
+		s.Floor = max(s.Floor, k.Newest)
 	}
+	x.cfg.Settings = s
+	x.decide(balance.Retune{Settings: s})
 }
 
 // wrote notes the last write that the module remembers of any session.
--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -189,7 +189,7 @@
 // bound is a list's entry as the module gets it: with until when anything new may go there, and times by this clock.
 func (x *Exchange) bound(m Member) balance.Member {
 	m.Member.SendUntil = x.bounds.until(m.Server)
-	m.Member.Started = x.startedAt(m.Started)
+	m.Member.Started, m.Member.Incarnation = x.startedAt(m.Started), m.Started
 	return m.Member
 }
 
@@ -199,7 +199,7 @@
 	if fleet == 0 {
 		return 0
 	}
-	started := x.cfg.Clock.Local(fleet)
+	started := x.cfg.Clock.Latest(fleet)
 	if x.cfg.Clock.Doubtful() {
 		started = max(started, x.begunAt)
 	}
@@ -208,12 +208,17 @@
 
 // noticeClock hands everybody the list anew once it is known, or doubtful, how this clock stands to the fleet's.
 func (x *Exchange) noticeClock() {
+	moved := x.cfg.Clock.Epoch() != x.clockEpoch
+	if moved {
+		x.clockEpoch = x.cfg.Clock.Epoch()
+		x.decide(balance.ClockMoved{})
+	}
 	known, doubtful := x.cfg.Clock.Confirmed(), x.cfg.Clock.Doubtful()
-	if known == x.clockKnown && doubtful == x.clockDoubtful {
+	if known == x.clockKnown && doubtful == x.clockDoubtful && !moved {
 		return
 	}
 	x.clockKnown, x.clockDoubtful = known, doubtful
-	x.cfg.Log.Info("fleet's clock", zap.Bool("known", known), zap.Bool("doubtful", doubtful), zap.Duration("ahead", x.cfg.Clock.Offset()))
+	x.cfg.Log.Info("fleet's clock", zap.Bool("known", known), zap.Bool("doubtful", doubtful), zap.Duration("ahead_least", x.cfg.Clock.Offset().Least), zap.Duration("ahead_most", x.cfg.Clock.Offset().Most))
 	e := members{}
 	for _, m := range x.list {
 		e.list = append(e.list, m)
--- a/internal/memory/exchange/request.go
+++ b/internal/memory/exchange/request.go
@@ -85,9 +85,18 @@
 		q.Over = max(v.After, 1)
 	}
 	if r.After > 0 {
-		// The module counts back from now, and takes an age of nothing for no write at all: a position that lies
-		// ahead of this clock must not turn into that.
-		q.WriteAge = max(now-r.After, 1)
+		q.WriteAge = x.writeAge(now, r.After)
 	}
 	x.decide(q)
 }
+
+// writeAge is how long ago a session wrote, by the offset of the clock that positions of logs are converted with. As long as that is
+// not known it may just have been: a position that is learnt later must not pass for one at or after the write.
+func (x *Exchange) writeAge(now, after time.Duration) time.Duration {
+	if !x.cfg.Clock.Confirmed() {
+		return 1
+	}
+	// The module counts back from now, and takes an age of nothing for no write at all: a position that lies ahead of this clock must
+	// not turn into that.
+	return max(now-x.cfg.Clock.Position(after), 1)
+}
--- a/internal/memory/exchange/retune.go
+++ b/internal/memory/exchange/retune.go
@@ -31,7 +31,7 @@
 // force has what is in force now used everywhere. Requests that are open keep the class that they came with.
 func (x *Exchange) force(what string) {
 	s := x.versions.InForce()
-	s.Floor = x.cfg.Settings.Floor // no file says that
+	s.Floor, s.Restarted = x.cfg.Settings.Floor, x.cfg.Settings.Restarted // no file says that
 	x.use(s)
 	if x.cfg.Gossip != nil {
 		x.cfg.Gossip.Classes(s.Classes)
--- a/internal/memory/exchange/types.go
+++ b/internal/memory/exchange/types.go
@@ -14,7 +14,7 @@
 	Write, Retry       bool
 	Arrived            time.Duration
 	Wait               time.Duration // the client's, from when it sent; 0: the class's deadline
-	After              time.Duration // position that the read must see; 0: none
+	After              time.Duration // position that the read must see, by the fleet's clock; 0: none
 	Over               time.Duration // above 0: more than its front lets it have; refused, to come back after as long
 	Lease              time.Duration // it keeps its host until its client is through, for so long at most; 0: it does not
 	Command            any           // for the host side: what to run
@@ -50,6 +50,7 @@
 	Sent    time.Duration // when it was decided on
 	Until   time.Duration // the gateway stops waiting then
 	StartBy time.Duration // it must not go out any later; 0: no such bound
+	Grounds balance.Grounds
 }
 
 // Outcome ends an attempt: the module's outcome, and the value if it was served.
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -179,7 +179,7 @@
 			query = command.AppendQuery(nil, t.Until-now)
 		}
 	}
-	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until || t.b.over(t.Server, now)
+	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until || t.b.over(t.Server, now) || t.b.refuted(t.Server, t.Grounds)
 	t.mu.Lock()
 	if t.ended || t.withdrawn || late {
 		t.mu.Unlock()
@@ -203,7 +203,7 @@
 		t.stream(r)
 		return
 	}
-	t.b.localize(t.Server, &r, now)
+	made := t.b.localize(t.Server, &r, now)
 	t.mu.Lock()
 	t.conn = nil
 	if t.ended {
@@ -212,7 +212,7 @@
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
 	o := exchange.Outcome{Outcome: balance.Outcome{Result: r.result, Role: r.role, Position: r.position,
-		Report: r.report}}
+		Report: r.report, Made: made}}
 	if r.result == balance.OK {
 		o.Value = r.value
 	}
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -31,7 +31,8 @@
 type Reporter interface {
 	Outcome(exchange.Outcome)
 	Probed(balance.ProbeResult)
-	Learned(balance.Heard, balance.Report) // what a host said of itself behind an outcome that was told already
+	// Learned takes what a host said of itself beside the outcomes, and when.
+	Learned(balance.Heard, balance.Made, balance.Report)
 }
 
 // Command is what a request asks a host to run.
@@ -102,6 +103,8 @@
 	address string
 	cold    time.Duration // until then
 	until   time.Duration // nothing new goes out to it later; 0: no such bound
+	follows time.Duration // when it last said here that it is no primary; 0: it never did
+	leads   bool          // it has said since, in a whole answer, that it is
 }
 
 // New makes a backend whose goroutines belong to the group and end with the context.
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yokemast/balance"
+	"yokemast/internal/control/fleetclock"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/testbed/stall"
@@ -23,9 +24,9 @@
 
 type outcomes chan exchange.Outcome
 
-func (o outcomes) Outcome(e exchange.Outcome)          { o <- e }
-func (outcomes) Probed(balance.ProbeResult)            {}
-func (outcomes) Learned(balance.Heard, balance.Report) {}
+func (o outcomes) Outcome(e exchange.Outcome)                        { o <- e }
+func (outcomes) Probed(balance.ProbeResult)                          {}
+func (outcomes) Learned(balance.Heard, balance.Made, balance.Report) {}
 
 func (outcomes) AppendQuery(out []byte, _ time.Duration) []byte { return pg.AppendQuery(out, "x") }
 
@@ -116,7 +117,7 @@
 
 type probes chan balance.ProbeResult
 
-func (probes) Learned(balance.Heard, balance.Report) {}
+func (probes) Learned(balance.Heard, balance.Made, balance.Report) {}
 
 func (p probes) Probed(e balance.ProbeResult) { p <- e }
 func (probes) Outcome(exchange.Outcome)       {}
@@ -173,15 +174,15 @@
 		"x0=1767225600,x1":          {},
 		"x0=1767225601,x1=1":        {}, // ahead of the clock
 		"inflight=7,util=0.61":      {},
-		"x0=1767225600.123,x1=1":    {Has: true, Primary: true, Position: 1767225600122 * time.Millisecond},
-		"x0=1767225600.12,x1=0,y=3": {Has: true, Position: 1767225600119 * time.Millisecond},
+		"x0=1767225600.123,x1=1":    {Has: true, Role: balance.Primary, Position: 1767225600122 * time.Millisecond, NotBefore: 1767225600122 * time.Millisecond},
+		"x0=1767225600.12,x1=0,y=3": {Has: true, Role: balance.Replica, Position: 1767225600119 * time.Millisecond, NotBefore: 1767225600119 * time.Millisecond},
 	} {
 		const now = 1767225600500 * time.Millisecond
 		clock := exchange.NewClock()
-		clock.Inherit(0)
+		clock.Inherit(fleetclock.Interval{})
 		got := believableReport(clock, report(in), now)
 		if want.Has && want.Position-got.Position == time.Millisecond {
-			got.Position = want.Position // a binary fraction may lie one below: that never flatters
+			got.Position, got.NotBefore = want.Position, want.NotBefore // a binary fraction may lie one below: that never flatters
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Errorf("%q: %s", in, diff)
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -35,6 +35,7 @@
 	link         *pooling.Link // what it has been set up with; nil: nothing
 	clean        bool          // nothing is out on it and nothing is left over
 	closing      sync.Once
+	follows      func() // is called as soon as the host has said that it is no primary; nil: nobody is
 }
 
 func newConn(n *net.TCPConn, address string, clock exchange.Clock) *conn {
@@ -191,6 +192,7 @@
 				}
 			case pg.ParameterStatus:
 				r.note(body)
+				c.heed(&r)
 			case pg.ReadyForQuery:
 				c.clean = len(body) == 1 && body[0] == 'I' && c.in.Buffered() == 0
 			}
@@ -210,15 +212,31 @@
 			r.result = balance.OK
 			return r
 		}
-		// What comes with half an answer, or with one that can't be read, is not believed either.
 		c.clean = false
 		switch {
 		case timedOut(err):
-			return reply{result: balance.TimedOut}
+			return r.broken(balance.TimedOut)
 		case err == nil, errors.Is(err, errSpoilt), errors.Is(err, pg.ErrFraming), errors.As(err, new(pg.TooLong)):
-			return reply{result: balance.Garbled}
+			return r.broken(balance.Garbled)
 		}
-		return reply{result: balance.Reset}
+		return r.broken(balance.Reset)
+	}
+}
+
+// broken is a reply that did not come whole. Of what came with it only that the host is no primary is believed: that speaks
+// against it, and to take it for true costs no more than a look elsewhere.
+func (r *reply) broken(result balance.Result) reply {
+	out := reply{result: result}
+	if r.role == balance.Replica {
+		out.role = balance.Replica
+	}
+	return out
+}
+
+// heed has what a host said against its being a primary known at once, whatever becomes of the rest of its answer.
+func (c *conn) heed(r *reply) {
+	if r.role == balance.Replica && c.follows != nil {
+		c.follows()
 	}
 }
 
--- a/internal/wire/backend/dial.go
+++ b/internal/wire/backend/dial.go
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	b.last++
-	c.id = b.last
+	c.id, c.follows = b.last, func() { b.followsNow(server) }
 	b.pools.Opened(b.cfg.Clock.Now(), server, c.id)
 	return c, nil
 }
--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -69,13 +69,14 @@
 	switch name {
 	case "node_role", "replay_position", "server_load":
 		h.notes.note(body)
+		h.c.heed(&h.notes)
 		return true
 	}
 	return false
 }
 
-// Position is the newest that the host told in this conversation; 0: none.
-func (h *Host) Position() time.Duration { return h.b.cfg.Clock.Local(h.notes.position) }
+// Position is the newest that the host told in this conversation, by the fleet's clock; 0: none.
+func (h *Host) Position() time.Duration { return h.notes.position }
 
 // Behind says that the host has told, in this conversation, that it is a replica which lies before a position.
 func (h *Host) Behind(position time.Duration) bool {
@@ -127,7 +128,7 @@
 	c.clean = end.Clean && !t.ended && c.in.Buffered() == 0
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
-	t.b.localize(t.Server, &h.notes, t.Sent)
+	made := t.b.localize(t.Server, &h.notes, t.Sent)
 	t.finish(exchange.Outcome{Outcome: balance.Outcome{Result: end.Result, Role: h.notes.role, Position: h.notes.position,
-		Report: h.notes.report}}, end.Busy, false)
+		Report: h.notes.report, Made: made}}, end.Busy, false)
 }
--- a/internal/wire/backend/probe.go
+++ b/internal/wire/backend/probe.go
@@ -55,7 +55,7 @@
 			b.put(server, c)
 			if p.Result = r.result; r.result == balance.OK {
 				answer := reply{report: report(string(r.value.Data))}
-				b.localize(server, &answer, start)
+				p.Made = b.localize(server, &answer, start)
 				p.Report = answer.report
 			}
 			if r.result != balance.Reset && r.result != balance.NoConnection {
--- a/internal/wire/backend/stream.go
+++ b/internal/wire/backend/stream.go
@@ -79,6 +79,7 @@
 			complete = true
 		case kind == pg.ParameterStatus:
 			s.r.note(body)
+			s.c.heed(&s.r)
 		case kind == pg.NoticeResponse:
 		case kind == pg.ReadyForQuery && complete && len(body) == 1:
 			s.c.clean = body[0] == 'I' && s.c.in.Buffered() == 0
@@ -98,9 +99,9 @@
 // stream carries a large value: the outcome is told at its first bytes, and the connection is given back behind it.
 func (t *attempt) stream(r reply) {
 	s, b := r.stream, t.b
-	b.localize(t.Server, &r, t.Sent)
+	s.r = reply{role: r.role, position: r.position, report: r.report} // for the end: until then nothing that it tells is believed
 	r.value.Size, r.value.Rest = s.size, s
-	o := exchange.Outcome{Outcome: balance.Outcome{Result: balance.OK, Role: r.role, Position: r.position, Report: r.report}, Value: r.value}
+	o := exchange.Outcome{Outcome: balance.Outcome{Result: balance.OK}, Value: r.value}
 	if !t.finish(o, -1, true) { // given up meanwhile, and closed under it
 		b.put(t.Server, s.c)
 		return
@@ -125,7 +126,7 @@
 	}
 	b.put(t.Server, s.c)
 	if s.whole {
-		b.localize(t.Server, &s.r, t.Sent)
-		b.to.Learned(balance.Heard{Server: t.Server, Result: balance.OK, Role: s.r.role, Position: s.r.position, At: b.cfg.Clock.Now()}, s.r.report)
+		made := b.localize(t.Server, &s.r, t.Sent)
+		b.to.Learned(balance.Heard{Server: t.Server, Result: balance.OK, Role: s.r.role, Position: s.r.position}, made, s.r.report)
 	}
 }
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -61,7 +61,7 @@
 	request *exchange.Request
 	answers chan exchange.Answer
 	skip    bool          // up to the next Sync
-	wrote   time.Duration // position of the session's last write
+	wrote   time.Duration // position of the session's last write, by the fleet's clock
 	free    time.Duration // when its last batch ended: no client says how long it waits, so the next one's time starts there
 	running atomic.Pointer[relay.Lease]
 }
@@ -331,7 +331,7 @@
 	if g.wrote > 0 {
 		r.After = g.wrote
 	} else if g.wrote < 0 {
-		r.After = c.s.cfg.Clock.Now() // it wrote, and the host did not say when
+		r.After = c.s.cfg.Clock.FleetAtMost() // it wrote, and the host did not say when
 	}
 	pins := false
 	for _, x := range b.Commands {
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -565,7 +565,7 @@
 	st := cmd.statement
 	// Its client's wait runs from when it was sent, also while others of this connection are answered before it.
 	r := &exchange.Request{ID: st.ID, User: c.user, Tenant: st.Tenant, Class: st.Class, Session: st.Key, Group: st.Group, Write: st.Write,
-		Retry: st.Retry, Arrived: cmd.arrived, Wait: st.Wait, After: c.s.cfg.Clock.Local(st.After), Command: st, Answer: answer}
+		Retry: st.Retry, Arrived: cmd.arrived, Wait: st.Wait, After: st.After, Command: st, Answer: answer}
 	c.s.x.Submit(r)
 	select {
 	case a := <-answer:
--- a/internal/wire/settings/settings.go
+++ b/internal/wire/settings/settings.go
@@ -106,8 +106,14 @@
 	}
 	// Reports state thousandths of a second; a whole one is taken off so that rounding never flatters.
 	ms := math.Floor(x0*1000+1e-6) - 1
-	return balance.Report{Has: true, Primary: values["x1"] == 1,
-		Position: zero + time.Duration(ms)*time.Millisecond}
+	out := balance.Report{Has: true, Position: zero + time.Duration(ms)*time.Millisecond}
+	out.NotBefore = out.Position
+	if leads, told := values["x1"]; told && leads == 1 {
+		out.Role = balance.Primary
+	} else if told {
+		out.Role = balance.Replica
+	}
+	return out
 }
 
 // decoder keeps the first error; at is the path of the object that is being read.
--- a/internal/wire/sim/sim_test.go
+++ b/internal/wire/sim/sim_test.go
@@ -24,7 +24,7 @@
 			`"metrics":{"x0":2.5,"x1":1,"other":3}}}`,
 			balance.Outcome{ID: "0a", Attempt: 2, Server: "h:1", Result: balance.Miss, Took: 4, Role: balance.Replica,
 				Position: 6 * time.Second,
-				Report:   balance.Report{Has: true, Primary: true, Position: 7499 * time.Millisecond}}},
+				Report:   balance.Report{Has: true, Role: balance.Primary, Position: 7499 * time.Millisecond, NotBefore: 7499 * time.Millisecond}}},
 		{"role without position", `{"CLOSED_ATTEMPT":{"who":1,"requestId":"0a","host":"h:1","how":"Ok","finished":true,"mark":1}}`,
 			balance.Outcome{ID: "0a", Server: "h:1", Final: true, Role: balance.Primary}},
 		{"probe", `{"PING_RESULT":{"who":1,"host":"h:1","how":"TimedOut","spent":8}}`,
