A probe's report that a host follows holds back attempts that need it as the primary

Cause: the look before the first byte knew of a follower's word in answers only; a report's x1=0 reached the module, not the host side. Change: Backend.localize notes it.

--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -49,6 +49,7 @@
 	loopTo   time.Duration // the event loop is busy until then
 	holdUps  bool
 	reports  bool
+	gap      time.Duration // between requests at most: a gateway with few of them hears little
 
 	router   *balance.Router
 	clock    fleetclock.Estimate
@@ -70,6 +71,7 @@
 		g.offset = w.between(-500*ms, 500*ms)
 	}
 	g.holdUps, g.reports = w.chance(0.5), w.chance(0.7)
+	g.gap = []time.Duration{40 * ms, 60 * ms, 300 * ms, 900 * ms}[w.rng.IntN(4)]
 	g.settings = balance.Settings{Routers: 1, Tick: ms, TokensCarried: true, Probes: w.chance(0.8), Cancel: true, RetryAfter: true,
 		MaxRetryAfter: time.Second, MaxAttempts: 6, DrainGrace: time.Second, HoldUp: modelHoldUp, OverloadFactor: 4, ColdShare: 0.25,
 		ColdTime: 2 * time.Second, Classes: []balance.Class{
@@ -207,7 +209,7 @@
 // ask sends requests for as long as the run lasts.
 func (g *modelGateway) ask() {
 	w := g.w
-	w.after(w.between(2*ms, 60*ms), g.ask)
+	w.after(w.between(2*ms, g.gap), g.ask)
 	if w.now < g.heldTo {
 		return
 	}
@@ -236,7 +238,7 @@
 	q.deadline = r.Deadline
 	g.requests[q.id] = q
 	g.handle(r)
-	if w.chance(0.05) {
+	if w.chance(0.2) {
 		g.gossip()
 	}
 }
@@ -578,6 +580,9 @@
 		now := g.local()
 		p := balance.ProbeResult{Server: server, Result: balance.OK, Made: balance.Made{NotBefore: sent, NotAfter: now}}
 		if g.reports {
+			if !s.leads {
+				g.heardFollower(h)
+			}
 			p.Report = g.localReport(h, s, now)
 		}
 		p.Made.Epoch = g.clock.Epoch()
--- a/internal/wire/backend/evidence_test.go
+++ b/internal/wire/backend/evidence_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// A probe's report that a host follows holds an attempt back as a word in an answer does.
+func TestAReportHoldsAnAttemptBack(t *testing.T) {
+	r := newRig(t, func(c net.Conn, n int64) {
+		if n == 0 {
+			_, _ = c.Write(pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte("x0=1767225600.000,x1=0")}, "SHOW")))
+			return
+		}
+		_, _ = c.Write(append(role("leader"), row()...))
+	})
+	before := r.clock.Now()
+	r.b.Probe("s")
+	if got := wait(t, r.told, "the report"); got.heard.Role != balance.Replica {
+		t.Errorf("told %+v", got)
+	}
+	r.send("a", balance.Grounds{Kind: balance.LeaderWord, Leads: before})
+	if o := wait(t, r.outcomes, "the outcome"); o.Result != balance.NotSent {
+		t.Errorf("on an older word that it leads it ends with %v", o.Result)
+	}
+}
+
 // A large value is passed on as it comes. What its host says of itself counts once the value is whole.
 func TestALargeValuesHostIsBelievedOnceItIsWhole(t *testing.T) {
 	for _, whole := range []bool{true, false} {
--- a/internal/wire/backend/position.go
+++ b/internal/wire/backend/position.go
@@ -36,6 +36,9 @@
 	}
 	clock.ObserveHost(server, position, received)
 	b.early.note(server, position, received, clock.Confirmed(), b.tellEarly)
+	if r.role == balance.Unknown && r.report.Role == balance.Replica {
+		b.followsNow(server)
+	}
 	made := balance.Made{NotBefore: sent, NotAfter: received, Epoch: clock.Epoch()}
 	if r.role == balance.Primary {
 		b.leadsNow(server)
