Convert positions by an offset that never grows, so that a session's read compares like with like

Its positions and `after` were converted by max(Least, Most - 25 ms), which grows as Least does: a position converted before compared as later than an `after` converted since. Change: fleetclock keeps the offset for positions; within an epoch it only falls. Datagrams' heads and handovers keep to it. The model does not show it.

--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -14,7 +14,6 @@
 const (
 	modelSlack  = 50 * ms  // that every bound is longer by on sockets
 	modelHoldUp = 150 * ms // how long a process may be held up
-	ageSlack    = 25 * ms  // as internal/memory/exchange has it
 	knownAfter  = 100 * ms // after an answer was written it counts as known
 )
 
@@ -223,8 +222,8 @@
 			q.after = w.now - w.between(0, time.Second) // of a commit that was made through another gateway
 		}
 		if q.after > 0 {
-			if offset, known := g.clock.Offset(); known {
-				r.WriteAge = max(g.local()-(q.after-ages(offset)), 1)
+			if _, known := g.clock.Offset(); known {
+				r.WriteAge = max(g.local()-(q.after-g.clock.Ages()), 1)
 			} else {
 				r.WriteAge = 1
 			}
@@ -243,10 +242,6 @@
 	}
 }
 
-func ages(offset fleetclock.Interval) time.Duration {
-	return max(offset.Least, offset.Most-ageSlack)
-}
-
 // gossip lets another gateway tell of a host: as it was some time ago, counted as internal/control/gossip has it.
 func (g *modelGateway) gossip() {
 	h := g.w.hosts[g.w.rng.IntN(len(g.w.hosts))]
@@ -258,7 +253,7 @@
 		offset, known := g.clock.Offset()
 		n := balance.Heard{Server: h.id, Class: "view", Result: balance.OK, Took: 10 * ms, Source: balance.FromGossip, At: s.at - offset.Most}
 		if known {
-			n.Position = s.position - ages(offset)
+			n.Position = s.position - g.clock.Ages()
 		}
 		if n.Role = balance.Replica; s.leads {
 			n.Role = balance.Primary
@@ -445,7 +440,7 @@
 	g.clock.ObserveHost(h.id, position, now)
 	offset, known := g.clock.Offset()
 	if known {
-		o.Position = g.believable(position, offset)
+		o.Position = g.believable(position)
 		if s.leads {
 			o.Made.NotBefore = max(o.Made.NotBefore, min(position-offset.Most-ms, now))
 		}
@@ -460,8 +455,8 @@
 	g.ended(t, o)
 }
 
-func (g *modelGateway) believable(position time.Duration, offset fleetclock.Interval) time.Duration {
-	p := position - ages(offset)
+func (g *modelGateway) believable(position time.Duration) time.Duration {
+	p := position - g.clock.Ages()
 	if p > g.local()+modelSlack {
 		return 0
 	}
@@ -493,7 +488,7 @@
 			slack += held // docs/freshness.md: a short bound has no room for a hold-up between the look and the write
 		}
 	case "own":
-		bound = q.after
+		bound, slack = q.after, 0 // the position is told exactly
 	default:
 		return
 	}
@@ -600,7 +595,7 @@
 	case !known:
 		return balance.Report{Has: true, Role: balance.Replica}
 	}
-	r := balance.Report{Has: true, Role: balance.Replica, Position: g.believable(s.position.Truncate(ms)-ms, offset)}
+	r := balance.Report{Has: true, Role: balance.Replica, Position: g.believable(s.position.Truncate(ms) - ms)}
 	if s.leads {
 		r.Role, r.NotBefore = balance.Primary, s.position.Truncate(ms)-ms-offset.Most
 	}
--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -29,6 +29,9 @@
 	current = 500 * time.Millisecond
 	// agreeing is how many answers in a row have to contradict what is believed, and agree with each other, to replace it.
 	agreeing = 3
+	// AgeSlack is the part of the protocol's 50 ms of slack that data may be older than its position tells because it is not known
+	// exactly how this clock stands. The rest is for a process that is held up before a send.
+	AgeSlack = 25 * time.Millisecond
 	// unbounded is the upper end as long as no primary has answered.
 	unbounded = time.Duration(math.MaxInt64)
 )
@@ -55,7 +58,8 @@
 
 // Estimate is what is known of the fleet's clock. Its zero value knows nothing. It is not safe for concurrent use.
 type Estimate struct {
-	known    bool     // believed counts
+	known    bool // believed counts
+	ages     time.Duration
 	believed Interval // Least is told by two answers at least, or is the only one there is
 	highest  time.Duration
 
@@ -121,6 +125,7 @@
 	before := e.believed
 	e.believed.Most = min(e.believed.Most, seen.Most)
 	e.raise(seen.Least)
+	e.ages = min(e.ages, e.believed.ages())
 	return e.believed != before
 }
 
@@ -145,7 +150,7 @@
 	}
 	if e.dissent.Most == unbounded { // replicas alone: that what was believed is wrong is all that is known
 		was := e.known
-		*e = Estimate{behind: true, epoch: e.epoch + 1}
+		*e = Estimate{behind: true, epoch: e.epoch + 1} // what was converted before does not count any more
 		return was
 	}
 	if e.known {
@@ -156,14 +161,25 @@
 }
 
 func (e *Estimate) believe(i Interval) {
-	e.known, e.believed, e.highest, e.dissenters = true, i, i.Least, 0
+	e.known, e.believed, e.highest, e.dissenters, e.ages = true, i, i.Least, 0, i.ages()
 }
 
+// ages is an offset by which no data is older than it seems by more than AgeSlack.
+func (i Interval) ages() time.Duration { return max(i.Least, i.Most-AgeSlack) }
+
+// Ages is the offset by which positions are converted, of logs as of what a session's read must see. As long as Epoch stays it never
+// grows: a position that was converted before one that a read must see is never later than it should be beside that.
+func (e *Estimate) Ages() time.Duration { return e.ages }
+
 // Doubtful says that it is not known how the clock stands, and that what was told speaks against its being right.
 func (e *Estimate) Doubtful() bool { return !e.known && (e.behind || e.old && len(e.hosts) == 0) }
 
 // Epoch changes whenever what was believed turns out wrong: times that were converted before do not compare with later ones.
 func (e *Estimate) Epoch() int { return e.epoch }
 
-// Inherit takes what an earlier process on this machine knew, in terms of this process's clock.
-func (e *Estimate) Inherit(offset Interval) { e.believe(offset) }
+// Inherit takes what an earlier process on this machine knew, in terms of this process's clock: the offset, and its Ages, by which the
+// positions were converted that come with it.
+func (e *Estimate) Inherit(offset Interval, ages time.Duration) {
+	e.believe(offset)
+	e.ages = min(e.ages, ages)
+}
--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -129,6 +129,7 @@
 		offset, now := draw("offset", -time.Second, time.Second), 1000*time.Hour
 		var e Estimate
 		good := 0 // primary's answers since the last spoilt one
+		ages, epoch := time.Duration(0), -1
 		for range 40 {
 			sent := now + draw("pause", 0, 20*ms)
 			made := sent + draw("work", 0, 300*ms)
@@ -149,6 +150,13 @@
 			}
 			if got, confirmed := e.Offset(); confirmed && !got.contains(offset) {
 				t.Fatalf("believes %+v, it is %s", got, offset)
+			} else if confirmed && e.Ages() < offset-AgeSlack {
+				t.Fatalf("positions are converted by %s, it is %s", e.Ages(), offset)
+			} else if confirmed {
+				if epoch == e.Epoch() && e.Ages() > ages {
+					t.Fatalf("positions are converted by %s, and by %s before", e.Ages(), ages)
+				}
+				ages, epoch = e.Ages(), e.Epoch()
 			}
 		}
 	})
--- a/internal/memory/exchange/clock.go
+++ b/internal/memory/exchange/clock.go
@@ -27,14 +27,11 @@
 // fleetNow is what is known at a moment.
 type fleetNow struct {
 	offset              fleetclock.Interval
+	ages                time.Duration
 	confirmed, doubtful bool
 	epoch               int
 }
 
-// ageSlack is the part of the protocol's 50 ms of slack that data may be older than its position tells because it is not known
-// exactly how this clock stands. The rest is for a process that is held up before a send.
-const ageSlack = 25 * time.Millisecond
-
 // NewClock reads the wall.
 func NewClock() Clock {
 	c := Clock{start: time.Now(), fleet: &fleetTime{}}
@@ -70,11 +67,9 @@
 // Offset is what the fleet's clock shows more than this one; nothing as long as that is not known.
 func (c Clock) Offset() fleetclock.Interval { return c.fleet.now.Load().offset }
 
-// AgeOffset is the offset by which ages of data are counted: with it no data is older than it seems by more than ageSlack.
-func (c Clock) AgeOffset() time.Duration {
-	offset := c.Offset()
-	return max(offset.Least, offset.Most-ageSlack)
-}
+// AgeOffset is the offset by which positions are converted: with it no data is older than it seems by more than
+// fleetclock.AgeSlack.
+func (c Clock) AgeOffset() time.Duration { return c.fleet.now.Load().ages }
 
 // Position converts a position of a log, or one that a read must see, to this clock; 0, which stands for none, stays so.
 func (c Clock) Position(t time.Duration) time.Duration { return minus(t, c.AgeOffset()) }
@@ -109,8 +104,8 @@
 }
 
 // Inherit takes the offset that an earlier process on this machine knew, in terms of this clock.
-func (c Clock) Inherit(offset fleetclock.Interval) {
-	c.fleet.update(func(e *fleetclock.Estimate) bool { e.Inherit(offset); return true })
+func (c Clock) Inherit(offset fleetclock.Interval, ages time.Duration) {
+	c.fleet.update(func(e *fleetclock.Estimate) bool { e.Inherit(offset, ages); return true })
 }
 
 // update changes the estimate and makes it visible.
@@ -125,5 +120,5 @@
 
 func (f *fleetTime) publish() {
 	offset, confirmed := f.estimate.Offset()
-	f.now.Store(&fleetNow{offset, confirmed, f.estimate.Doubtful(), f.estimate.Epoch()})
+	f.now.Store(&fleetNow{offset, f.estimate.Ages(), confirmed, f.estimate.Doubtful(), f.estimate.Epoch()})
 }
--- a/internal/memory/exchange/evidence_test.go
+++ b/internal/memory/exchange/evidence_test.go
@@ -57,7 +57,7 @@
 // known is a clock that is known to be right.
 func known() Clock {
 	c := NewClock()
-	c.Inherit(fleetclock.Interval{})
+	c.Inherit(fleetclock.Interval{}, 0)
 	return c
 }
 
@@ -114,7 +114,7 @@
 	if first == nil || first.Server != "p" {
 		t.Fatalf("it goes to %+v", first)
 	}
-	clock.Inherit(fleetclock.Interval{})
+	clock.Inherit(fleetclock.Interval{}, 0)
 	x.noticeClock()
 	learn(x, "r", balance.Replica, clock.Now()-time.Second)
 	x.handle(clock.Now(), Outcome{Outcome: balance.Outcome{ID: first.ID, Attempt: first.Number, Server: "p", Result: balance.Full}})
--- a/internal/memory/exchange/gossip.go
+++ b/internal/memory/exchange/gossip.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// headOffset is the offset of a datagram's head: no later than the fleet's clock, and than that by which positions are counted.
+func (x *Exchange) headOffset() time.Duration {
+	return min(x.cfg.Clock.Offset().Least, x.cfg.Clock.AgeOffset())
+}
+
 // gossipOffsets are the offsets of this clock for what gateways tell each other.
 func (x *Exchange) gossipOffsets() gossip.Offsets {
 	offset := x.cfg.Clock.Offset()
@@ -48,7 +53,7 @@
 		return
 	}
 	if at, ok := x.cfg.Gossip.Due(); ok && at <= now {
-		x.cfg.Tell(x.cfg.Gossip.Datagram(now, x.cfg.Clock.Offset().Least, nil))
+		x.cfg.Tell(x.cfg.Gossip.Datagram(now, x.headOffset(), nil))
 	}
 }
 
--- a/internal/testbed/rules/freshness.go
+++ b/internal/testbed/rules/freshness.go
@@ -63,11 +63,22 @@
 	return true
 }
 
-// Read says how a read that was sent at a time was served: from data of a position, where it must not see any older than bound.
+// Read says how a bounded read that was sent at a time was served: from data of a position, where it must not see any older than bound.
 func (l *Ledger) Read(host, id string, sent, position, bound time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !position.Before(bound.Add(-l.slack())) {
+	l.readLocked(host, id, sent, position, bound, l.slack())
+}
+
+// ReadOwn is Read of a session's read, which must see a position that it was told exactly.
+func (l *Ledger) ReadOwn(host, id string, sent, position, after time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readLocked(host, id, sent, position, after, 0)
+}
+
+func (l *Ledger) readLocked(host, id string, sent, position, bound time.Time, slack time.Duration) {
+	if !position.Before(bound.Add(-slack)) {
 		return
 	}
 	if l.excusedLocked(l.of(id).via, host, sent) {
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -18,6 +18,7 @@
 		"refused and has run": func(l *Ledger) { l.Ran("h", "a", true); l.Answered("a", Refused) },
 		"is out at":           func(l *Ledger) { l.Arrived("h", "a", 0); l.Arrived("i", "a", 0) },
 		"data 100ms too old":  func(l *Ledger) { l.Read("h", "a", time.Now(), time.Now().Add(-100*time.Millisecond), time.Now()) },
+		"data 1ms too old":    func(l *Ledger) { l.ReadOwn("h", "a", time.Now(), time.Now().Add(-time.Millisecond), time.Now()) },
 		"data 1s too old": func(l *Ledger) { // the gateway has been told, for longer than it may take to know, that the host follows
 			l.Leadership("h", Leads)
 			l.Leadership("h", Deposed)
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -179,7 +179,7 @@
 	} {
 		const now = 1767225600500 * time.Millisecond
 		clock := exchange.NewClock()
-		clock.Inherit(fleetclock.Interval{})
+		clock.Inherit(fleetclock.Interval{}, 0)
 		got := believableReport(clock, report(in), now)
 		if want.Has && want.Position-got.Position == time.Millisecond {
 			got.Position, got.NotBefore = want.Position, want.NotBefore // a binary fraction may lie one below: that never flatters
