--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -47,6 +47,7 @@
 type evidence struct {
 	position     time.Duration // highest that was told: it never goes back
 	positionFrom Source
+	lag          time.Duration // by how much it was behind when that was told, at the most
 	leads        time.Duration // the newest word that it is the primary was made no earlier; 0: there was none
 	leadsFrom    Source
 	follows      time.Duration // the newest word that it is none was made no later; 0: there was none
@@ -59,7 +60,7 @@
 // possible, words for it as if they had been made as early as possible.
 func (e *evidence) add(now time.Duration, s Statement) {
 	if s.Position > e.position {
-		e.position, e.positionFrom = s.Position, s.Source
+		e.position, e.positionFrom, e.lag = s.Position, s.Source, cmp.Or(s.Made.NotAfter, now)-s.Position
 	}
 	e.told = e.told || s.Role != Unknown
 	switch s.Role {
@@ -129,6 +130,7 @@
 func (r *Router) learn(m *member, s Statement) {
 	before := m.evidence
 	m.evidence.add(r.now, s)
+	m.group.newest = max(m.group.newest, s.Position)
 	r.noteRole(m, s.Source, before)
 }
 
@@ -212,7 +214,7 @@
 	case r.fresh(q, m):
 		g := Grounds{Kind: ByPosition, Source: e.positionFrom, Position: e.position}
 		if q.cls.Need == Bounded {
-			g.SendBy = e.position + r.usableAge(q.cls) - r.ages
+			g.SendBy = r.sendBy(q, m)
 		}
 		return g
 	}
@@ -256,7 +258,7 @@
 		r.noteRole(m, FromAnswer, before)
 	}
 	for _, g := range r.groups {
-		g.ledBefore = 0
+		g.ledBefore, g.newest = 0, 0
 	}
 	for _, q := range r.seqs {
 		if q.wrote > 0 {
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -17,16 +17,31 @@
 	case q.cls.Need == Session:
 		return m.evidence.position >= q.wrote
 	}
-	return r.now+r.ages-m.evidence.position <= r.usableAge(q.cls)
+	return r.now <= r.sendBy(q, m)
 }
 
-// usableAge is how old a position may be that a bounded read is sent on. Where the bound has room for it, it leaves time for a
-// process that is held up between this look and the write.
-func (r *Router) usableAge(c *class) time.Duration {
-	return c.Bound - slack - max(0, min(r.s.HoldUp-holdUpSlack, c.Bound/holdUpPart))
+// sendBy is until when a bounded read may go to m on its known position. Where m may be falling behind it leaves time for a process
+// that is held up between the last look and the write, as far as the bound has room for that.
+func (r *Router) sendBy(q *request, m *member) time.Duration {
+	by := m.evidence.position - r.ages + q.cls.Bound - slack
+	if !r.keepsUp(q, m) {
+		by -= r.holdUpMargin(q.cls)
+	}
+	return by
+}
+
+func (r *Router) holdUpMargin(c *class) time.Duration {
+	return max(0, min(r.s.HoldUp-holdUpSlack, c.Bound/holdUpPart))
+}
+
+// keepsUp says that m's log, as it was told last, was hardly behind, and that its group's log has moved since not long ago: what is
+// known of m is then old only because nothing was heard of it lately.
+func (r *Router) keepsUp(q *request, m *member) bool {
+	standsFor := r.now + r.ages - m.group.newest
+	return m.evidence.lag <= q.cls.Bound/keepsUpPart && standsFor <= q.cls.Bound-slack-r.holdUpMargin(q.cls)
 }
 
-// asking re-probes a replica for q, once in the time that a position stays usable and less often if far behind; q waits for the answer.
+// asking re-probes a replica for q, once per bound and less often if far behind; q waits for the answer.
 func (r *Router) asking(q *request) bool {
 	var next *member
 	n := 0
@@ -37,7 +52,7 @@
 		if m.probeOut && r.now-m.probedAt < beat {
 			return true
 		}
-		if !m.probeOut && r.now-m.probedAt >= max(r.pace, min((m.probedAt-m.evidence.position)/4, time.Second)) {
+		if !m.probeOut && r.now-m.probedAt >= max(r.bound, min((m.probedAt-m.evidence.position)/4, time.Second)) {
 			if n++; r.rng.IntN(n) == 0 {
 				next = m
 			}
--- a/balance/router.go
+++ b/balance/router.go
@@ -28,8 +28,9 @@
 	slack        = ms              // positions are whole milliseconds: doubt counts as stale
 
 	// holdUpSlack is the part of the protocol's 50 ms of slack that a process held up before a send may use; the rest is for the
-	// clock. At most one part in holdUpPart of a bound is kept free for that: short bounds would leave no replica to read from.
-	holdUpSlack, holdUpPart = 25 * ms, 4
+	// clock (fleetclock.AgeSlack). At most one part in holdUpPart of a bound is kept free for that: short bounds would leave no
+	// replica to read from. A log that was behind by one part in keepsUpPart of the bound at most keeps up.
+	holdUpSlack, holdUpPart, keepsUpPart = 5 * ms, 3, 4
 
 	forgottenMost        = 10000   // members that left, remembered as having told a role
 	sessionLimit         = 20000   // remembered writes
@@ -61,6 +62,7 @@
 	members                 []*member
 	primary                 *member       // who said so last, if nothing later speaks against it
 	ledBefore               time.Duration // newest such word of members that are forgotten
+	newest                  time.Duration // position of any member
 	parked                  []*request
 	scout                   *request // the one write that looks for the primary while there is none
 	scoutAfter, soughtAt    time.Duration
@@ -97,7 +99,7 @@
 	all                sharers            // of a primary
 	shared             map[string]sharers // of a replica
 	ages               time.Duration      // added to those of positions, for what is not known of the clock
-	pace               time.Duration      // of position probes: how long the class with the least bound can use a position
+	bound              time.Duration      // the least bound of a bounded class: the pace of position probes
 	members            map[string]*member
 	forgotten          map[string]bool // members that left, of which a role had been told
 	forgotSome         bool            // more of them than are remembered
@@ -132,10 +134,10 @@
 
 // take puts settings in force. What is under way keeps the class that it came with.
 func (r *Router) take(s Settings) {
-	r.s, r.pace, r.tenants, r.quota = s, 0, map[string]*tenant{}, 0
+	r.s, r.bound, r.tenants, r.quota = s, 0, map[string]*tenant{}, 0
 	for _, c := range s.Classes {
-		if age := r.usableAge(&class{Class: c}); c.Need == Bounded && (r.pace == 0 || age < r.pace) {
-			r.pace = max(age, ms)
+		if c.Need == Bounded && (r.bound == 0 || c.Bound < r.bound) {
+			r.bound = c.Bound
 		}
 	}
 	for _, t := range s.Tenants {
@@ -144,7 +146,7 @@
 			r.quota += t.PerSec
 		}
 	}
-	r.pace, r.floor = cmp.Or(r.pace, pinWindow), max(r.floor, s.Floor)
+	r.bound, r.floor = cmp.Or(r.bound, pinWindow), max(r.floor, s.Floor)
 	r.forgotSome = r.forgotSome || s.Restarted
 	r.onCells(r.listed)
 }
--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -31,11 +31,11 @@
 	// agreeing is how many answers in a row have to contradict what is believed, and agree with each other, to replace it.
 	agreeing = 3
 	// AgeSlack is the part of the protocol's 50 ms of slack that data may be older than its position tells because it is not known
-	// exactly how this clock stands. The rest is for a process that is held up before a send.
-	AgeSlack = 25 * time.Millisecond
+	// exactly how this clock stands. The rest is left for the way of a send.
+	AgeSlack = 45 * time.Millisecond
 	// ReportAge is how old a load report may be that a host answers with: the operators' page says that they are refreshed every 59
 	// to 190 ms. Where that does not hold primaries' answers contradict what it led to.
-	ReportAge = 250 * time.Millisecond
+	ReportAge = 200 * time.Millisecond
 	// unbounded is the upper end as long as no primary has answered.
 	unbounded = time.Duration(math.MaxInt64)
 )
