--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -101,7 +101,9 @@
 	newest   time.Duration // of sessions' writes
 	begunAt  time.Duration
 
-	clockProbes map[string]bool // hosts that are being asked for the time; nil: none has been
+	clockProbes map[string]bool // hosts that are being asked for the time
+	clockRounds int             // how often some were
+	clockAskAt  time.Duration   // not again before
 	// What is known of the fleet's clock, as far as it is in force everywhere.
 	clockKnown, clockDoubtful bool
 	clockEpoch                int
--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -159,15 +159,20 @@
 	}
 }
 
-// clockProbeCount is how many hosts are asked for the time by a process that starts. Of several primaries' reports the oldest bounds
-// the clock most tightly, and one host may be dead.
-const clockProbeCount = 4
+const (
+	// clockProbeCount is how many hosts are asked for the time at once, clockProbePause how long after that others are, and
+	// clockProbeRounds how often: a host may be dead, or have no report yet.
+	clockProbeCount  = 2
+	clockProbePause  = 50 * time.Millisecond
+	clockProbeRounds = 8
+)
 
-// askClock asks hosts, once, how this clock stands to the fleet's: no position is believed until that is known, and the first
-// requests of a gateway with little traffic may come late. Only primaries can tell; where the list names none others are asked, for
-// their positions.
+// askClock asks hosts how this clock stands to the fleet's: no position is believed until that is known, and the first requests of a
+// gateway with little traffic may come late. Only primaries can tell; where the list names none others are asked, for their positions.
 func (x *Exchange) askClock() {
-	if x.clockProbes != nil || x.cfg.Clock.Confirmed() || !x.cfg.Settings.Probes {
+	now := x.cfg.Clock.Now()
+	if x.cfg.Clock.Confirmed() || !x.cfg.Settings.Probes || len(x.clockProbes) > 0 || x.clockRounds >= clockProbeRounds ||
+		now < x.clockAskAt {
 		return
 	}
 	var serving, primaries []string
@@ -182,8 +187,13 @@
 	if len(primaries) > 0 {
 		serving = primaries
 	}
+	if len(serving) == 0 {
+		return
+	}
+	x.clockRounds++
+	x.clockAskAt = now + clockProbePause
 	slices.Sort(serving)
-	rng := rand.New(rand.NewPCG(x.cfg.Seed, 0x636c6f636b)) // every gateway asks others
+	rng := rand.New(rand.NewPCG(x.cfg.Seed, 0x636c6f636b+uint64(x.clockRounds))) // every gateway asks others, each time
 	for _, i := range rng.Perm(len(serving))[:min(clockProbeCount, len(serving))] {
 		if x.clockProbes == nil {
 			x.clockProbes = map[string]bool{}
@@ -227,6 +237,7 @@
 
 // noticeClock hands everybody the list anew once it is known, or doubtful, how this clock stands to the fleet's.
 func (x *Exchange) noticeClock() {
+	x.askClock()
 	x.narrowClock()
 	moved := x.cfg.Clock.Epoch() != x.clockEpoch
 	if moved {
