A log's lag counts by when it was told, also over gossip

Positions that came by gossip seemed 0.1 to 0.2 s behind for their way alone, so that most replicas did not count as keeping up and kept the margin for a hold-up.

--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -41,13 +41,14 @@
 	Role     Role          // Unknown: nothing was said of it
 	Position time.Duration // that its log had reached; 0: not told
 	Made     Made
+	ToldAt   time.Duration // about when it was made, where Made does not bound that from above; 0: it does
 }
 
 // evidence is what is known of one member's role and log.
 type evidence struct {
 	position     time.Duration // highest that was told: it never goes back
 	positionFrom Source
-	lag          time.Duration // by how much it was behind when that was told, at the most
+	lag          time.Duration // by how much it was behind when that was told
 	leads        time.Duration // the newest word that it is the primary was made no earlier; 0: there was none
 	leadsFrom    Source
 	follows      time.Duration // the newest word that it is none was made no later; 0: there was none
@@ -60,7 +61,7 @@
 // possible, words for it as if they had been made as early as possible.
 func (e *evidence) add(now time.Duration, s Statement) {
 	if s.Position > e.position {
-		e.position, e.positionFrom, e.lag = s.Position, s.Source, cmp.Or(s.Made.NotAfter, now)-s.Position
+		e.position, e.positionFrom, e.lag = s.Position, s.Source, cmp.Or(s.ToldAt, s.Made.NotAfter, now)-s.Position
 	}
 	e.told = e.told || s.Role != Unknown
 	switch s.Role {
--- a/balance/router.go
+++ b/balance/router.go
@@ -29,8 +29,9 @@
 
 	// holdUpSlack is the part of the protocol's 50 ms of slack that a process held up before a send may use; the rest is for the
 	// clock (fleetclock.AgeSlack). At most one part in holdUpPart of a bound is kept free for that: short bounds would leave no
-	// replica to read from. A log that was behind by one part in keepsUpPart of the bound at most keeps up.
-	holdUpSlack, holdUpPart, keepsUpPart = 5 * ms, 3, 4
+	// replica to read from. A log that was behind by one part in keepsUpPart of the bound at most keeps up; reports are up to 0.2 s
+	// old, and a log seems so much behind.
+	holdUpSlack, holdUpPart, keepsUpPart = 5 * ms, 3, 2
 
 	forgottenMost        = 10000   // members that left, remembered as having told a role
 	sessionLimit         = 20000   // remembered writes
