Tests for three guards that none failed without

Seen: of 23 guards taken out one at a time against the tests of their packages, three made none fail: a follower's word dated by its reading, gossip's by its arrival, x1=0 before the clock is known. Change: a case for each.

--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -56,6 +56,7 @@
 		"it follows since":                    {[]Statement{leads(1, 2), follows(3, 4)}, 0, false},
 		"an older word, read later":           {[]Statement{follows(3, 4), leads(1, 2)}, 0, false},
 		"which was first can't be said":       {[]Statement{leads(2, 5), follows(3, 4)}, 0, false},
+		"nor if the query was sent before":    {[]Statement{leads(2, 5), follows(1, 4)}, 0, false},
 		"a follower's word with no last time": {[]Statement{leads(2, 5), {Role: Replica}}, 0, false},
 		"it has started since":                {[]Statement{leads(1, 2)}, 3, false},
 		"it had started before":               {[]Statement{leads(4, 5)}, 3, true},
@@ -123,10 +124,15 @@
 		do   func(g *rig)
 		want string
 	}{
-		"nothing was told":            {func(*rig) {}, "p"},
-		"it follows":                  {func(g *rig) { g.know("p", Replica, 0) }, ""},
-		"a report says so":            {func(g *rig) { g.report("p", Replica) }, ""},
-		"another router says so":      {func(g *rig) { g.heard("p", nil) }, ""},
+		"nothing was told":       {func(*rig) {}, "p"},
+		"it follows":             {func(g *rig) { g.know("p", Replica, 0) }, ""},
+		"a report says so":       {func(g *rig) { g.report("p", Replica) }, ""},
+		"another router says so": {func(g *rig) { g.heard("p", nil) }, ""},
+		"another router says so, of a while ago": {func(g *rig) {
+			g.know("p", Primary, 0)
+			g.now += 50 * ms
+			g.heard("p", func(h *Heard) { h.At = g.now - 100*ms }) // a router can't tell how long it was on its way
+		}, ""},
 		"a part of an answer says so": {func(g *rig) { g.part("p", Replica) }, ""},
 		"a part says that it leads":   {func(g *rig) { g.part("a", Primary) }, "p"},
 		"another one leads":           {func(g *rig) { g.know("a", Primary, 0) }, "a"},
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -190,6 +190,20 @@
 	}
 }
 
+// While it is not known how the clock stands a report says only that its host is no primary.
+func TestReportBeforeTheClockIsKnown(t *testing.T) {
+	const now = 1767225600500 * time.Millisecond
+	for in, want := range map[string]balance.Report{
+		"x0=1767225600.123,x1=1": {},
+		"x0=1767225600.123,x1=0": {Has: true, Role: balance.Replica},
+		"x0=1767225600.123":      {},
+	} {
+		if diff := cmp.Diff(want, believableReport(exchange.NewClock(), report(in), now)); diff != "" {
+			t.Errorf("%q: %s", in, diff)
+		}
+	}
+}
+
 // arrivals is a host that notes when each query has come.
 func arrivals(t *testing.T) (address string, came chan time.Time) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
