--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -88,17 +88,6 @@
 // clockMoved drops what was dated by positions: the clock by which they were read was wrong.
 func (e *evidence) clockMoved() { e.position, e.leads, e.started = 0, 0, 0 }
 
-// role is what the newest certain word makes the member.
-func (e *evidence) role() Role {
-	switch {
-	case e.leading():
-		return Primary
-	case e.follows > 0:
-		return Replica
-	}
-	return Unknown
-}
-
 // Grounds say on what evidence an attempt goes to a member.
 type Grounds struct {
 	Kind     GroundsKind
--- a/balance/model_world_test.go
+++ b/balance/model_world_test.go
@@ -78,8 +78,7 @@
 	roles     string // how the list tells them: "late", "start", "never"
 	roleLag   time.Duration
 	startLag  time.Duration
-	twoLeads  bool // the list may name two leaders for a while
-	commits   int
+	twoLeads  bool          // the list may name two leaders for a while
 	lastWrite time.Duration // commit of the session's last answered write
 	gateway   *modelGateway
 	trace     []string
