--- a/cmd/yokemast/soak_test.go
+++ b/cmd/yokemast/soak_test.go
@@ -76,6 +76,8 @@
 	log                 *logged
 	config              string
 
+	restarts sync.Mutex // held from a planned restart's beginning to its end
+
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	fault    soak.Kind // of the agent; "": none
@@ -452,6 +454,8 @@
 
 // restart ends the process as a planned restart does, and starts the next one.
 func (r *soakRun) restart(n *soakNode) {
+	n.restarts.Lock() // a planned restart begins when the one before is over
+	defer n.restarts.Unlock()
 	n.mu.Lock()
 	cmd := n.cmd
 	n.ended = time.Now()
