Testbed: hosts with load reports of their own, and that hang for all but probes

The stand-ins made a load report anew for each probe and carried none with their answers, so no report was ever old; a host that hung answered no probe either.

Change: Host.Report says what SHOW server_load answers and what answers carry as server_load; nil keeps what was. The kind of hang ButProbes swallows statements and answers probes.

--- a/internal/testbed/hosts/cluster.go
+++ b/internal/testbed/hosts/cluster.go
@@ -23,6 +23,7 @@
 	Awake        Hang = iota
 	BeforeCommit      // nothing is run until it comes back
 	AfterCommit       // it runs what comes, and answers nothing
+	ButProbes         // as BeforeCommit, but probes are answered
 )
 
 // Cluster is a primary and its replicas, which hold the same data. A replica shows what was committed up to its lag ago.
@@ -163,6 +164,14 @@
 	h.hung = how
 }
 
+// hangProbe is hang for a probe.
+func (h *Host) hangProbe() (died bool) {
+	h.mu.Lock()
+	answers := h.hung == ButProbes
+	h.mu.Unlock()
+	return !answers && h.hang(nil)
+}
+
 // hang waits while the host hangs; it says whether the process has died meanwhile.
 func (h *Host) hang(after *Hang) (died bool) {
 	h.mu.Lock()
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -42,6 +42,7 @@
 	AfterCommit func() bool   // is asked after each commit of a general host: true closes the connection without an answer
 	Ledger      *rules.Ledger // is told what comes; nil: nobody is
 	Skew        time.Duration // that the clock by which it tells times is ahead
+	Report      func() string // its load report, which its answers carry too; nil: made anew for each probe, and carried by none
 
 	// Of a host in a cluster: what it can do.
 	Slots    int           // requests that it runs at a time; 0: any number
@@ -158,7 +159,7 @@
 		}
 		query := strings.TrimSuffix(string(body), "\x00")
 		if query == "SHOW server_load" {
-			if h.hang(nil) {
+			if h.hangProbe() {
 				return
 			}
 			load := h.load()
@@ -223,6 +224,9 @@
 }
 
 func (h *Host) load() string {
+	if h.Report != nil {
+		return h.Report()
+	}
 	now, primary := h.standing(), 0
 	if now.role == Leader {
 		primary = 1
@@ -233,7 +237,11 @@
 // notes are what a host says of itself with an answer.
 func (h *Host) notes(now standing) []byte {
 	out := pg.Append(nil, pg.ParameterStatus, []byte("node_role\x00"+now.role+"\x00"))
-	return pg.Append(out, pg.ParameterStatus, fmt.Appendf(nil, "replay_position\x00%d\x00", now.position.Add(h.Skew).UnixMilli()))
+	out = pg.Append(out, pg.ParameterStatus, fmt.Appendf(nil, "replay_position\x00%d\x00", now.position.Add(h.Skew).UnixMilli()))
+	if h.Report != nil {
+		out = pg.Append(out, pg.ParameterStatus, []byte("server_load\x00"+h.Report()+"\x00"))
+	}
+	return out
 }
 
 // Row is the answer of a query served with its own key as the value.
