--- a/cmd/yokemast/stale_reads_test.go
+++ b/cmd/yokemast/stale_reads_test.go
@@ -25,38 +25,65 @@
 	staleClients = 64
 )
 
-// staleBench is a running gateway before a primary and two replicas that lag too far for bounded reads, with clients that never pause.
+// staleBench is a running gateway before groups of a primary and two replicas each, with clients that never pause.
 type staleBench struct {
 	*gateway
-	cluster *hosts.Cluster
-	ledger  *rules.Ledger
-	skew    time.Duration
+	cluster  *hosts.Cluster // of the first group
+	clusters []*hosts.Cluster
+	ledger   *rules.Ledger
+	skew     time.Duration
 }
 
+// newStaleBench runs a gateway before one group whose replicas lag too far for bounded reads.
 func newStaleBench(t *testing.T, lag, skew time.Duration) *staleBench {
 	t.Helper()
-	ledger := &rules.Ledger{Limits: rules.Limits{Slack: 50 * time.Millisecond, KnownAfter: knownAfter}}
+	b := newStaleHosts(t, 1, func(h *hosts.Host) { h.Skew = skew })
+	b.skew = skew
+	for _, h := range b.cluster.Hosts()[1:] {
+		h.SetLag(lag)
+	}
+	b.serve(t)
+	return b
+}
+
+// newStaleHosts makes the groups of hosts, before which no gateway runs yet.
+func newStaleHosts(t *testing.T, groups int, set func(*hosts.Host)) *staleBench {
+	t.Helper()
+	b := &staleBench{ledger: &rules.Ledger{Limits: rules.Limits{Slack: 50 * time.Millisecond, KnownAfter: knownAfter}}}
 	stalls := stall.Start()
 	t.Cleanup(stalls.Stop)
-	ledger.Stalls = stalls.Lately
-	cluster, err := hosts.NewCluster(1, "s-", 3, ledger, func(h *hosts.Host) { h.Work, h.Skew = 2*time.Millisecond, skew })
-	if err != nil {
-		t.Fatal(err)
+	b.ledger.Stalls = stalls.Lately
+	for i := range groups {
+		cluster, err := hosts.NewCluster(i+1, fmt.Sprintf("s%d-", i+1), 3, b.ledger, func(h *hosts.Host) {
+			h.Work = 2 * time.Millisecond
+			set(h)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(cluster.Close)
+		cluster.Bound, cluster.Own = staleBound, "own"
+		b.clusters = append(b.clusters, cluster)
 	}
-	t.Cleanup(cluster.Close)
-	cluster.Bound, cluster.Own = staleBound, "own"
-	for _, h := range cluster.Hosts()[1:] {
-		h.SetLag(lag)
+	b.cluster = b.clusters[0]
+	return b
+}
+
+// serve starts the gateway and the clients.
+func (b *staleBench) serve(t *testing.T) {
+	t.Helper()
+	var all []*hosts.Host
+	for _, c := range b.clusters {
+		all = append(all, c.Hosts()...)
 	}
 	brief := func(s string) string { return strings.ReplaceAll(s, `"onTime":10000000000`, `"onTime":400000000`) }
-	b := &staleBench{start(t, brief, cluster.Hosts()...), cluster, ledger, skew}
+	b.gateway = start(t, brief, all...)
 	stop := make(chan struct{})
 	var work sync.WaitGroup
 	for i := range staleClients {
 		work.Go(func() { b.ask(stop, uint64(i)) })
 	}
 	t.Cleanup(func() { close(stop); work.Wait() })
-	return b
 }
 
 // ask sends bounded reads, reads of a session's own writes and writes until stop is closed.
@@ -74,7 +101,7 @@
 			return
 		case <-time.After(time.Duration(rng.IntN(10)) * time.Millisecond):
 		}
-		r := clients.Request{Class: "view", Key: fmt.Sprint("k", number), Wait: time.Second, Repeatable: true}
+		r := clients.Request{Class: "view", Group: 1 + int(number)%len(b.clusters), Key: fmt.Sprint("k", number), Wait: time.Second, Repeatable: true}
 		switch rng.IntN(4) {
 		case 0:
 			r.Class, r.Write, r.Value, r.Repeatable = "order", true, []byte{byte(number)}, false
