A gateway that starts beside a primary that hangs is told old reports for certain

Need: the test waited until old reports had been told three times in 0.2 s, which only a gateway does that asks for the clock again and again. One that does not could never come to what the test checks.

Change: the primary's connections are reset meanwhile, as in the other test, so that it is probed.

--- a/cmd/yokemast/stale_clock_test.go
+++ b/cmd/yokemast/stale_clock_test.go
@@ -169,7 +169,7 @@
 	b.hang()
 	time.Sleep(hungFor)
 	b.serve(t)
-	b.waitAgreeing(func() {})
+	b.waitAgreeing(func() { b.cluster.Primary().Reset() }) // each attempt that is lost with its connection has the primary probed
 	b.wake()
 	b.waitServed()
 	b.checkClock()
