--- a/cmd/yokemast/admin_test.go
+++ b/cmd/yokemast/admin_test.go
@@ -49,7 +49,7 @@
 		want         int
 	}{{"GET", "/_ready", 200}, {"POST", "/_ready", 405}, {"GET", "/_lameduck/on", 405}, {"GET", "/", 404}, {"POST", "/_lameduck", 404},
 		{"POST", "/_lameduck/off", 204}, {"POST", "/_lameduck/on", 204}, {"GET", "/_ready", 503}, {"POST", "/_lameduck/on", 204},
-		{"POST", "/_lameduck/off", 204}, {"GET", "/_ready", 200}} {
+		{"POST", "/_lameduck/off", 204}, {"GET", "/_ready", 200}, {"GET", "/_counters", 200}, {"POST", "/_counters", 405}} {
 		if got := call(t, c.method, admin, c.path); got != c.want {
 			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
 		}
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -13,6 +13,9 @@
 // Add adds to the counter.
 func (c *Count) Add(n int64) { c.n.Add(n) }
 
+// Set sets a level.
+func (c *Count) Set(n int64) { c.n.Store(n) }
+
 // Get reads the counter.
 func (c *Count) Get() int64 { return c.n.Load() }
 
@@ -45,6 +48,8 @@
 	Grounds                                        [4]Count // attempts, by the evidence on which they went
 	Primaries                                      Count    // changes of who counts as a group's primary
 	Stalls                                         Count    // times that events waited long to be handled
+	ClockContradicted, ClockReplaced               Count    // answers that contradicted the known fleet's clock; intervals that replaced it
+	ClockWidth                                     Count    // microseconds between the bounds of the fleet's clock, as of the last change; -1: there are none
 	Panics, Timers                                 Count
 }
 
@@ -58,11 +63,30 @@
 
 // Fields gives every counter with its name, for the log.
 func (s *Set) Fields() []zap.Field {
-	var out []zap.Field
-	for _, c := range []struct {
-		name  string
-		count *Count
-	}{
+	all := s.all()
+	out := make([]zap.Field, 0, len(all))
+	for _, c := range all {
+		out = append(out, zap.Int64(c.name, c.count.Get()))
+	}
+	return out
+}
+
+// Values gives every counter by its name.
+func (s *Set) Values() map[string]int64 {
+	out := map[string]int64{}
+	for _, c := range s.all() {
+		out[c.name] = c.count.Get()
+	}
+	return out
+}
+
+type named struct {
+	name  string
+	count *Count
+}
+
+func (s *Set) all() []named {
+	out := []named{
 		{"requests_taken", &s.Taken}, {"requests_served", &s.Served}, {"requests_refused", &s.Refused},
 		{"requests_failed", &s.Failed}, {"requests_rejected", &s.Rejected}, {"requests_gone", &s.Gone},
 		{"requests_again", &s.Again}, {"attempts_sent", &s.Sent}, {"attempts_canceled", &s.Canceled}, {"probes_sent", &s.Probes},
@@ -84,18 +108,18 @@
 		{"streams", &s.Streams}, {"streams_open", &s.StreamsOpen}, {"streams_cut", &s.StreamsCut},
 		{"statements_large", &s.Large}, {"statements_large_refused", &s.LargeRefused}, {"statements_large_held", &s.LargeHeld},
 		{"drains", &s.Drains}, {"resumes", &s.Resumes}, {"primary_changes", &s.Primaries},
-		{"log_dropped", &s.LogDropped}, {"stalls", &s.Stalls}, {"panics", &s.Panics}, {"timers_pending", &s.Timers},
-	} {
-		out = append(out, zap.Int64(c.name, c.count.Get()))
+		{"log_dropped", &s.LogDropped}, {"stalls", &s.Stalls}, {"clock_contradicted", &s.ClockContradicted}, {"clock_replaced", &s.ClockReplaced},
+		{"clock_width_us", &s.ClockWidth},
+		{"panics", &s.Panics}, {"timers_pending", &s.Timers},
 	}
 	for i, name := range stageNames {
-		out = append(out, zap.Int64("moves_"+name, s.Moves[i].Get()))
+		out = append(out, named{"moves_" + name, &s.Moves[i]})
 	}
 	for i, name := range groundsNames {
-		out = append(out, zap.Int64("attempts_by_"+name, s.Grounds[i].Get()))
+		out = append(out, named{"attempts_by_" + name, &s.Grounds[i]})
 	}
 	for i, name := range outcomeNames {
-		out = append(out, zap.Int64("outcome_"+name, s.Outcomes[i].Get()))
+		out = append(out, named{"outcome_" + name, &s.Outcomes[i]})
 	}
 	return out
 }
--- a/internal/wire/admin/admin.go
+++ b/internal/wire/admin/admin.go
@@ -4,12 +4,14 @@
 //	GET  /_ready         200: the process is ready to serve; 503: it is not
 //	POST /_lameduck/on   204: it drains
 //	POST /_lameduck/off  204: it is back at work; 409: it is ending and can't be
+//	GET  /_counters      200: the counters, as a JSON object
 //
 // Nothing here waits for clients, hosts or the exchange.
 package admin
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -57,6 +59,10 @@
 		}
 		say(w, http.StatusServiceUnavailable, "not ready")
 	})
+	mux.HandleFunc("GET /_counters", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(counts.Values()) // a caller that has gone needs none
+	})
 	for path, do := range map[string]func() error{"on": s.Drain, "off": s.Resume} {
 		mux.HandleFunc("POST /_lameduck/"+path, func(w http.ResponseWriter, _ *http.Request) {
 			if err := do(); err != nil {
