--- a/balance/api.go
+++ b/balance/api.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Times ("now", deadlines, positions, start times) are readings of one clock with no particular zero.
+// Times ("now", deadlines, start times) are readings of one clock with no particular zero. Positions of logs are readings of the
+// fleet's clock; ClockBounds says how the two stand, and without it they are the same.
 
 // Effect says what running a request twice would do.
 type Effect int
@@ -194,8 +195,9 @@
 	Deadline                   time.Duration
 	Elapsed                    time.Duration // its client has been at it for so long with earlier tries; 0: not known
 	Retry                      bool
+	After                      time.Duration // the position that the session must see, with carried tokens; 0: WriteAge tells
 	WriteAge                   time.Duration // since the session's last write, with carried tokens; 0: none
-	Since                      time.Duration // a session that wrote must see all up to here too; 0: no such time
+	Since                      time.Duration // a position that a session which wrote must see too; 0: there is none
 	Over                       time.Duration // above 0: more than its share; refused, to come back after as long
 	// Lease says that its attempt keeps the member until its client is through, as a transaction does: it has no time-out
 	// but the deadline, and never goes again once it may have run. Patience is how long it may wait to be sent; 0: half of
@@ -289,13 +291,15 @@
 	Alive                    bool          // it was not set aside
 }
 
-// ClockNarrowed says how well it is known by now how the clock stands: so much has to be added to the ages of positions. It may be
-// below 0.
-type ClockNarrowed struct{ Ages time.Duration }
+// ClockBounds says how this router's clock stands to the one that positions are read by.
+type ClockBounds struct {
+	Known bool          // there are bounds: without them no position shows how old data is
+	Ages  time.Duration // to be added to the ages of positions; may be below 0
+	Most  time.Duration // the positions' clock shows so much more than this one, at most
+}
 
-// ClockMoved says that the clock by which positions and starts were read was wrong: none of them counts any more. What waits to see a
-// session's write has to see all up to Since.
-type ClockMoved struct{ Since time.Duration }
+// ClockReplaced says that the bounds so far were wrong: a leader's word or a start that was dated by them does not count any more.
+type ClockReplaced struct{}
 
 // Timer is an After come due.
 type Timer struct{ Tag int64 }
@@ -307,7 +311,7 @@
 type Ending struct{ By time.Duration }
 
 // Event is one of Members, ListLost, Cells, Retune, Request, Outcome, ProbeResult, Heard, Inherited,
-// ClockNarrowed, ClockMoved, Timer, Gone, Ending.
+// ClockBounds, ClockReplaced, Timer, Gone, Ending.
 type Event any
 
 // Seen is what a router believes of a member.
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -11,7 +11,7 @@
 // choose is the ordinary path: the primary for what needs it, the draw among replicas for other reads.
 func (r *Router) choose(q *request) *member {
 	c := q.cls
-	if c.Need == Write || c.Need == Latest || c.Need == Session && q.wrote > 0 && r.now-q.wrote < pinWindow {
+	if c.Need == Write || c.Need == Latest || c.Need == Session && q.wrote > 0 && (!r.clock.Known || r.age(q.wrote) < pinWindow) {
 		return r.primaryFor(q, 1, 1)
 	}
 	if m := r.draw(q); m != nil {
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -32,7 +33,7 @@
 // Made bounds when a statement was made, by the router's clock.
 type Made struct {
 	NotBefore, NotAfter time.Duration
-	Epoch               int // of the clock by which positions were read; the router itself knows one only
+	Epoch               int // of the clock by which it was dated; the router itself knows one only
 }
 
 // Statement is what a source said of a member.
@@ -48,7 +49,7 @@
 type evidence struct {
 	position     time.Duration // highest that was told: it never goes back
 	positionFrom Source
-	lag          time.Duration // by how much it was behind when that was told
+	positionAt   time.Duration // about when that was told
 	leads        time.Duration // the newest word that it is the primary was made no earlier; 0: there was none
 	leadsFrom    Source
 	follows      time.Duration // the newest word that it is none was made no later; 0: there was none
@@ -61,7 +62,7 @@
 // possible, words for it as if they had been made as early as possible.
 func (e *evidence) add(now time.Duration, s Statement) {
 	if s.Position > e.position {
-		e.position, e.positionFrom, e.lag = s.Position, s.Source, cmp.Or(s.ToldAt, s.Made.NotAfter, now)-s.Position
+		e.position, e.positionFrom, e.positionAt = s.Position, s.Source, cmp.Or(s.ToldAt, s.Made.NotAfter, now)
 	}
 	e.told = e.told || s.Role != Unknown
 	switch s.Role {
@@ -85,8 +86,8 @@
 // silent says that it has never told its role.
 func (e *evidence) silent() bool { return !e.told }
 
-// clockMoved drops what was dated by positions: the clock by which they were read was wrong.
-func (e *evidence) clockMoved() { e.position, e.leads, e.started = 0, 0, 0 }
+// clockReplaced drops what was dated by a clock that was wrong. Positions stay: they are by the fleet's own.
+func (e *evidence) clockReplaced() { e.leads, e.started = 0, 0 }
 
 // Grounds say on what evidence an attempt goes to a member.
 type Grounds struct {
@@ -94,8 +95,14 @@
 	Source   Source        // of that evidence
 	Position time.Duration // the member's, as far as it is known; 0: it is not
 	Leads    time.Duration // with LeaderWord: the word was made no earlier
-	// SendBy is when the evidence no longer holds, so that the attempt must not begin later; 0: it holds for good.
-	SendBy time.Duration
+	// SendBy is when the evidence no longer holds, so that the attempt must not begin later; 0: it holds for good. It moves with the
+	// bounds of the clock, which then had data so much older by Ages.
+	SendBy, Ages time.Duration
+}
+
+// Expired says that the evidence does not hold any more, by the bounds of the clock as they are now.
+func (g Grounds) Expired(now time.Duration, clock ClockBounds) bool {
+	return g.SendBy > 0 && (!clock.Known || now > g.SendBy-max(0, clock.Ages-g.Ages))
 }
 
 // GroundsKind is a kind of Grounds.
@@ -113,12 +120,36 @@
 	return [...]string{"not needed", "position", "leader's word", "list"}[k]
 }
 
+// RoleWords are a member's last words on its role as a host side reads them, before the router gets to them. The zero value has none.
+type RoleWords struct {
+	follows time.Duration // when it last said that it is no primary; 0: it never did
+	leads   bool          // it has said since, in a whole answer, that it is
+}
+
+// Leads notes that a whole answer named the member the primary.
+func (w *RoleWords) Leads() { w.leads = true }
+
+// Follows notes that the member said that it is no primary. news: it had not, or has said otherwise since.
+func (w *RoleWords) Follows(now time.Duration) (news bool) {
+	news = w.leads || w.follows == 0
+	w.follows, w.leads = now, false
+	return news
+}
+
+// Refute says that the member has told, since an attempt was decided on, that it is not the primary that the attempt needs.
+func (w *RoleWords) Refute(g Grounds) bool {
+	return g.NeedsLeader() && w.follows > 0 && w.follows >= g.Leads
+}
+
 // NeedsLeader says that a word of the member's that it follows takes the grounds away.
 func (g Grounds) NeedsLeader() bool { return g.Kind == LeaderWord || g.Kind == Excused }
 
 // learn takes a statement on m, and notes who is its group's primary now.
 func (r *Router) learn(m *member, s Statement) {
 	before := m.evidence
+	if s.Position > r.latestPosition(cmp.Or(s.Made.NotAfter, r.now)) {
+		s.Position = 0 // from the future: it would pass stale data as fresh once that has come
+	}
 	m.evidence.add(r.now, s)
 	m.group.newest = max(m.group.newest, s.Position)
 	r.noteRole(m, s.Source, before)
@@ -154,6 +185,9 @@
 	}
 }
 
+// noBound is a position that none reaches.
+const noBound = time.Duration(math.MaxInt64 / 2)
+
 // changesMost is how many changes are kept for who asks for them; the simulator never does.
 const changesMost = 100
 
@@ -204,7 +238,7 @@
 	case r.fresh(q, m):
 		g := Grounds{Kind: ByPosition, Source: e.positionFrom, Position: e.position}
 		if q.cls.Need == Bounded {
-			g.SendBy = r.sendBy(q, m)
+			g.SendBy, g.Ages = r.sendBy(q, m), r.clock.Ages
 		}
 		return g
 	}
@@ -216,7 +250,7 @@
 	if e.Made == (Made{}) {
 		e.Made.NotBefore = r.now - e.Took
 		if e.Role == Primary { // its position is the present; of a write, its commit, rounded up
-			e.Made.NotBefore = max(e.Made.NotBefore, e.Position-slack)
+			e.Made.NotBefore = max(e.Made.NotBefore, e.Position-r.clock.Most-slack)
 		}
 	}
 	if !wholeAnswer(e.Result) {
@@ -240,20 +274,41 @@
 	}
 }
 
-// onClockMoved forgets all positions, and what rests on them.
-func (r *Router) onClockMoved(since time.Duration) {
+// latestPosition is the latest position that a log may have had at a time; without bounds it may be any.
+func (r *Router) latestPosition(at time.Duration) time.Duration {
+	if !r.clock.Known {
+		return noBound
+	}
+	return at + r.clock.Most + slack
+}
+
+// onClockBounds takes how the clock stands. A position that turns out to lie in the future was none.
+func (r *Router) onClockBounds(e ClockBounds) {
+	narrower := e.Known && (!r.clock.Known || e.Most < r.clock.Most)
+	if r.clock = e; !narrower {
+		return
+	}
+	for _, m := range r.members {
+		if m.evidence.position > r.latestPosition(r.now) {
+			m.evidence.position = 0
+		}
+	}
+	for _, g := range r.groups {
+		if g.newest > r.latestPosition(r.now) {
+			g.newest = 0
+		}
+	}
+}
+
+// onClockReplaced forgets what was dated by a clock that was wrong.
+func (r *Router) onClockReplaced() {
 	for _, m := range r.members {
 		before := m.evidence
-		m.evidence.clockMoved()
+		m.evidence.clockReplaced()
 		r.noteRole(m, FromAnswer, before)
 	}
 	for _, g := range r.groups {
-		g.ledBefore, g.newest = 0, 0
-	}
-	for _, q := range r.seqs {
-		if q.wrote > 0 {
-			q.wrote = max(q.wrote, since)
-		}
+		g.ledBefore = 0
 	}
 }
 
--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -165,7 +165,7 @@
 		}, ""},
 		"an earlier router had heard that it follows":    {func(g *rig) { g.do(Inherited{Server: "p", Follows: g.now - ms, Alive: true}) }, ""},
 		"an earlier router had heard that another leads": {func(g *rig) { g.do(Inherited{Server: "a", Leads: g.now - ms, Alive: true}) }, "a"},
-		"the clock was wrong":                            {func(g *rig) { g.know("p", Primary, 0); g.do(ClockMoved{}) }, ""},
+		"the clock was wrong":                            {func(g *rig) { g.know("p", Primary, 0); g.do(ClockReplaced{}) }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newRig(t, nil)
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -17,13 +17,13 @@
 	case q.cls.Need == Session:
 		return m.evidence.position >= q.wrote
 	}
-	return r.now <= r.sendBy(q, m)
+	return r.clock.Known && r.now <= r.sendBy(q, m)
 }
 
 // sendBy is until when a bounded read may go to m on its known position. Where m may be falling behind it leaves time for a process
 // that is held up between the last look and the write, as far as the bound has room for that.
 func (r *Router) sendBy(q *request, m *member) time.Duration {
-	by := m.evidence.position - r.ages + q.cls.Bound - slack
+	by := m.evidence.position - r.clock.Ages + q.cls.Bound - slack
 	if !r.keepsUp(q, m) {
 		by -= r.holdUpMargin(q.cls)
 	}
@@ -37,22 +37,32 @@
 // keepsUp says that m's log, as it was told last, was hardly behind, and that its group's log has moved since not long ago: what is
 // known of m is then old only because nothing was heard of it lately.
 func (r *Router) keepsUp(q *request, m *member) bool {
-	standsFor := r.now + r.ages - m.group.newest
-	return m.evidence.lag <= q.cls.Bound/keepsUpPart && standsFor <= q.cls.Bound-slack-r.holdUpMargin(q.cls)
+	standsFor := r.age(m.group.newest)
+	lag := m.evidence.positionAt + r.clock.Ages - m.evidence.position
+	return lag <= q.cls.Bound/keepsUpPart && standsFor <= q.cls.Bound-slack-r.holdUpMargin(q.cls)
 }
 
-// asking re-probes a replica for q, once per bound and less often if far behind; q waits for the answer.
+// age is how old a position is, less the slack that the protocol has for what is not known of the clock; without bounds, any age.
+func (r *Router) age(position time.Duration) time.Duration {
+	if !r.clock.Known {
+		return noBound
+	}
+	return r.now + r.clock.Ages - position
+}
+
+// asking re-probes a replica for q, once per bound and less often if far behind; q waits for the answer. While nothing bounds the clock
+// q does not wait: only a primary's answer to it helps.
 func (r *Router) asking(q *request) bool {
 	var next *member
 	n := 0
 	for _, m := range r.usable { // of the draw just made
-		if !r.s.Probes || r.fresh(q, m) || !r.room(q, m, 1) {
+		if !r.s.Probes || r.fresh(q, m) || !r.room(q, m, 1) || !r.clock.Known && m.evidence.position > 0 {
 			continue
 		}
 		if m.probeOut && r.now-m.probedAt < beat {
-			return true
+			return r.clock.Known
 		}
-		if !m.probeOut && r.now-m.probedAt >= max(r.bound, min((m.probedAt-m.evidence.position)/4, time.Second)) {
+		if !m.probeOut && r.now-m.probedAt >= max(r.bound, min((m.probedAt+r.clock.Ages-m.evidence.position)/4, time.Second)) {
 			if n++; r.rng.IntN(n) == 0 {
 				next = m
 			}
@@ -61,13 +71,15 @@
 	if next != nil {
 		r.probe(next)
 	}
-	return next != nil
+	return next != nil && r.clock.Known
 }
 
 // wrote gives the time of the last write that a session read must see, 0 for none.
 func (r *Router) wrote(e Request) time.Duration {
 	if !r.s.TokensCarried {
 		return max(r.sessions[e.Session], r.floor)
+	} else if e.After > 0 {
+		return e.After + slack // a commit is told rounded up: of a member that told the same one this may be missing
 	} else if e.WriteAge <= 0 {
 		return 0
 	}
@@ -76,7 +88,7 @@
 
 // remember keeps a session's last write. A full memory is emptied and leaves a floor above all forgotten.
 func (r *Router) remember(key string, commit time.Duration) {
-	commit = cmp.Or(commit, r.now)
+	commit = cmp.Or(commit, r.latestPosition(r.now))
 	r.sessions[key], r.newest = max(commit, r.sessions[key]), max(commit, r.newest)
 	if len(r.sessions) > sessionLimit {
 		clear(r.sessions)
--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -48,18 +48,20 @@
 	loopTo   time.Duration // the event loop is busy until then
 	holdUps  bool
 	reports  bool
+	lies     bool // one answer of each process tells a primary's position that is too old
+	lied     bool
+	often    bool          // hosts are probed more often than the module asks for, as more of them would be
 	gap      time.Duration // between requests at most: a gateway with few of them hears little
 
 	router   *balance.Router
-	clock    fleetclock.Estimate
+	clock    *fleetclock.Estimate
 	epoch    int
-	ages     time.Duration
+	bounds   balance.ClockBounds // as the module was told
 	list     map[string]balance.Member
 	requests map[string]*modelRequest
 	count    int
 	follows  map[string]time.Duration // when a host last said on a connection that it follows, by this machine's clock
 	told     map[*modelHost][]time.Duration
-	early    map[string]time.Duration // positions told before the clock was known
 	broke    []string
 	reads    int
 }
@@ -70,6 +72,11 @@
 	if w.chance(0.5) {
 		g.offset = w.between(-500*ms, 500*ms)
 	}
+	if w.chance(0.1) {
+		g.offset *= 10
+	}
+	g.lies = w.chance(0.3) && g.offset == 0
+	g.often = w.chance(0.3)
 	g.holdUps, g.reports = w.chance(0.5), w.chance(0.7)
 	g.gap = []time.Duration{40 * ms, 60 * ms, 300 * ms, 900 * ms}[w.rng.IntN(4)]
 	g.settings = balance.Settings{Routers: 1, Tick: ms, TokensCarried: true, Probes: w.chance(0.8), Cancel: true, RetryAfter: true,
@@ -97,7 +104,11 @@
 	if err != nil {
 		panic(err)
 	}
-	g.router, g.requests, g.ages = r, map[string]*modelRequest{}, 0
+	if g.clock == nil {
+		g.clock = fleetclock.New(g.local())
+	}
+	g.router, g.requests, g.bounds = r, map[string]*modelRequest{}, balance.ClockBounds{}
+	g.router.Handle(g.local(), g.bounds, nil)
 	list := balance.Members{Whole: true}
 	for _, m := range g.list {
 		list.List = append(list.List, g.entry(m))
@@ -113,8 +124,11 @@
 
 func (g *modelGateway) entry(m balance.Member) balance.Member {
 	if m.Started > 0 {
-		offset, _ := g.clock.Offset()
-		m.Started = min(m.Started-offset.Least, g.local())
+		started := g.local()
+		if b := g.clock.Bounds(); b.Told {
+			started = min(started, m.Started-b.At(g.local()).Least)
+		}
+		m.Started = started
 	}
 	return m
 }
@@ -151,9 +165,9 @@
 	})
 	g.end()
 	g.life++
-	g.follows, g.early = nil, nil
+	g.follows, g.lied = nil, false
 	if !handover {
-		g.clock, g.epoch, g.told = fleetclock.Estimate{}, 0, map[*modelHost][]time.Duration{}
+		g.clock, g.epoch, g.told = nil, 0, map[*modelHost][]time.Duration{}
 	}
 	g.start(handover)
 	if handover {
@@ -232,11 +246,7 @@
 			q.after = w.now - w.between(0, time.Second) // of a commit that was made through another gateway
 		}
 		if q.after > 0 {
-			if _, known := g.clock.Offset(); known {
-				r.WriteAge = max(g.local()-(q.after-g.clock.Frame()), 1)
-			} else {
-				r.WriteAge, r.Since = 1, g.local()+fleetclock.AgeSlack
-			}
+			r.After = q.after
 		}
 	}
 	for _, c := range g.settings.Classes {
@@ -250,6 +260,9 @@
 	if w.chance(0.2) {
 		g.gossip()
 	}
+	for g.often && w.chance(0.3) {
+		g.probe(w.hosts[w.rng.IntN(len(w.hosts))].id)
+	}
 }
 
 // gossip lets another gateway tell of a host: as it was some time ago, counted as internal/control/gossip has it.
@@ -260,30 +273,40 @@
 	}
 	s := g.w.standing(h)
 	g.read(g.w.between(5*ms, 1900*ms), func() {
-		offset, known := g.clock.Offset()
-		n := balance.Heard{Server: h.id, Class: "view", Result: balance.OK, Took: 10 * ms, Source: balance.FromGossip, At: s.at - offset.Least, NotBefore: s.position - offset.Most}
-		if known {
-			n.Position = s.position - g.clock.Frame()
+		b := g.clock.Bounds()
+		offset := b.At(g.local())
+		n := balance.Heard{Server: h.id, Class: "view", Result: balance.OK, Took: 10 * ms, Source: balance.FromGossip, Position: s.position}
+		if b.Told {
+			n.At = s.at - offset.Least
 		}
 		if n.Role = balance.Replica; s.leads {
-			n.Role = balance.Primary
-		}
-		if s.leads && !known {
 			n.Role = balance.Unknown
+			if b.Bounded {
+				n.Role, n.NotBefore = balance.Primary, s.position-offset.Most
+			}
 		}
 		g.handle(n)
 	})
 }
 
+// known is what the module is told of the clock.
+func (g *modelGateway) known() balance.ClockBounds {
+	b := g.clock.Bounds()
+	if !b.Bounded {
+		return balance.ClockBounds{}
+	}
+	return balance.ClockBounds{Known: true, Ages: (b.Ages(g.local()) + ms).Truncate(ms), Most: (b.At(g.local()).Most + ms).Truncate(ms)}
+}
+
 // handle hands the module an event and carries out what it answers.
 func (g *modelGateway) handle(e balance.Event) {
-	if ages := g.clock.Ages(); ages != g.ages {
-		g.ages = ages
-		g.handle(balance.ClockNarrowed{Ages: ages})
+	if known := g.known(); known != g.bounds {
+		g.bounds = known
+		g.handle(known)
 	}
 	if g.clock.Epoch() != g.epoch {
 		g.epoch = g.clock.Epoch()
-		g.handle(balance.ClockMoved{Since: g.local() + fleetclock.AgeSlack})
+		g.handle(balance.ClockReplaced{})
 	}
 	for _, a := range g.router.Handle(g.local(), e, nil) {
 		switch a := a.(type) {
@@ -349,7 +372,7 @@
 	switch {
 	case t.over:
 		return
-	case now >= t.request.deadline, t.request.done, t.grounds.SendBy > 0 && now > t.grounds.SendBy,
+	case now >= t.request.deadline, t.request.done, t.grounds.Expired(now, g.known()),
 		t.grounds.NeedsLeader() && g.follows[t.server.id] > 0 && g.follows[t.server.id] >= t.grounds.Leads:
 		g.ended(t, balance.Outcome{Result: balance.NotSent})
 		return
@@ -446,19 +469,30 @@
 	if commit > 0 {
 		position = (commit + ms - 1).Truncate(ms)
 	}
-	o.Role, o.Position = balance.Replica, 0
+	told := fleetclock.Observation{Host: h.id, Position: position, Sent: t.written - g.offset, Received: now}
+	o.Role, o.Position = balance.Replica, position
 	if s.leads {
 		o.Role = balance.Primary
-		g.clock.Observe(fleetclock.Observation{Position: position, Sent: t.written - g.offset, Received: now})
-	}
-	g.clock.ObserveHost(h.id, position, now)
-	offset, known := g.clock.Offset()
-	if known {
-		o.Position = g.believable(position)
-		if s.leads {
-			o.Made.NotBefore = max(o.Made.NotBefore, min(position-offset.Most-ms, now))
+		if g.lies && !g.lied && g.w.chance(0.2) {
+			g.lied = true
+			position -= g.w.between(10*ms, 3*time.Second)
+			told.Position, o.Position = position, position
+			g.w.note("%s tells a position too old", h.id)
+		}
+		if result == balance.OK {
+			told.Present = position
 		}
 	}
+	if g.reports && h.report.at > 0 {
+		told.Position = max(told.Position, reportPosition(h.report))
+	}
+	g.clock.Observe(told)
+	if g.reports && h.report.at > 0 {
+		o.Report = g.localReport(h.report, now)
+	}
+	if b := g.clock.Bounds(); s.leads && b.Bounded {
+		o.Made.NotBefore = max(o.Made.NotBefore, min(position-b.At(now).Most-ms, now))
+	}
 	o.Made.Epoch = g.clock.Epoch()
 	if result == balance.OK && !t.request.done {
 		g.check(t, s, held)
@@ -469,14 +503,6 @@
 	g.ended(t, o)
 }
 
-func (g *modelGateway) believable(position time.Duration) time.Duration {
-	p := position - g.clock.Frame()
-	if p > g.local()+modelSlack {
-		return 0
-	}
-	return min(p, g.local())
-}
-
 // heardFollower is what the host side notes as soon as a host says that it follows.
 func (g *modelGateway) heardFollower(h *modelHost) {
 	if g.follows == nil {
@@ -546,11 +572,8 @@
 		if g.router == router {
 			q := t.request
 			o.Final = q.done
-			if o.Made.Epoch != g.epoch && o.Made.Epoch != g.clock.Epoch() {
-				o.Position = 0
-				if o.Role == balance.Primary {
-					o.Role = balance.Unknown
-				}
+			if o.Made.Epoch != g.epoch && o.Made.Epoch != g.clock.Epoch() && o.Role == balance.Primary {
+				o.Role = balance.Unknown
 			}
 			g.handle(o)
 			if o.Result == balance.OK {
@@ -576,44 +599,40 @@
 		g.read(ms, func() { g.probed(balance.ProbeResult{Server: server, Result: balance.NoConnection}) })
 		return
 	}
-	if h.hungTo > w.now {
+	if h.hungTo > w.now && !h.probed {
 		g.read(250*ms, func() { g.probed(balance.ProbeResult{Server: server, Result: balance.TimedOut}) })
 		return
 	}
-	s := w.reported(h)
-	if !s.leads && g.reports {
+	s := h.report
+	if !s.leads && g.reports && s.at > 0 {
 		g.told[h] = append(g.told[h], w.now+ms)
 	}
 	g.read(w.between(ms, 6*ms), func() {
 		now := g.local()
 		p := balance.ProbeResult{Server: server, Result: balance.OK, Made: balance.Made{NotBefore: sent, NotAfter: now}}
-		if g.reports {
+		if g.reports && s.at > 0 {
 			if !s.leads {
 				g.heardFollower(h)
 			}
-			p.Report = g.localReport(h, s, sent, now)
+			g.clock.Observe(fleetclock.Observation{Host: h.id, Position: reportPosition(s), Sent: sent, Received: now})
+			p.Report = g.localReport(s, now)
 		}
 		p.Made.Epoch = g.clock.Epoch()
 		g.probed(p)
 	})
 }
 
-// localReport is a load report by this machine's clock.
-func (g *modelGateway) localReport(h *modelHost, s modelStanding, sent, now time.Duration) balance.Report {
-	if s.leads {
-		g.clock.ObserveReport(fleetclock.Observation{Position: s.position.Truncate(ms) - ms, Sent: sent, Received: now})
-	}
-	g.clock.ObserveHost(h.id, s.position.Truncate(ms)-ms, now)
-	offset, known := g.clock.Offset()
-	switch {
-	case !known && s.leads:
-		return balance.Report{}
-	case !known:
-		return balance.Report{Has: true, Role: balance.Replica}
-	}
-	r := balance.Report{Has: true, Role: balance.Replica, Position: g.believable(s.position.Truncate(ms) - ms)}
+func reportPosition(s modelStanding) time.Duration { return s.position.Truncate(ms) - ms }
+
+// localReport is a load report as the host side hands it on.
+func (g *modelGateway) localReport(s modelStanding, now time.Duration) balance.Report {
+	position := reportPosition(s)
+	r := balance.Report{Has: true, Role: balance.Replica, Position: position}
 	if s.leads {
-		r.Role, r.NotBefore = balance.Primary, s.position.Truncate(ms)-ms-offset.Most
+		r.Role = balance.Unknown
+		if b := g.clock.Bounds(); b.Bounded {
+			r.Role, r.NotBefore = balance.Primary, position-b.At(now).Most
+		}
 	}
 	return r
 }
--- a/balance/model_world_test.go
+++ b/balance/model_world_test.go
@@ -51,8 +51,10 @@
 	applied time.Duration // its log, as of appliedAt
 	since   time.Duration
 	lag     time.Duration
-	speed   float64 // seconds of the log that it applies in a second
-	report  modelStanding
+	speed   float64       // seconds of the log that it applies in a second
+	report  modelStanding // its load report, as it was made last
+	every   time.Duration // between two of them
+	probed  bool          // it answers probes also while it hangs
 	ledTo   time.Duration // when it was the primary last; 0: never
 
 	list balance.Member // its entry, as discovery has it by now
@@ -127,12 +129,12 @@
 	return modelStanding{false, h.applied, w.now}
 }
 
-// reported is a host's load report, which is refreshed now and then.
-func (w *world) reported(h *modelHost) modelStanding {
-	if w.now-h.report.at > 190*ms || w.chance(0.3) {
+// reports makes a host's load reports. While it hangs it makes none, and tells the last one.
+func (w *world) reports(h *modelHost) {
+	if h.alive && h.hungTo <= w.now {
 		h.report = w.standing(h)
 	}
-	return h.report
+	w.after(h.every, func() { w.reports(h) })
 }
 
 // depose ends the primary's term; the log ends here until there is another.
@@ -224,10 +226,29 @@
 }
 
 func (w *world) hang(h *modelHost, d time.Duration) {
-	w.note("%s hangs for %s", h.id, d)
+	h.probed = w.chance(0.6)
+	w.note("%s hangs for %s, answers probes %t", h.id, d, h.probed)
 	h.hungTo = w.now + d
 }
 
+// startBesideAHang lets the primary answer nothing but probes, with its last report, and its group's logs stand still, while a process
+// of the gateway starts.
+func (w *world) startBesideAHang() {
+	old := w.leader
+	if old == nil {
+		return
+	}
+	w.hang(old, w.between(time.Second, 4*time.Second))
+	old.probed = true
+	w.depose()
+	w.after(w.between(0, 3*time.Second), func() { w.gateway.restarted(false) })
+	w.after(w.between(2*time.Second, 5*time.Second), func() {
+		if next := w.successor(nil); next != nil && w.leader == nil {
+			w.promote(next)
+		}
+	})
+}
+
 // crash ends a host's process; it comes back cold and goes on from where it stood. The list tells the start, late.
 func (w *world) crash(h *modelHost, down time.Duration) {
 	w.standing(h)
@@ -294,9 +315,15 @@
 	if w.chance(0.6) {
 		lags = w.between(100*ms, 3*time.Second)
 	}
+	lateReports := w.chance(0.3)
 	for i := range 3 + w.rng.IntN(3) {
 		h := &modelHost{id: fmt.Sprint("h", i), alive: true, lag: lags, speed: 1 + 4*w.rng.Float64(), since: epoch, applied: epoch - lags}
 		h.list = balance.Member{Server: h.id, Weight: 1}
+		h.every = w.between(59*ms, 190*ms)
+		if lateReports {
+			h.every = w.between(200*ms, 5*time.Second)
+		}
+		w.after(w.between(0, h.every), func() { w.reports(h) })
 		w.hosts = append(w.hosts, h)
 	}
 	w.leader = w.hosts[0]
@@ -311,7 +338,7 @@
 
 func (w *world) trouble() {
 	h := w.hosts[w.rng.IntN(len(w.hosts))]
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(13) {
 	case 0, 1, 2, 3, 4:
 		w.failOver()
 	case 5:
@@ -332,5 +359,7 @@
 		w.gateway.holdUp(w.between(20*ms, 150*ms))
 	case 11:
 		w.replace(h)
+	case 12:
+		w.startBesideAHang()
 	}
 }
--- a/balance/router.go
+++ b/balance/router.go
@@ -99,8 +99,8 @@
 	cells              map[int]*cell      // the one for requests of none is cell 0
 	all                sharers            // of a primary
 	shared             map[string]sharers // of a replica
-	ages               time.Duration      // added to those of positions, for what is not known of the clock
-	bound              time.Duration      // the least bound of a bounded class: the pace of position probes
+	clock              ClockBounds
+	bound              time.Duration // the least bound of a bounded class: the pace of position probes
 	members            map[string]*member
 	forgotten          map[string]bool // members that left, of which a role had been told
 	forgotSome         bool            // more of them than are remembered
@@ -128,7 +128,7 @@
 	}
 	r := &Router{rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), members: map[string]*member{}, forgotten: map[string]bool{},
 		groups: map[int]*group{}, reqs: map[string]*request{}, seqs: map[int64]*request{}, seq: firstSeq,
-		sessions: map[string]time.Duration{}}
+		sessions: map[string]time.Duration{}, clock: ClockBounds{Known: true}}
 	r.take(s)
 	return r, nil
 }
@@ -178,10 +178,10 @@
 		r.onProbe(e)
 	case Heard:
 		r.onHeard(e)
-	case ClockNarrowed:
-		r.ages = e.Ages
-	case ClockMoved:
-		r.onClockMoved(e.Since)
+	case ClockBounds:
+		r.onClockBounds(e)
+	case ClockReplaced:
+		r.onClockReplaced()
 	case Inherited:
 		r.onInherited(e)
 	case Timer:
--- a/cmd/yokemast/peers_test.go
+++ b/cmd/yokemast/peers_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	heard, err := state.Receive(time.Duration(time.Now().UnixNano()), gossip.Offsets{}, b[:n], nil)
+	heard, err := state.Receive(time.Duration(time.Now().UnixNano()), gossip.Offsets{Bounded: true}, b[:n], nil)
 	if err != nil || len(heard) != 1 || heard[0].Server != "s-1" || heard[0].Class != "order" || heard[0].Role != balance.Primary {
 		t.Errorf("told %+v, %v", heard, err)
 	}
@@ -51,7 +51,7 @@
 	for end := time.Now().Add(patience); len(follower.Asked()) == 0; {
 		now := time.Duration(time.Now().UnixNano())
 		state.Note(now, balance.Heard{Server: "s-2", Class: "view", Role: balance.Replica, Position: now, At: now})
-		for _, d := range [][]byte{[]byte("noise"), state.Datagram(now, gossip.Offsets{}, nil)} {
+		for _, d := range [][]byte{[]byte("noise"), state.Datagram(now, gossip.Offsets{Bounded: true}, nil)} {
 			if _, err := other.WriteTo(d, to); err != nil {
 				t.Fatal(err)
 			}
--- a/cmd/yokemast/stale_clock_test.go
+++ b/cmd/yokemast/stale_clock_test.go
@@ -188,7 +188,7 @@
 			t.Parallel()
 			b := newStoppedHosts(t, c.groups)
 			b.serve(t)
-			b.waitLog(`"known":true`)
+			b.waitLog(`"fleet's clock","doubted":false,"epoch":0,"least":`)
 			b.waitServed()
 			b.hang()
 			b.waitAgreeing(func() {
--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -1,45 +1,46 @@
-// Package fleetclock learns how far this machine's clock is off the fleet's. It does no I/O and has no clock.
+// Package fleetclock bounds how far this machine's clock is off the fleet's. It does no I/O and has no clock.
 //
 // Positions of logs and starts of hosts are readings of the fleet's clock. A process reads its machine's wall clock once, when it
-// starts, and that may just have been stepped, by a tenth of a second or by an hour. What hosts tell bounds the difference, and only
-// bounds it, so an estimate is an interval and each use takes the end that is safe for it: data is at least as old as Most makes it,
-// a host has started at the latest when Least says.
+// starts, and that may just have been stepped, by a tenth of a second or by an hour. So the offset is an interval, and each use takes
+// the end that is safe for it: data is at least as old as Most makes it, a host has started at the latest when Least says.
 //
-//   - No position is ahead of the fleet's clock: each answer of any host bounds the offset from below.
-//   - A primary's position is the fleet's time while it made its answer, which was after the query was sent: each answer of a primary
-//     bounds the offset from above as well. A primary's load report was made before the query, but not longer ago than reports are
-//     kept; so it does too, less tightly, and is to be had at once.
+// Only round trips prove:
 //
-// A single answer may be spoilt. An interval is believed from the first primary's answer or report on that allows for a clock that is right;
-// one that does not has to be told by several answers in a row that agree with each other. The same number of answers in a row that
-// contradict what is believed replace it.
+//   - No position is ahead of the fleet's clock when it is read: each answer of any host bounds the offset from below, however old the
+//     position in it is.
+//   - A primary's own position is the fleet's time while it made its answer, after the query was sent: an answer that holds role and
+//     position bounds the offset from above too. A position that is kept and repeated (a load report, gossip) never does.
+//
+// Single answers may be wrong. A bound is therefore the looser of two that independent answers prove, and what contradicts the interval
+// puts it in doubt: until independent answers to later queries agree, both ends are the safe ones of what was known and what
+// contradicts it. The machine's own clock, as it was read at the start, counts as one witness like any other.
+//
+// Clocks drift apart: bounds widen with time until answers renew them.
 package fleetclock
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
 const (
 	// rounding is by how much a position may be off in either direction: replicas' are rounded down, commits up, to milliseconds.
 	rounding = time.Millisecond
-	// ahead is how far a position may lie ahead of a clock that is taken for right.
-	ahead = 50 * time.Millisecond
-	// current is how old a host's log may be that stands at about the present of a clock that is right.
-	current = 500 * time.Millisecond
-	// agreeing is how many answers in a row have to contradict what is believed, and agree with each other, to replace it.
-	agreeing = 3
+	// presentAge is by how much a primary's position may be older than its answer: a host reads its clock once for all that it does
+	// in a moment.
+	presentAge = 5 * time.Millisecond
+	// driftPart bounds the drift of two machines' clocks: one part in so many. Time services slew by half of it at most.
+	driftPart = 1000
 	// AgeSlack is the part of the protocol's 50 ms of slack that data may be older than its position tells because it is not known
 	// exactly how this clock stands. The rest is left for the way of a send.
 	AgeSlack = 45 * time.Millisecond
-	// ReportAge is how old a load report may be that a host answers with: the operators' page says that they are refreshed every 59
-	// to 190 ms. Where that does not hold primaries' answers contradict what it led to.
-	ReportAge = 200 * time.Millisecond
-	// unbounded is the upper end as long as no primary has answered.
-	unbounded = time.Duration(math.MaxInt64)
+	// unbounded is an end of which nothing is known.
+	unbounded = time.Duration(math.MaxInt64 / 4)
 )
 
+// drift is by how much clocks may have drifted apart in so long.
+func drift(t time.Duration) time.Duration { return t / driftPart }
+
 // Interval is what the fleet's clock shows more than this machine's: at least Least and at most Most.
 type Interval struct{ Least, Most time.Duration }
 
@@ -52,154 +53,188 @@
 	return Interval{max(i.Least, o.Least), min(i.Most, o.Most)}
 }
 
-func (i Interval) contains(offset time.Duration) bool { return i.Least <= offset && offset <= i.Most }
+func (i Interval) hull(o Interval) Interval {
+	return Interval{min(i.Least, o.Least), max(i.Most, o.Most)}
+}
+
+// after is the interval as it is so much later.
+func (i Interval) after(t time.Duration) Interval {
+	if i.Least > -unbounded {
+		i.Least -= drift(t)
+	}
+	if i.Most < unbounded {
+		i.Most += drift(t)
+	}
+	return i
+}
 
-// Observation is what one answer or report of a primary tells.
+// Observation is what one whole answer of a host tells. All that it holds is one observation.
 type Observation struct {
-	Position       time.Duration // of its log, by the fleet's clock
-	Sent, Received time.Duration // the query and the answer, by this machine's clock
+	Host     string
+	Position time.Duration // the highest in the answer, by the fleet's clock; 0: there is none
+	// Present is the position that the host told beside its role as the primary, in the answer of a query that it ran; 0: it did not.
+	Present        time.Duration
+	Sent, Received time.Duration // the query's sending and the answer's reading, by this machine's clock
 }
 
-// Estimate is what is known of the fleet's clock. Its zero value knows nothing. It is not safe for concurrent use.
-type Estimate struct {
-	known    bool // believed counts
-	frame    time.Duration
-	believed Interval // Least is told by two answers at least, or is the only one there is
-	highest  time.Duration
+// Proves is what the answer proves of the offset, as of its reading.
+func (o Observation) Proves() Interval {
+	i := Interval{max(o.Position, o.Present) - rounding - o.Received, unbounded}
+	if o.Present > 0 {
+		i.Most = o.Present + rounding + presentAge - o.Sent + drift(o.Received-o.Sent)
+	}
+	return i
+}
 
-	dissent    Interval // that the last answers agree on, against what is believed
-	dissenters int
+// Change says what an observation did to an estimate.
+type Change int
 
-	epoch  int      // counts how often what was believed has been given up
-	behind bool     // a position was ahead of this clock
-	hosts  []string // whose logs stand about at this clock's present
-	old    bool     // a host's log lies well before it
-}
+// Changes of an estimate.
+const (
+	Nothing      Change = iota
+	Narrowed            // a bound moved
+	Contradicted        // the answer contradicts what is known, or the contradiction before it: both ends are the safe ones
+	Settled             // answers agree: the interval is known, and a contradiction was wrong
+	Replaced            // answers agree on another interval than the one known before
+)
 
-// Offset is what the fleet's clock shows more than this machine's, as far as answers have told; confirmed: they have.
-func (e *Estimate) Offset() (offset Interval, confirmed bool) {
-	if !e.known {
-		return Interval{}, false
-	}
-	return e.believed, true
+// Estimate is what is known of the offset. It is not safe for concurrent use.
+type Estimate struct {
+	least side // lower bounds, as negative values
+	most  side // upper bounds; none before the first agreement
+	doubt *doubt
+	epoch int
 }
 
-// Observe takes an answer of a primary. changed says that the offset is now another, or confirmed.
-func (e *Estimate) Observe(o Observation) (changed bool) {
-	if o.Position <= 0 || o.Received < o.Sent {
-		return false
-	}
-	return e.take(Interval{o.Position - rounding - o.Received, o.Position + rounding - o.Sent})
+// New makes an estimate for a machine's clock that shows a time now. Nothing but that is known yet.
+func New(now time.Duration) *Estimate {
+	own := witness{assumed: true, sent: now, received: now}
+	e := &Estimate{doubt: &doubt{hull: Interval{-unbounded, unbounded}, fresh: []witness{own}, began: -unbounded}}
+	e.addLeast(own)
+	return e
 }
 
-// ObserveReport takes a primary's load report. changed says that the offset is now another, or confirmed.
-func (e *Estimate) ObserveReport(o Observation) (changed bool) {
-	if o.Position <= 0 || o.Received < o.Sent {
-		return false
+// Inherit takes the interval that an earlier process on this machine knew, in terms of this process's clock.
+func (e *Estimate) Inherit(now time.Duration, known Interval) {
+	earlier := witness{assumed: true, sent: now, received: now, interval: known}
+	e.least, e.most, e.doubt = side{}, side{}, nil
+	for range 2 { // it was proven by two
+		e.least.bounds = append(e.least.bounds, earlier.least())
+		e.most.bounds = append(e.most.bounds, earlier.most())
 	}
-	return e.take(Interval{o.Position - rounding - o.Received, o.Position + rounding + ReportAge - o.Sent})
 }
 
-// ObserveHost takes a position that any host told, in an answer received at a time. changed says that the offset is now another.
-func (e *Estimate) ObserveHost(host string, position, received time.Duration) (changed bool) {
-	if position <= 0 {
-		return false
+// Epoch counts how often an interval that was known has been replaced: what was dated by it does not hold any more.
+func (e *Estimate) Epoch() int { return e.epoch }
+
+// Observe takes an answer.
+func (e *Estimate) Observe(o Observation) Change {
+	if o.Position <= 0 && o.Present <= 0 || o.Received < o.Sent {
+		return Nothing
 	}
-	if e.known {
-		return e.take(Interval{position - rounding - received, unbounded})
+	w := witness{host: o.Host, sent: o.Sent, received: o.Received, interval: o.Proves()}
+	if e.doubt != nil {
+		return e.settle(w)
 	}
-	switch {
-	case position > received+ahead:
-		e.behind = true
-	case received-position > current:
-		e.old = true
-	case !slices.Contains(e.hosts, host):
-		e.hosts = append(e.hosts, host)
+	known := e.Bounds().At(w.received)
+	if !known.intersects(w.interval) {
+		e.doubt = &doubt{known: known, hull: known.hull(w.interval), at: w.received, began: w.received}
+		return Contradicted
 	}
-	return false
+	return e.narrow(w)
 }
 
-// take narrows what is believed, or counts an answer that contradicts it.
-func (e *Estimate) take(seen Interval) (changed bool) {
-	if !e.known {
-		if seen.Most == unbounded || !seen.contains(0) {
-			return e.disagree(seen)
-		}
-		e.believe(seen)
-		return true
-	}
-	if !e.believed.intersects(seen) {
-		return e.disagree(seen)
+// narrow takes an answer that agrees with what is known.
+func (e *Estimate) narrow(w witness) Change {
+	before := e.Bounds()
+	e.addLeast(w)
+	if w.interval.Most < unbounded {
+		e.most.add(w.most())
 	}
-	if seen.Most != unbounded {
-		e.dissenters = 0
-	}
-	before := e.believed
-	e.believed.Most = min(e.believed.Most, seen.Most)
-	e.raise(seen.Least)
-	return e.believed != before
+	return e.since(before)
 }
 
-// raise takes a lower bound. The highest of all counts only once another answer has come as far: it may be spoilt.
-func (e *Estimate) raise(least time.Duration) {
-	if least > e.highest {
-		e.believed.Least, e.highest = max(e.believed.Least, min(e.highest, e.believed.Most)), least
-		return
+func (e *Estimate) addLeast(w witness) { e.least.add(w.least()) }
+
+func (e *Estimate) since(before Bounds) Change {
+	if e.Bounds() == before {
+		return Nothing
 	}
-	e.believed.Least = max(e.believed.Least, least)
+	return Narrowed
 }
 
-// disagree counts an answer that contradicts what is believed, or a clock that is right. Enough of them in a row that agree with
-// each other replace it.
-func (e *Estimate) disagree(seen Interval) (changed bool) {
-	if e.dissenters == 0 || !e.dissent.intersects(seen) {
-		e.dissent, e.dissenters = seen, 0
+// settle takes an answer while the interval is in doubt, or not known yet.
+func (e *Estimate) settle(w witness) Change {
+	change := e.doubt.widen(w)
+	if e.doubt.unknown() {
+		before := e.Bounds()
+		e.addLeast(w)
+		change = e.since(before)
 	}
-	e.dissent = e.dissent.intersect(seen)
-	if e.dissenters++; e.dissenters < agreeing {
-		return false
+	if agreed := e.doubt.agreed(w); agreed != nil {
+		return e.conclude(agreed)
 	}
-	if e.dissent.Most == unbounded { // replicas alone: that what was believed is wrong is all that is known
-		was := e.known
-		*e = Estimate{behind: true, epoch: e.epoch + 1} // what was converted before does not count any more
-		return was
-	}
-	if e.known {
+	return change
+}
+
+// conclude ends a doubt with the answers that agree.
+func (e *Estimate) conclude(agreed []witness) Change {
+	ended, now := e.doubt, agreed[len(agreed)-1].received
+	e.doubt = nil
+	change := Settled
+	switch {
+	case ended.unknown():
+		if !agreed[0].assumed { // the machine's clock is off
+			e.least = side{}
+		}
+	case !ended.known.after(now - ended.at).intersects(common(agreed, now)):
+		change, e.least, e.most = Replaced, side{}, side{}
 		e.epoch++
 	}
-	e.believe(e.dissent)
-	return true
+	for _, w := range agreed {
+		e.addLeast(w)
+		e.most.add(w.most())
+	}
+	return change
 }
 
-func (e *Estimate) believe(i Interval) {
-	e.known, e.believed, e.highest, e.dissenters, e.frame = true, i, i.Least, 0, i.ages()
+// Bounds are what is known, until the next change.
+func (e *Estimate) Bounds() Bounds {
+	if e.doubt != nil && !e.doubt.unknown() {
+		i := e.doubt.hull.after(-e.doubt.at)
+		return Bounds{least: i.Least, most: i.Most, Bounded: i.Most < unbounded, Told: true, Doubted: true}
+	}
+	least, told := e.least.bound()
+	most, bounded := e.most.bound()
+	b := Bounds{least: -unbounded, most: unbounded, Bounded: bounded, Told: told}
+	if told {
+		b.least = -least
+	}
+	if bounded {
+		b.most = most
+	}
+	return b
 }
 
-// ages is an offset by which no data is older than it seems by more than AgeSlack.
-func (i Interval) ages() time.Duration { return max(i.Least, i.Most-AgeSlack) }
-
-// Frame is the offset by which positions are converted, of logs as of what a session's read must see. It stays as long as Epoch does,
-// so that they compare exactly whenever they were converted. Ages is by how much more they have to be taken for older, for now.
-func (e *Estimate) Frame() time.Duration { return e.frame }
-
-// Ages is what has to be added to the age of a position that was converted by Frame: no data is then older than it seems by more than
-// AgeSlack. It may be below 0.
-func (e *Estimate) Ages() time.Duration {
-	if !e.known {
-		return 0
-	}
-	return e.believed.ages() - e.frame
+// Bounds are an interval that widens with time.
+type Bounds struct {
+	least, most time.Duration // as they would have been when the machine's clock showed 0
+	Bounded     bool          // there is an upper end
+	Told        bool          // there is a lower end
+	Doubted     bool          // an answer contradicts what was known, and it is not settled which is right
 }
 
-// Doubtful says that it is not known how the clock stands, and that what was told speaks against its being right.
-func (e *Estimate) Doubtful() bool { return !e.known && (e.behind || e.old && len(e.hosts) == 0) }
+// At is the interval when this machine's clock shows a time.
+func (b Bounds) At(now time.Duration) Interval {
+	return Interval{b.least, b.most}.after(now)
+}
 
-// Epoch changes whenever what was believed turns out wrong: times that were converted before do not compare with later ones.
-func (e *Estimate) Epoch() int { return e.epoch }
+// Width is how much is not known, as of the last change.
+func (b Bounds) Width() time.Duration { return b.most - b.least }
 
-// Inherit takes what an earlier process on this machine knew, in terms of this process's clock: the offset, and the frame of the
-// positions that come with it.
-func (e *Estimate) Inherit(offset Interval, frame time.Duration) {
-	e.believe(offset)
-	e.frame = frame
+// Ages is what has to be added to the age of a position as this machine's clock makes it: no data is then older than it seems by more
+// than AgeSlack. It is of use only where there is an upper end.
+func (b Bounds) Ages(now time.Duration) time.Duration {
+	i := b.At(now)
+	return max(i.Least, i.Most-AgeSlack)
 }
--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -7,159 +7,244 @@
 	"pgregory.net/rapid"
 )
 
-const ms = time.Millisecond
+const (
+	ms    = time.Millisecond
+	start = 1000 * time.Hour
+)
+
+// play is a fleet whose clock shows so much more than the machine's, as the estimate comes to know of it.
+type play struct {
+	*Estimate
+	now, offset time.Duration
+}
+
+func newPlay(offset time.Duration) *play { return &play{New(start), start, offset} }
+
+// present is an answer that a primary made in the middle of 10 ms.
+func (p *play) present(host string) Change {
+	p.now += 10 * ms
+	return p.Observe(Observation{Host: host, Present: p.now - 5*ms + p.offset, Sent: p.now - 10*ms, Received: p.now})
+}
 
-// answer is one that a primary made in the middle of 10 ms, by a fleet's clock that shows so much more.
-func answer(at, offset time.Duration) Observation {
-	return Observation{Position: at + 5*ms + offset, Sent: at, Received: at + 10*ms}
+// position is an answer of a host whose log is behind by a lag; below 0, ahead.
+func (p *play) position(host string, lag time.Duration) Change {
+	p.now += 10 * ms
+	return p.Observe(Observation{Host: host, Position: p.now - lag + p.offset, Sent: p.now - 10*ms, Received: p.now})
 }
 
-func answers(at, offset time.Duration, n int) (out []Observation) {
-	for i := range n {
-		out = append(out, answer(at+time.Duration(i)*ms, offset))
+func (p *play) check(t *testing.T, what string, bounded bool) {
+	t.Helper()
+	b := p.Bounds()
+	if i := b.At(p.now); b.Bounded != bounded || b.Told && i.Least > p.offset || bounded && i.Most < p.offset {
+		t.Errorf("%s: offset %s, bounds %v, bounded %t, want %t", what, p.offset, i, b.Bounded, bounded)
 	}
-	return out
 }
 
-func TestOffset(t *testing.T) {
-	const start = 1000 * time.Hour
-	spoilt := Observation{Position: 3 * time.Hour, Sent: start, Received: start + 10*ms}
-	for name, c := range map[string]struct {
-		seen      []Observation
-		offset    time.Duration
-		confirmed bool
-	}{
-		"nothing was heard":         {nil, 0, false},
-		"the clock is right":        {answers(start, 0, 1), 0, true},
-		"one answer that disagrees": {answers(start, time.Hour, 1), 0, false},
-		"a clock an hour behind":    {answers(start, time.Hour, 3), time.Hour, true},
-		"a clock an hour ahead":     {answers(start, -time.Hour, 3), -time.Hour, true},
-		"a clock two seconds ahead": {answers(start, -2*time.Second, 3), -2 * time.Second, true},
-		"a clock 0.3 s behind":      {answers(start, 300*ms, 3), 300 * ms, true},
-		"a clock 20 ms behind":      {answers(start, 20*ms, 3), 20 * ms, true},
-		"two answers that disagree": {answers(start, 300*ms, 2), 0, false},
-		"a spoilt answer, then good ones": {append([]Observation{spoilt}, answers(start, time.Hour, 3)...),
-			time.Hour, true},
-		"spoilt answers that differ":       {[]Observation{spoilt, answer(start, time.Hour), spoilt, answer(start, 2*time.Hour), spoilt}, 0, false},
-		"a spoilt answer on a right clock": {[]Observation{spoilt, answer(start, 0)}, 0, true},
-		"two spoilt answers change nothing": {append(answers(start, 0, 1), answers(start, -time.Hour, 2)...),
-			0, true},
-		"nor do single ones between good ones": {[]Observation{answer(start, 0), answer(start, time.Hour), answer(start, 0), answer(start, time.Hour),
-			answer(start, 0), answer(start, time.Hour)}, 0, true},
-		"three that agree replace a wrong first": {append(answers(start, 0, 1), answers(start, 300*ms, 3)...), 300 * ms, true},
-		"no position":                            {[]Observation{{Sent: start, Received: start}}, 0, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			var e Estimate
-			for _, o := range c.seen {
-				e.Observe(o)
-			}
-			// The offset lies inside what is believed, which is no wider than an answer took.
-			offset, confirmed := e.Offset()
-			if confirmed != c.confirmed || !offset.contains(c.offset) || offset.Width() > 10*ms+2*rounding {
-				t.Errorf("offset %+v, confirmed %t, want %s, %t", offset, confirmed, c.offset, c.confirmed)
-			}
-		})
+func TestAFirstAnswerIsEnoughWhereTheMachinesClockAgrees(t *testing.T) {
+	for offset, enough := range map[time.Duration]bool{0: true, 4 * ms: true, -4 * ms: true, 20 * ms: false, 300 * ms: false, -300 * ms: false, time.Hour: false} {
+		p := newPlay(offset)
+		p.present("a")
+		p.check(t, offset.String(), enough)
+	}
+}
+
+func TestAClockThatIsOffIsKnownFromTwoHostsOrThreeAnswersOfOne(t *testing.T) {
+	for _, offset := range []time.Duration{20 * ms, 300 * ms, -300 * ms, 2 * time.Second, -2 * time.Second, time.Hour, -time.Hour} {
+		p := newPlay(offset)
+		p.present("a")
+		p.present("a")
+		p.check(t, "two of one", false)
+		p.present("a")
+		p.check(t, "three of one", true)
+		p = newPlay(offset)
+		p.present("a")
+		p.present("b")
+		p.check(t, "two hosts", true)
 	}
 }
 
-// Before a primary has answered no position says that the clock is right; a log that is ahead, or old ones alone, say that it may be wrong.
-func TestDoubt(t *testing.T) {
-	const now = 1000 * time.Hour
+func TestAReportThatIsKeptNeverBoundsFromAbove(t *testing.T) {
+	p := newPlay(0)
+	for range 20 {
+		p.position("a", 2500*ms)
+		p.position("b", 2500*ms)
+	}
+	p.check(t, "at a start", false)
+	p.present("a")
+	p.check(t, "known", true)
+	before := p.Bounds().At(p.now).Most
+	for range 20 {
+		p.position("a", 2500*ms)
+		p.position("b", 2500*ms)
+	}
+	if most := p.Bounds().At(p.now).Most; most < before {
+		t.Errorf("repeated old positions lower the upper end from %s to %s", before, most)
+	}
+}
+
+func TestAnswersThatOverlapAreOneWitness(t *testing.T) {
+	p := newPlay(2 * time.Second)
+	p.now += 500 * ms
+	for _, host := range []string{"a", "b", "c", "a", "b"} { // held, and read together
+		p.Observe(Observation{Host: host, Present: p.now - 480*ms + p.offset, Sent: p.now - 500*ms, Received: p.now})
+	}
+	p.check(t, "flushed together", false)
+}
+
+func TestAContradictionTakesTheSafeEndsUntilAnswersAgree(t *testing.T) {
+	settled := func() *play {
+		p := newPlay(0)
+		p.present("a")
+		p.present("b")
+		p.check(t, "settled", true)
+		return p
+	}
 	for name, c := range map[string]struct {
-		positions []time.Duration // of hosts a, b, c ... in this order, relative to now
-		doubtful  bool
+		wrong   func(p *play) Change
+		bounded bool
 	}{
-		"none":                          {nil, false},
-		"one":                           {[]time.Duration{-10 * ms}, false},
-		"two":                           {[]time.Duration{-10 * ms, -300 * ms}, false},
-		"one of two lags":               {[]time.Duration{-10 * ms, -3 * time.Second}, false},
-		"an hour old":                   {[]time.Duration{-time.Hour, -time.Hour, -time.Hour}, true},
-		"one is ahead":                  {[]time.Duration{3 * time.Second, -10 * ms, -20 * ms}, true},
-		"one is ahead after another":    {[]time.Duration{-10 * ms, 3 * time.Second, -20 * ms}, true},
-		"a commit that was rounded up":  {[]time.Duration{ms, -20 * ms}, false},
-		"nothing is told by one of two": {[]time.Duration{-now, -20 * ms}, false},
+		"a position ahead":   {func(p *play) Change { return p.position("c", -time.Second) }, false},
+		"a present too late": {func(p *play) Change { p.offset = time.Second; defer func() { p.offset = 0 }(); return p.present("a") }, true},
+		"a present too old":  {func(p *play) Change { p.offset = -time.Second; defer func() { p.offset = 0 }(); return p.present("a") }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var e Estimate
-			for i, p := range c.positions {
-				e.ObserveHost(string(rune('a'+i)), now+p, now)
-				e.ObserveHost(string(rune('a'+i)), now+p, now) // the same host again says nothing new
+			p := settled()
+			if got := c.wrong(p); got != Contradicted {
+				t.Fatalf("change %d", got)
+			}
+			p.check(t, "contradicted", c.bounded)
+			if b := p.Bounds(); !b.Doubted || b.At(p.now).Width() < 900*ms {
+				t.Errorf("the safe ends are %+v", b.At(p.now))
 			}
-			if _, confirmed := e.Offset(); confirmed || e.Doubtful() != c.doubtful {
-				t.Errorf("confirmed %t, doubtful %t", confirmed, e.Doubtful())
+			epoch := p.Epoch()
+			p.present("a")
+			if !p.Bounds().Doubted {
+				t.Error("one answer settles it")
 			}
+			if got := p.present("b"); got != Settled || p.Epoch() != epoch || p.Bounds().Doubted {
+				t.Errorf("change %d, epoch %d, %+v", got, p.Epoch(), p.Bounds())
+			}
+			p.check(t, "settled again", true)
 		})
 	}
 }
 
-// Once it is known how the clock stands, a replica's position that is ahead of it bounds it from below; one that can't be does not
-// move it alone, and several end what was believed.
-func TestReplicasBoundTheClockFromBelow(t *testing.T) {
-	const start = 1000 * time.Hour
-	var e Estimate
-	e.Observe(Observation{Position: start + 200*ms, Sent: start, Received: start + 200*ms})
-	if offset, _ := e.Offset(); !offset.contains(0) || offset.Width() < 200*ms {
-		t.Fatalf("a slow answer gives %+v", offset)
-	}
-	for range 2 {
-		e.ObserveHost("a", start+time.Second+100*ms, start+time.Second)
+func TestAnswersToQueriesFromBeforeAContradictionDoNotSettleIt(t *testing.T) {
+	p := newPlay(0)
+	p.present("a")
+	p.present("b")
+	p.position("c", -time.Second)
+	for _, host := range []string{"a", "b"} {
+		sent := p.now - 20*ms
+		p.now += 10 * ms
+		p.Observe(Observation{Host: host, Present: p.now - 5*ms, Sent: sent, Received: p.now})
 	}
-	if offset, _ := e.Offset(); offset.Least < 99*ms {
-		t.Errorf("two positions 0.1 s ahead leave %+v", offset)
+	if !p.Bounds().Doubted {
+		t.Error("settled")
 	}
-	for i := range agreeing {
-		if _, confirmed := e.Offset(); !confirmed {
-			t.Errorf("%d positions that can't be end what was believed", i)
+}
+
+func TestAClockThatIsSteppedIsKnownAgain(t *testing.T) {
+	for _, step := range []time.Duration{300 * ms, -300 * ms, time.Hour, -time.Hour} {
+		p := newPlay(0)
+		p.present("a")
+		p.present("b")
+		p.offset = step
+		p.present("a")
+		p.check(t, "contradicted", true)
+		p.present("a")
+		if got := p.present("b"); got != Replaced || p.Epoch() != 1 {
+			t.Errorf("%s: change %d, epoch %d", step, got, p.Epoch())
 		}
-		e.ObserveHost("a", start+time.Hour, start+time.Second)
+		p.check(t, "replaced", true)
+	}
+}
+
+func TestBoundsWidenUntilAnswersRenewThem(t *testing.T) {
+	p := newPlay(0)
+	p.present("a")
+	p.present("b")
+	width := p.Bounds().At(p.now).Width()
+	p.now += 100 * time.Second
+	if got := p.Bounds().At(p.now).Width(); got < width+200*ms {
+		t.Errorf("after 100 s %s, before %s", got, width)
+	}
+	p.offset = 90 * ms // it drifts
+	p.present("a")
+	p.present("b")
+	p.check(t, "drifted", true)
+	if got := p.Bounds().At(p.now).Width(); got > 150*ms {
+		t.Errorf("renewed, but %s wide", got)
 	}
-	if _, confirmed := e.Offset(); confirmed || !e.Doubtful() {
-		t.Error("what the fleet's logs contradict is still believed")
+}
+
+func TestBeforeAHostHasToldNothingBoundsAStart(t *testing.T) {
+	p := newPlay(-time.Hour) // a host that has just started seems to have started an hour ago
+	if p.Bounds().Told {
+		t.Error("the machine's clock is believed of starts")
+	}
+	p.position("a", 10*ms)
+	p.check(t, "one host", false)
+	if !p.Bounds().Told {
+		t.Error("one host's answer says nothing of starts")
 	}
 }
 
-// Whatever the answers take and whoever lags, the offset lies inside what is believed, also with single answers spoilt by more than
-// an answer takes.
-func TestTheOffsetLiesInsideTheInterval(t *testing.T) {
+func TestAnIntervalIsHandedOver(t *testing.T) {
+	p := newPlay(time.Hour)
+	p.Inherit(p.now, Interval{time.Hour - ms, time.Hour + ms})
+	p.check(t, "handed over", true)
+	p.offset = time.Hour + 300*ms // it was wrong
+	p.present("a")
+	p.check(t, "contradicted", true)
+	p.present("b")
+	p.present("a")
+	p.check(t, "replaced", true)
+}
+
+func TestWhatMakesNoSenseIsNotTaken(t *testing.T) {
+	e := New(start)
+	for _, o := range []Observation{{Host: "a", Sent: start, Received: start + ms}, {Host: "a", Present: start, Sent: start + ms, Received: start}} {
+		if got := e.Observe(o); got != Nothing {
+			t.Errorf("%+v: change %d", o, got)
+		}
+	}
+}
+
+// Whatever the answers take, whoever lags and whatever old position is repeated, the offset lies inside the bounds: also with one
+// answer that is wrong by any amount, where the machine's clock is right, and with drift at the rate that is allowed for.
+func TestTheOffsetLiesInsideTheBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(name string, least, most time.Duration) time.Duration {
 			return time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, name))
 		}
-		offset, now := draw("offset", -time.Second, time.Second), 1000*time.Hour
-		var e Estimate
-		good := 0 // primary's answers since the last spoilt one
-		frame, epoch := time.Duration(0), -1
-		for range 40 {
-			sent := now + draw("pause", 0, 20*ms)
+		offset, rate, wrong := time.Duration(0), draw("drift", -1000, 1000), -1
+		if rapid.Bool().Draw(t, "off") {
+			offset = draw("offset", -time.Second, time.Second)
+		} else {
+			wrong, rate = rapid.IntRange(0, 39).Draw(t, "wrong answer"), rate/2
+		}
+		e, now := New(start), start
+		fleet := func(at time.Duration) time.Duration { return at + offset + (at-start)/1_000_000*rate }
+		for n := range 40 {
+			sent := now + draw("pause", -200*ms, 2*time.Second) // others are still out
 			made := sent + draw("work", 0, 300*ms)
-			now = made + draw("way back", 0, 20*ms)
-			switch _, confirmed := e.Offset(); {
-			case confirmed && good > 2 && rapid.Bool().Draw(t, "spoilt"):
-				good = 0
-				by := draw("spoilt by", 700*ms, time.Hour)
-				if rapid.Bool().Draw(t, "back") {
-					by = -by
-				}
-				e.Observe(Observation{made + offset + by, sent, now})
-			case rapid.Bool().Draw(t, "primary"):
-				good++
-				e.Observe(Observation{(made + offset).Truncate(ms), sent, now})
-			case rapid.Bool().Draw(t, "report"):
-				refreshed := made - draw("report's age", 0, 190*ms)
-				e.ObserveReport(Observation{(refreshed + offset).Truncate(ms), sent, now})
-			default:
-				e.ObserveHost("r", (made + offset - draw("lag", 0, time.Second)).Truncate(ms), now)
+			received := max(now, made+draw("way back", 0, 400*ms))
+			now = received
+			o := Observation{Host: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), Sent: sent, Received: received}
+			told := fleet(made)
+			if n == wrong {
+				told += draw("wrong by", -time.Hour, time.Hour)
+			}
+			if rapid.Bool().Draw(t, "primary") {
+				o.Present = told.Truncate(ms)
+			} else {
+				o.Position = (told - draw("lag", 0, 3*time.Second)).Truncate(ms)
 			}
-			if got, confirmed := e.Offset(); confirmed && !got.contains(offset) {
-				t.Fatalf("believes %+v, it is %s", got, offset)
-			} else if confirmed && e.Frame()+e.Ages() < offset-AgeSlack {
-				t.Fatalf("ages of positions count by %s, it is %s", e.Frame()+e.Ages(), offset)
-			} else if confirmed {
-				if epoch == e.Epoch() && e.Frame() != frame {
-					t.Fatalf("positions are converted by %s, and by %s before", e.Frame(), frame)
-				}
-				frame, epoch = e.Frame(), e.Epoch()
+			e.Observe(o)
+			b, truth := e.Bounds(), fleet(now)-now
+			if i := b.At(now); b.Told && i.Least > truth || b.Bounded && i.Most < truth {
+				t.Fatalf("answer %d: the offset %s lies outside of %+v", n, truth, i)
 			}
 		}
 	})
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -45,9 +45,11 @@
 	early = 5 * time.Millisecond
 )
 
-// Offsets are what the fleet's clock shows more than the one of this gateway: at least, as positions are converted by it (the
-// frame), and at most.
-type Offsets struct{ Least, Frame, Most time.Duration }
+// Offsets are what the fleet's clock shows more than the one of this gateway: at least, and at most where that is Bounded.
+type Offsets struct {
+	Least, Most time.Duration
+	Bounded     bool
+}
 
 // Config says what a State works with.
 type Config struct {
@@ -135,7 +137,8 @@
 	out = append(out, version)
 	fleet := (now + ahead.Least) / time.Millisecond // rounded down: what is counted back from it is never later than it was
 	out = binary.BigEndian.AppendUint32(out, uint32(fleet))
-	head, logHead := fleet*time.Millisecond-ahead.Least, fleet*time.Millisecond-ahead.Frame
+	logHead := fleet * time.Millisecond
+	head := logHead - ahead.Least
 	for _, n := range s.pending {
 		class, known := s.classes[n.Class]
 		if !known {
@@ -186,7 +189,8 @@
 )
 
 // Receive reads a datagram. One that is at fault in any part is not used at all. Notes on hosts that this gateway's list does not
-// name are left out. What is told comes as the earliest that it may have been, by the clock that now is read from.
+// name are left out. Positions come by the fleet's clock,
+// all else as the earliest that it may have been, by the clock that now is read from.
 func (s *State) Receive(now time.Duration, ahead Offsets, b []byte, out []balance.Heard) ([]balance.Heard, error) {
 	switch {
 	case len(b) < 1 || b[0] != version:
@@ -215,10 +219,10 @@
 		}
 		if b[5] > 0 {
 			position := head - time.Duration(b[5]-1)*ageStep // by the fleet's clock
-			n.Position, n.NotBefore = min(position-ahead.Frame, now), min(position-ahead.Most, now)
+			n.Position, n.NotBefore = position, min(position-ahead.Most, now)
 		}
-		if n.Role == balance.Primary && n.Position == 0 {
-			n.Role = balance.Unknown // a primary's position is the time of its word; without one that is not known
+		if n.Role == balance.Primary && (n.Position == 0 || !ahead.Bounded) {
+			n.Role = balance.Unknown // a primary's position is the time of its word; without one, or bounds, that is not known
 		}
 		if n.Server = s.hosts[uint32(b[0])<<16|uint32(b[1])<<8|uint32(b[2])]; n.Server != "" {
 			out = append(out, n)
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -32,7 +32,7 @@
 // hear passes what is due at from on to another gateway.
 func hear(t *testing.T, from, to *State, sent, come time.Duration) []balance.Heard {
 	t.Helper()
-	out, err := to.Receive(come, Offsets{}, from.Datagram(sent, Offsets{}, nil), nil)
+	out, err := to.Receive(come, Offsets{Bounded: true}, from.Datagram(sent, Offsets{Bounded: true}, nil), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +80,7 @@
 		come := sent + time.Duration(rapid.Int64Range(-int64(early), int64(latest)-int64(ms)).Draw(t, "on its way"))
 		s, to := state(nil), state(nil)
 		s.Note(at, balance.Heard{Server: "s-1", Position: position, At: at})
-		out, err := to.Receive(come, Offsets{}, s.Datagram(sent, Offsets{}, nil), nil)
+		out, err := to.Receive(come, Offsets{Bounded: true}, s.Datagram(sent, Offsets{Bounded: true}, nil), nil)
 		if err != nil || len(out) != 1 {
 			t.Fatalf("%v, %v", out, err)
 		}
@@ -94,7 +94,7 @@
 	s := state(nil)
 	s.Note(now, balance.Heard{Server: "s-1", At: now})
 	s.Note(now, balance.Heard{Server: "s-2", At: now})
-	good := s.Datagram(now, Offsets{}, nil)
+	good := s.Datagram(now, Offsets{Bounded: true}, nil)
 	with := func(i int, v byte) []byte {
 		b := append([]byte(nil), good...)
 		b[i] = v
@@ -114,7 +114,7 @@
 		{"old", aged, ErrClock}, {"ahead of the clock", ahead, ErrClock}, {"unknown result", with(headSize+noteSize+3, 0xf0), ErrNote},
 		{"unknown role", with(headSize+3, 0x0c), ErrNote},
 	} {
-		if out, err := state(nil).Receive(now, Offsets{}, c.b, nil); !errors.Is(err, c.want) || len(out) > 0 {
+		if out, err := state(nil).Receive(now, Offsets{Bounded: true}, c.b, nil); !errors.Is(err, c.want) || len(out) > 0 {
 			t.Errorf("%s: %v, %v", c.name, out, err)
 		}
 	}
@@ -139,7 +139,7 @@
 				n++
 			}
 		}
-		s.Datagram(now, Offsets{}, nil)
+		s.Datagram(now, Offsets{Bounded: true}, nil)
 		return n
 	}
 	if n := told(); n != 2 {
@@ -168,7 +168,7 @@
 	if at, _ := s.Due(); at != now+ms {
 		t.Errorf("a full datagram is due after %s", at-now)
 	}
-	if b := s.Datagram(now, Offsets{}, nil); len(b) > maxBytes {
+	if b := s.Datagram(now, Offsets{Bounded: true}, nil); len(b) > maxBytes {
 		t.Errorf("%d bytes", len(b))
 	}
 	if _, ok := s.Due(); ok {
@@ -179,9 +179,9 @@
 func FuzzReceive(f *testing.F) {
 	s := state(nil)
 	s.Note(now, balance.Heard{Server: "s-1", At: now})
-	f.Add(s.Datagram(now, Offsets{}, nil))
+	f.Add(s.Datagram(now, Offsets{Bounded: true}, nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		out, err := state(nil).Receive(now, Offsets{}, b, nil)
+		out, err := state(nil).Receive(now, Offsets{Bounded: true}, b, nil)
 		for _, n := range out {
 			if err != nil || n.At > now || n.Position > now || n.Server == "" {
 				t.Errorf("%+v, %v", n, err)
@@ -195,11 +195,11 @@
 	for range 4 {
 		s.Note(now, balance.Heard{Server: "s-1", At: now})
 	}
-	datagram := s.Datagram(now, Offsets{}, nil)
+	datagram := s.Datagram(now, Offsets{Bounded: true}, nil)
 	var out []balance.Heard
 	b.ReportAllocs()
 	for b.Loop() {
-		out, _ = s.Receive(now, Offsets{}, datagram, out[:0])
+		out, _ = s.Receive(now, Offsets{Bounded: true}, datagram, out[:0])
 	}
 }
 
@@ -212,19 +212,17 @@
 		// The fleet's clock shows so much more than the sender's and the receiver's.
 		from, to := draw("sender's offset", -time.Second, time.Second), draw("receiver's offset", -time.Second, time.Second)
 		below, above := draw("not known below", 0, 4*ms), draw("not known above", 0, 100*ms)
-		ages := draw("positions converted by", from-25*ms, from+100*ms)         // and by more before
 		position, led := now-draw("age", 0, 300*ms), now-draw("led", 0, 200*ms) // by the fleet's clock
 		s, r := state(nil), state(nil)
 		// The sender's own knowledge is never later than it was.
-		s.Note(now-from, balance.Heard{Server: "s-1", Role: balance.Primary, Position: position - ages, At: led - from})
-		frame := draw("receiver's frame", to-25*ms, to+100*ms)
-		offsets := Offsets{Least: to - below, Frame: frame, Most: to + above}
-		out, err := r.Receive(now-to+20*ms, offsets, s.Datagram(now-from, Offsets{from - below, ages, from + above}, nil), nil)
+		s.Note(now-from, balance.Heard{Server: "s-1", Role: balance.Primary, Position: position, At: led - from})
+		offsets := Offsets{Least: to - below, Most: to + above, Bounded: true}
+		out, err := r.Receive(now-to+20*ms, offsets, s.Datagram(now-from, Offsets{Least: from - below, Most: from + above, Bounded: true}, nil), nil)
 		if err != nil || len(out) != 1 {
 			t.Fatalf("%v, %v", out, err)
 		}
-		if n := out[0]; n.Position+frame > position || n.Role == balance.Primary && n.NotBefore+to > position {
-			t.Errorf("a position %s too new, a word %s too new", n.Position+frame-position, n.NotBefore+to-position)
+		if n := out[0]; n.Position > position || n.Position < position-below-3*ageStep || n.Role == balance.Primary && n.NotBefore+to > position {
+			t.Errorf("a position %s too new, a word %s too new", n.Position-position, n.NotBefore+to-position)
 		}
 	})
 }
--- a/internal/disk/handover/handover.go
+++ b/internal/disk/handover/handover.go
@@ -2,7 +2,8 @@
 // that can't be read whole, or is of another version, is none: the next process then starts from discovery alone.
 //
 // It is a head of 16 bytes (4 bytes "ymho", version, 2 bytes of nothing, length of the body, CRC-32C of the body; big-endian)
-// and a body in JSON. Times are Unix times in milliseconds, 0 for none; positions are rounded down, starts up.
+// and a body in JSON. Times are Unix times in milliseconds by the process's clock, positions and the newest write by the fleet's; 0 for
+// none. Positions are rounded down, starts up.
 package handover
 
 import (
@@ -11,6 +12,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -21,10 +23,11 @@
 
 const (
 	magic   = "ymho"
-	version = 2
-	// earlier is the version that told a role and when the answer that told it was handled.
-	earlier  = 1
-	headSize = 16
+	version = 3
+	// dated is the version that told positions, and the newest write, by the clock of the process; earlier ones told a role and when the
+	// answer that told it was handled. Of both only what speaks against a host is taken.
+	dated, earlier = 2, 1
+	headSize       = 16
 	// MaxBytes bounds a handover: some thousands of hosts. A longer one is torn or none.
 	MaxBytes = 4 << 20
 	// oldest is how old a handover may be: it is given from process to process, so that a late one is stuck somewhere.
@@ -58,7 +61,6 @@
 
 	ClockKnown bool                // Ahead is
 	Ahead      fleetclock.Interval // what the fleet's clock shows more than that of At
-	Frame      time.Duration       // the offset by which positions were converted
 }
 
 // The JSON names, in one place for both directions.
@@ -70,7 +72,6 @@
 	Clock    bool   `json:"clock"`
 	Ahead    int64  `json:"ahead_least"`
 	Most     int64  `json:"ahead_most"`
-	Frame    int64  `json:"frame"`
 }
 
 type host struct {
@@ -102,7 +103,7 @@
 // Encode gives the handover.
 func Encode(k Knowledge) ([]byte, error) {
 	b := body{At: down(k.At), Revision: k.Revision, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
-		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least), Most: up(k.Ahead.Most), Frame: int64(k.Frame)}
+		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least), Most: up(k.Ahead.Most)}
 	for _, h := range k.Hosts {
 		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(h.Started), down(h.Leads),
 			up(h.Follows), down(h.Position), h.Alive, up(h.NotifiedFor)})
@@ -124,6 +125,9 @@
 	return binary.BigEndian.AppendUint32(out, crc32.Checksum(text, crc32.MakeTable(crc32.Castagnoli)))
 }
 
+// Later is a newest write of which it is not known when it was: later than any position.
+const Later = time.Duration(math.MaxInt64 / 2)
+
 // Errors of a handover that is not used.
 var (
 	ErrTorn    = errors.New("handover: torn")
@@ -141,7 +145,7 @@
 		return Knowledge{}, fmt.Errorf("%w: it took %s", ErrOld, now-asked)
 	case len(b) < headSize || len(b) > MaxBytes || string(b[:4]) != magic:
 		return Knowledge{}, fmt.Errorf("%w: %d bytes", ErrTorn, len(b))
-	case headVersion(b) != version && headVersion(b) != earlier:
+	case headVersion(b) != version && headVersion(b) != dated && headVersion(b) != earlier:
 		return Knowledge{}, fmt.Errorf("%w: %d, this program's is %d", ErrVersion, headVersion(b), version)
 	}
 	text := b[headSize:]
@@ -152,14 +156,13 @@
 	k := Knowledge{At: of(root.Get("at").Int()), Revision: root.Get("revision").Int(), Newest: of(root.Get("newest").Int())}
 	k.ClockKnown = root.Get("clock").Bool() && headVersion(b) == version // an earlier one took a clock for right that was nearly so
 	k.Ahead = fleetclock.Interval{Least: of(root.Get("ahead_least").Int()), Most: of(root.Get("ahead_most").Int())}
-	k.Frame = time.Duration(root.Get("frame").Int()) // to the nanosecond: it has to be the same
+	if headVersion(b) != version && k.Newest > 0 {
+		k.Newest = Later
+	}
 	step := time.Duration(0)
 	if k.At < asked-readApart || k.At > now+readApart {
 		step = asked - k.At
-		k.At, k.Ahead, k.Frame = asked, fleetclock.Interval{Least: k.Ahead.Least - step, Most: k.Ahead.Most - step}, k.Frame-step
-		if k.Newest > 0 {
-			k.Newest += step + now - asked
-		}
+		k.At, k.Ahead = asked, fleetclock.Interval{Least: k.Ahead.Least - step, Most: k.Ahead.Most - step}
 	}
 	for i, e := range root.Get("hosts").Array() {
 		h := Host{Server: e.Get("id").Str, Address: e.Get("address").Str, Group: int(e.Get("group").Int()),
@@ -167,19 +170,20 @@
 			Started: of(e.Get("started").Int()), Leads: of(e.Get("leads").Int()), Follows: of(e.Get("follows").Int()),
 			Position: of(e.Get("position").Int()), Alive: e.Get("alive").Bool(),
 			NotifiedFor: of(e.Get("notified_for").Int())}
-		if headVersion(b) == earlier {
-			h.Position = 0 // by a clock that may have been off
-			if balance.Role(e.Get("role").Int()) == balance.Replica {
+		if headVersion(b) != version {
+			h.Position, h.Leads = 0, 0 // by a clock that may have been off
+			if headVersion(b) == earlier && balance.Role(e.Get("role").Int()) == balance.Replica {
 				h.Follows = of(e.Get("role_at").Int()) // never earlier than the answer
 			}
 		}
-		for _, t := range []*time.Duration{&h.Started, &h.Leads, &h.Follows, &h.Position} {
+		for _, t := range []*time.Duration{&h.Started, &h.Leads, &h.Follows} {
 			if *t > 0 {
 				*t += step
 			}
 		}
 		// What lies ahead would pass stale data as fresh for good.
-		if h.Server == "" || h.State < balance.Active || h.State > balance.Left || h.Position > now || h.Leads > now ||
+		if h.Server == "" || h.State < balance.Active || h.State > balance.Left || h.Leads > now ||
+			k.ClockKnown && h.Position > now+k.Ahead.Most+time.Millisecond ||
 			h.Position < 0 || h.Leads < 0 || h.Follows < 0 || h.Started < 0 || h.NotifiedFor < 0 {
 			return Knowledge{}, fmt.Errorf("%w: hosts.%d", ErrHost, i)
 		}
--- a/internal/disk/handover/handover_test.go
+++ b/internal/disk/handover/handover_test.go
@@ -19,7 +19,7 @@
 		{Server: "s-1", Address: "127.0.0.9:5432", Group: 3, Listed: true, Weight: 1, Leads: now - 5*ms, Follows: now - time.Minute,
 			Position: now - 9*ms, Alive: true},
 		{Server: "s-2", Address: "127.0.0.8:5432", State: balance.Draining, Weight: 0.5, Started: now - time.Second, Follows: now - ms,
-			NotifiedFor: 300 * ms}}, ClockKnown: true, Ahead: fleetclock.Interval{Least: -30 * ms, Most: 2 * time.Second}, Frame: ms + 17}
+			NotifiedFor: 300 * ms}}, ClockKnown: true, Ahead: fleetclock.Interval{Least: -30 * ms, Most: 2 * time.Second}}
 }
 
 func TestThereAndBack(t *testing.T) {
@@ -77,12 +77,9 @@
 		want := known()
 		moved := asked - want.At
 		want.At, want.Ahead = asked, fleetclock.Interval{Least: want.Ahead.Least - moved, Most: want.Ahead.Most - moved}
-		want.Frame -= moved
-		want.Newest += moved + 4*time.Millisecond
 		want.Hosts[0].Leads += moved
 		want.Hosts[0].Follows += moved
 		want.Hosts[1].Follows += moved
-		want.Hosts[0].Position += moved
 		want.Hosts[1].Started += moved
 		if d := cmp.Diff(want, got); d != "" {
 			t.Errorf("%s: %s", step, d)
@@ -90,13 +87,20 @@
 	}
 }
 
-// The version before told a role and when the answer that told it was handled, and took clocks for right that were nearly so. Only
-// that a host follows is taken from it.
-func TestAHandoverOfTheVersionBefore(t *testing.T) {
+// The versions before dated what leads, positions and writes by a clock that may have been wrong. Only that a host follows is taken from
+// them, and every write counts as one that may just have been made.
+func TestAHandoverOfTheVersionsBefore(t *testing.T) {
 	text := []byte(`{"at":1767225599997,"revision":41,"newest":0,"clock":true,"ahead":0,"hosts":[
 		{"id":"s-1","address":"127.0.0.9:5432","group":3,"listed":true,"weight":1,"role":1,"role_at":1767225599995,"position":1767225599991,"alive":true},
 		{"id":"s-2","address":"127.0.0.8:5432","group":3,"listed":true,"weight":1,"role":2,"role_at":1767225599990,"position":1767225599980,"alive":true}]}`)
 	got, err := Decode(now-5*time.Millisecond, now, append(head(earlier, text), text...))
+	b, _ := Encode(known())
+	two, err2 := Decode(now-5*time.Millisecond, now, append(head(dated, b[headSize:]), b[headSize:]...))
+	want2 := known()
+	want2.ClockKnown, want2.Newest, want2.Hosts[0].Position, want2.Hosts[0].Leads = false, Later, 0, 0
+	if d := cmp.Diff(want2, two); d != "" || err2 != nil {
+		t.Error(err2, d)
+	}
 	want := Knowledge{At: now - 3*time.Millisecond, Revision: 41, Hosts: []Host{
 		{Server: "s-1", Address: "127.0.0.9:5432", Group: 3, Listed: true, Weight: 1, Alive: true},
 		{Server: "s-2", Address: "127.0.0.8:5432", Group: 3, Listed: true, Weight: 1, Follows: now - 10*time.Millisecond, Alive: true}}}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -94,7 +94,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	g := &gateway{c: c, own: own, log: log, clock: exchange.NewClock(), counts: counts, ctx: ctx, group: group}
+	g := &gateway{c: c, own: own, log: log, clock: exchange.NewClock().Watched(log, counts), counts: counts, ctx: ctx, group: group}
 	defer g.logCounters()
 	g.duty = newController(g.clock, c.Settings.Balance.Classes, log, counts)
 	g.join()
--- a/internal/memory/exchange/clock.go
+++ b/internal/memory/exchange/clock.go
@@ -1,15 +1,20 @@
 package exchange
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
+	"yokemast/balance"
 	"yokemast/internal/control/fleetclock"
+	"yokemast/internal/memory/counters"
 )
 
 // Clock is the gateway's one clock: wall time read once, monotonic from there. Its readings are Unix time by this machine's wall
-// clock, which may have been stepped; what hosts and discovery tell is by the fleet's, and is converted where it comes in.
+// clock, which may have been stepped. Positions are readings of the fleet's clock and stay so everywhere; Bounds says how the two stand.
 type Clock struct {
 	start time.Time
 	hold  func() // called between each reading and its use; nil in service
@@ -19,22 +24,35 @@
 // fleetTime is what the process has learnt of the fleet's clock. It is safe for concurrent use.
 type fleetTime struct {
 	mu       sync.Mutex
-	estimate fleetclock.Estimate
+	estimate *fleetclock.Estimate
+	log      *zap.Logger // nil: nobody is told of contradictions
+	counts   *counters.Set
 
 	now atomic.Pointer[fleetNow]
 }
 
 // fleetNow is what is known at a moment.
 type fleetNow struct {
-	offset              fleetclock.Interval
-	frame, ages         time.Duration
-	confirmed, doubtful bool
-	epoch               int
+	bounds fleetclock.Bounds
+	epoch  int
 }
 
+// farAhead is a position that no log has reached.
+const farAhead = time.Duration(math.MaxInt64 / 2)
+
 // NewClock reads the wall.
 func NewClock() Clock {
 	c := Clock{start: time.Now(), fleet: &fleetTime{}}
+	c.fleet.estimate = fleetclock.New(c.Now())
+	c.fleet.publish()
+	return c
+}
+
+// Watched gives the same clock, which logs and counts what hosts' answers contradict of what is known.
+func (c Clock) Watched(log *zap.Logger, counts *counters.Set) Clock {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	c.fleet.log, c.fleet.counts = log, counts
 	c.fleet.publish()
 	return c
 }
@@ -55,77 +73,116 @@
 	return now
 }
 
-// Confirmed says that it is known how this clock stands to the fleet's, within Offset.
-func (c Clock) Confirmed() bool { return c.fleet.now.Load().confirmed }
-
-// Doubtful says that it is not known how this clock stands, and that what was told speaks against its being right.
-func (c Clock) Doubtful() bool { return c.fleet.now.Load().doubtful }
-
-// Epoch changes whenever what was known of the fleet's clock turns out wrong: positions converted before do not compare with later ones.
-func (c Clock) Epoch() int { return c.fleet.now.Load().epoch }
-
-// Offset is what the fleet's clock shows more than this one; nothing as long as that is not known.
-func (c Clock) Offset() fleetclock.Interval { return c.fleet.now.Load().offset }
+// Bounds say how this clock stands to the fleet's.
+func (c Clock) Bounds() fleetclock.Bounds { return c.fleet.now.Load().bounds }
 
-// Frame is the offset by which positions are converted, the same for all of an Epoch.
-func (c Clock) Frame() time.Duration { return c.fleet.now.Load().frame }
+// Offset is what the fleet's clock shows more than this one, now.
+func (c Clock) Offset() fleetclock.Interval { return c.Bounds().At(c.Now()) }
 
-// Ages is what has to be added to the ages of positions, as fleetclock.Estimate has it.
-func (c Clock) Ages() time.Duration { return c.fleet.now.Load().ages }
-
-// Position converts a position of a log, or one that a read must see, to this clock; 0, which stands for none, stays so.
-func (c Clock) Position(t time.Duration) time.Duration { return minus(t, c.Frame()) }
+// ForModule is what the decision module is told of Bounds: by at most a millisecond less than is known, so that it need not be told of
+// each little change.
+func (c Clock) ForModule() balance.ClockBounds {
+	now, b := c.Now(), c.Bounds()
+	if !b.Bounded {
+		return balance.ClockBounds{}
+	}
+	return balance.ClockBounds{Known: true, Ages: up(b.Ages(now)), Most: up(b.At(now).Most)}
+}
 
-// Earliest converts a time of the fleet's clock to the earliest that it may be by this one; 0, which stands for none, stays so.
-func (c Clock) Earliest(t time.Duration) time.Duration { return minus(t, c.Offset().Most) }
+// up rounds up to milliseconds.
+func up(t time.Duration) time.Duration {
+	whole := t.Truncate(time.Millisecond)
+	if whole < t {
+		whole += time.Millisecond
+	}
+	return whole
+}
 
-// Latest converts a time of the fleet's clock to the latest that it may be by this one; 0, which stands for none, stays so.
-func (c Clock) Latest(t time.Duration) time.Duration { return minus(t, c.Offset().Least) }
+// Epoch changes whenever what was known of the fleet's clock turns out wrong: what was dated by it does not hold any more.
+func (c Clock) Epoch() int { return c.fleet.now.Load().epoch }
 
-func minus(t, offset time.Duration) time.Duration {
-	if t == 0 {
-		return 0
+// Earliest is the earliest time by this clock at which the fleet's showed a position; not ok: there is no bound.
+func (c Clock) Earliest(position time.Duration) (t time.Duration, ok bool) {
+	b := c.Bounds()
+	if !b.Bounded || position <= 0 {
+		return 0, false
 	}
-	return t - offset
+	return position - b.At(c.Now()).Most, true
 }
 
-// FleetAtMost is the latest time that the fleet's clock may show now.
-func (c Clock) FleetAtMost() time.Duration { return c.Now() + c.Offset().Most }
+// FleetAtMost is the latest time that the fleet's clock may show now; where nothing bounds it, one that no log has reached.
+func (c Clock) FleetAtMost() time.Duration { return c.fleetAtMost(c.Now()) }
 
-// FleetOfLatest takes Latest back.
-func (c Clock) FleetOfLatest(t time.Duration) time.Duration { return minus(t, -c.Offset().Least) }
-
-// Observe learns from an answer of a primary.
-func (c Clock) Observe(o fleetclock.Observation) {
-	c.fleet.update(func(e *fleetclock.Estimate) bool { return e.Observe(o) })
+func (c Clock) fleetAtMost(t time.Duration) time.Duration {
+	b := c.Bounds()
+	if !b.Bounded {
+		return farAhead
+	}
+	return t + b.At(c.Now()).Most
 }
 
-// ObserveReport learns from a load report of a primary.
-func (c Clock) ObserveReport(o fleetclock.Observation) {
-	c.fleet.update(func(e *fleetclock.Estimate) bool { return e.ObserveReport(o) })
+// Observe learns from a host's answer.
+func (c Clock) Observe(o fleetclock.Observation) {
+	f := c.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.estimate.Bounds()
+	change := f.estimate.Observe(o)
+	if change == fleetclock.Nothing {
+		return
+	}
+	f.publish()
+	if f.log != nil && (change == fleetclock.Contradicted || change == fleetclock.Replaced) {
+		c.report(change, o, before)
+	}
 }
 
-// ObserveHost learns from a position that any host told in an answer that was received at a time.
-func (c Clock) ObserveHost(host string, position, received time.Duration) {
-	c.fleet.update(func(e *fleetclock.Estimate) bool { return e.ObserveHost(host, position, received) })
+// Inherit takes what an earlier process on this machine knew, in terms of this clock.
+func (c Clock) Inherit(offset fleetclock.Interval) {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	c.fleet.estimate.Inherit(c.Now(), offset)
+	c.fleet.publish()
 }
 
-// Inherit takes the offset that an earlier process on this machine knew, in terms of this clock.
-func (c Clock) Inherit(offset fleetclock.Interval, frame time.Duration) {
-	c.fleet.update(func(e *fleetclock.Estimate) bool { e.Inherit(offset, frame); return true })
+// report logs and counts an answer that contradicts what was known, or settles that another interval holds.
+func (c Clock) report(change fleetclock.Change, o fleetclock.Observation, before fleetclock.Bounds) {
+	what, count := "answer contradicts the fleet's clock", &c.fleet.counts.ClockContradicted
+	if change == fleetclock.Replaced {
+		what, count = "fleet's clock replaced", &c.fleet.counts.ClockReplaced
+	}
+	count.Add(1)
+	proves := o.Proves()
+	fields := []zap.Field{zap.String("host", o.Host), zap.Bool("primary", o.Present > 0), zap.Duration("answer_least", proves.Least)}
+	if o.Present > 0 {
+		fields = append(fields, zap.Duration("answer_most", proves.Most))
+	}
+	fields = append(fields, clockFields("before_", before, o.Received)...)
+	fields = append(fields, clockFields("now_", c.Bounds(), o.Received)...)
+	c.fleet.log.Warn(what, fields...)
 }
 
-// update changes the estimate and makes it visible.
-func (f *fleetTime) update(change func(*fleetclock.Estimate) (changed bool)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	doubtful := f.estimate.Doubtful()
-	if change(&f.estimate) || f.estimate.Doubtful() != doubtful {
-		f.publish()
+// clockFields are the ends of an interval that are known.
+func clockFields(prefix string, b fleetclock.Bounds, now time.Duration) (fields []zap.Field) {
+	i := b.At(now)
+	if b.Told {
+		fields = append(fields, zap.Duration(prefix+"least", i.Least))
+	}
+	if b.Bounded {
+		fields = append(fields, zap.Duration(prefix+"most", i.Most))
 	}
+	return fields
 }
 
 func (f *fleetTime) publish() {
-	offset, confirmed := f.estimate.Offset()
-	f.now.Store(&fleetNow{offset, f.estimate.Frame(), f.estimate.Ages(), confirmed, f.estimate.Doubtful(), f.estimate.Epoch()})
+	b := f.estimate.Bounds()
+	f.now.Store(&fleetNow{b, f.estimate.Epoch()})
+	if f.counts == nil {
+		return
+	}
+	width := int64(-1)
+	if b.Told && b.Bounded {
+		width = b.Width().Microseconds()
+	}
+	f.counts.ClockWidth.Set(width)
 }
--- a/internal/memory/exchange/evidence_test.go
+++ b/internal/memory/exchange/evidence_test.go
@@ -58,7 +58,7 @@
 // known is a clock that is known to be right.
 func known() Clock {
 	c := NewClock()
-	c.Inherit(fleetclock.Interval{}, 0)
+	c.Inherit(fleetclock.Interval{})
 	return c
 }
 
@@ -77,55 +77,79 @@
 	}
 }
 
-// What hosts told by a reading of the fleet's clock that has turned out wrong is dropped, but that they follow.
-func TestWhatWasToldByAWrongClockIsDropped(t *testing.T) {
+// behind lets answers of two primaries show, one after another, that the clock is behind the fleet's by so much.
+func behind(clock Clock, by time.Duration) {
+	for _, host := range []string{"p", "q", "p", "q"} {
+		sent := clock.Now()
+		received := clock.Now()
+		clock.Observe(fleetclock.Observation{Host: host, Present: received + by, Sent: sent, Received: received})
+	}
+}
+
+// Answers show that the clock was behind: at once data is as much older, also for a read that was decided on before, and a word that was
+// dated by the wrong clock is dropped. A position is the fleet's and stays.
+func TestDataIsOlderAsSoonAsTheClockTurnsOutBehind(t *testing.T) {
 	clock := known()
 	x, h := pair(t, clock)
 	x.noticeClock()
 	now := clock.Now()
-	learn(x, "r", balance.Replica, now)
-	if a := h.ask(x, "view", 0); a == nil || a.Server != "r" || a.StartBy == 0 || a.StartBy > now+time.Second {
+	learn(x, "r", balance.Replica, now-600*time.Millisecond)
+	a := h.ask(x, "view", 0)
+	if a == nil || a.Server != "r" || a.Grounds.Kind != balance.ByPosition || a.Grounds.Expired(clock.Now(), clock.ForModule()) {
 		t.Fatalf("a read goes to %+v", a)
 	}
-	for range 3 { // primaries' answers show that the clock is 0.3 s behind
-		clock.Observe(fleetclock.Observation{Position: now + 300*time.Millisecond, Sent: now, Received: now + time.Millisecond})
-	}
-	if offset := clock.Offset(); offset.Least < 290*time.Millisecond {
-		t.Fatalf("the clock is believed to be %+v behind", offset)
+	behind(clock, 600*time.Millisecond)
+	if !a.Grounds.Expired(clock.Now(), clock.ForModule()) {
+		t.Error("a read that was decided on before may still go out")
 	}
 	x.noticeClock()
-	// An outcome that was converted before is handled after.
-	x.handle(now, learning{balance.Heard{Server: "r", Result: balance.OK, Role: balance.Primary, Position: now}, balance.Made{NotBefore: now,
+	// What was dated before is handled after.
+	x.handle(now, learning{balance.Heard{Server: "r", Result: balance.OK, Role: balance.Primary}, balance.Made{NotBefore: now,
 		NotAfter: now, Epoch: x.clockEpoch - 1}, balance.Report{}})
 	if a := h.ask(x, "view", 0); a != nil && a.Grounds.Kind != balance.Excused {
 		t.Errorf("a read goes to %s on %+v", a.Server, a.Grounds)
 	}
-	learn(x, "r", balance.Replica, now)
+	learn(x, "r", balance.Replica, clock.Now()+500*time.Millisecond)
 	if a := h.ask(x, "view", 0); a == nil || a.Server != "r" || a.Grounds.Kind != balance.ByPosition {
-		t.Errorf("with a position by the right clock a read goes to %+v", a)
+		t.Errorf("with a position of lately a read goes to %+v", a)
 	}
 }
 
-// A read that has to see a session's write, and comes before it is known how the clock stands, has to see all up to now.
-func TestAnOwnReadBeforeTheClockIsKnown(t *testing.T) {
+// One answer that contradicts what is known has the safe end hold at once.
+func TestOneContradictionTakesTheSafeEnd(t *testing.T) {
+	clock := known()
+	x, h := pair(t, clock)
+	x.noticeClock()
+	learn(x, "r", balance.Replica, clock.Now())
+	now := clock.Now()
+	clock.Observe(fleetclock.Observation{Host: "r", Position: now + time.Second, Sent: now, Received: now})
+	x.noticeClock()
+	if a := h.ask(x, "view", 0); a != nil && a.Grounds.Kind == balance.ByPosition {
+		t.Errorf("a read goes to %s on a position while nothing bounds its age", a.Server)
+	}
+}
+
+// A position that a read must see is the fleet's, as those of logs are: no clock is needed to compare them.
+func TestAnOwnReadNeedsNoClock(t *testing.T) {
 	clock := NewClock()
 	x, h := pair(t, clock)
-	wrote := clock.Now() - 5*time.Second
+	wrote := clock.Now() - 5*time.Second + time.Hour // the clock is an hour behind
 	first := h.ask(x, "own", wrote)
 	if first == nil || first.Server != "p" {
 		t.Fatalf("it goes to %+v", first)
 	}
-	clock.Inherit(fleetclock.Interval{}, 0)
+	learn(x, "r", balance.Replica, wrote-time.Millisecond)
+	if a := h.ask(x, "own", wrote); a != nil && a.Server == "r" {
+		t.Error("it goes to a replica that lacks the write")
+	}
+	clock.Inherit(fleetclock.Interval{Least: time.Hour, Most: time.Hour})
 	x.noticeClock()
-	learn(x, "r", balance.Replica, clock.Now()-time.Second)
-	x.handle(clock.Now(), Outcome{Outcome: balance.Outcome{ID: first.ID, Attempt: first.Number, Server: "p", Result: balance.Full}})
-	for _, a := range h.sent[1:] {
-		if a.Server == "r" {
-			t.Error("it goes to a replica whose position is older than the read")
-		}
+	if a := h.ask(x, "own", wrote); a != nil && a.Server == "r" {
+		t.Error("it goes to a replica that lacks the write once the clock is known")
 	}
+	learn(x, "r", balance.Replica, wrote+time.Millisecond) // a commit is told rounded up
 	if a := h.ask(x, "own", wrote); a == nil || a.Server != "r" {
-		t.Errorf("one that comes later goes to %+v", a)
+		t.Errorf("it goes to %+v, not to the replica that has the write", a)
 	}
 }
 
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -105,9 +105,10 @@
 	clockRounds int             // how often some were
 	clockAskAt  time.Duration   // not again before
 	// What is known of the fleet's clock, as far as it is in force everywhere.
-	clockKnown, clockDoubtful bool
-	clockEpoch                int
-	ages                      time.Duration
+	clock                   balance.ClockBounds
+	clockTold, clockDoubted bool
+	clockBounded            bool
+	clockEpoch              int
 }
 
 // New makes an exchange; the error names the setting that makes no sense.
@@ -125,6 +126,8 @@
 		open: map[string]*open{}, groups: map[int]bool{}, list: map[string]Member{},
 		bounds: newBounds(s), begunAt: cfg.Clock.Now()}
 	x.use(s)
+	x.clock = x.cfg.Clock.ForModule()
+	x.router.Handle(x.begunAt, x.clock, nil)
 	return x, nil
 }
 
@@ -162,9 +165,9 @@
 	x.post(learning{h, made, r})
 }
 
-// dropOutdated takes out what a host told by a reading of the fleet's clock that has turned out wrong since. That it is no primary
-// stands whatever the clock.
-func (x *Exchange) dropOutdated(made balance.Made, role *balance.Role, position *time.Duration, report *balance.Report) {
+// dropOutdated takes out what was dated by bounds of the fleet's clock that have turned out wrong since. That a host is no primary, and
+// its position, stand whatever the clock.
+func (x *Exchange) dropOutdated(made balance.Made, role *balance.Role, report *balance.Report) {
 	if made.Epoch == x.clockEpoch {
 		return
 	}
@@ -174,11 +177,11 @@
 	if report.Role == balance.Primary {
 		report.Role = balance.Unknown
 	}
-	*position, report.Position, report.NotBefore = 0, 0, 0
+	report.NotBefore = 0
 }
 
 func (x *Exchange) learned(e learning) {
-	x.dropOutdated(e.made, &e.heard.Role, &e.heard.Position, &e.report)
+	x.dropOutdated(e.made, &e.heard.Role, &e.report)
 	if e.heard.Source != balance.FromPart { // the outcome of the same answer tells the others: a note is dear in a large fleet
 		x.note(e.heard, e.made, e.report)
 	}
@@ -277,7 +280,7 @@
 		if delete(x.clockProbes, e.Server); forClock && e.Result != balance.OK {
 			return // it was not the module that asked: a host is not set aside for it
 		}
-		x.dropOutdated(e.Made, new(balance.Role), new(time.Duration), &e.Report)
+		x.dropOutdated(e.Made, new(balance.Role), &e.Report)
 		if !forClock { // many gateways that start would spend on it what they may tell
 			x.note(balance.Heard{Server: e.Server, Result: e.Result}, e.Made, e.Report)
 		}
@@ -356,7 +359,7 @@
 }
 
 func (x *Exchange) outcome(e Outcome) {
-	x.dropOutdated(e.Made, &e.Role, &e.Position, &e.Report)
+	x.dropOutdated(e.Made, &e.Role, &e.Report)
 	x.cfg.Counters.Outcomes[e.Result].Add(1)
 	o := x.open[e.ID]
 	if o == nil || e.Attempt != o.attempts-1 || !o.out {
@@ -417,8 +420,8 @@
 	for _, m := range x.list {
 		list.List = append(list.List, x.bound(m))
 	}
+	x.router.Handle(x.cfg.Clock.Now(), x.clock, nil)
 	x.router.Handle(x.cfg.Clock.Now(), list, nil)
-	x.router.Handle(x.cfg.Clock.Now(), balance.ClockNarrowed{Ages: x.ages}, nil)
 	for _, k := range known {
 		x.router.Handle(x.cfg.Clock.Now(), k, nil)
 	}
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -303,23 +303,24 @@
 	}
 }
 
-// Where hosts' logs speak against this machine's clock, a host that was started at any time may be cold; else its start is believed.
-func TestStartsByADoubtfulClock(t *testing.T) {
-	for _, off := range []time.Duration{0, time.Hour} { // that this clock is ahead
+// Before a host has told its position one that was ever started may have just done so; then its start is no earlier than it was.
+func TestStartsAreNoEarlierThanHostsProve(t *testing.T) {
+	for _, off := range []time.Duration{0, time.Hour, -time.Hour} { // that this clock is ahead
 		x, _, _ := fresh(t)
 		now := x.cfg.Clock.Now()
 		started := now - off - time.Minute // by the fleet's clock: a minute ago
-		if off > 0 {
-			x.cfg.Clock.ObserveHost("s", now-off, now)
+		if got := x.startedAt(started); got < x.begunAt {
+			t.Errorf("ahead by %s: before any answer a start a minute ago counts as %s ago", off, now-got)
 		}
-		got := x.startedAt(started)
-		if doubtful := off > 0; doubtful != (got >= x.begunAt) {
+		x.cfg.Clock.Observe(fleetclock.Observation{Host: "s", Position: now - off - 2*time.Second, Sent: now, Received: now}) // it lags
+		if got := x.startedAt(started); got < now-time.Minute {
 			t.Errorf("ahead by %s: a start a minute ago counts as %s ago", off, now-got)
 		}
-		for range 3 {
-			x.cfg.Clock.Observe(fleetclock.Observation{Position: now - off, Sent: now, Received: now})
+		for _, host := range []string{"s", "t"} {
+			now := x.cfg.Clock.Now()
+			x.cfg.Clock.Observe(fleetclock.Observation{Host: host, Present: now - off, Sent: now, Received: now})
 		}
-		if got := x.startedAt(started); (now - got - time.Minute).Abs() > time.Millisecond {
+		if got := x.startedAt(started); (now - got - time.Minute).Abs() > 5*time.Millisecond {
 			t.Errorf("ahead by %s: once that is known a start a minute ago counts as %s ago", off, now-got)
 		}
 	}
--- a/internal/memory/exchange/gossip.go
+++ b/internal/memory/exchange/gossip.go
@@ -31,8 +31,12 @@
 
 // gossipOffsets are the offsets of this clock for what gateways tell each other.
 func (x *Exchange) gossipOffsets() gossip.Offsets {
-	offset := x.cfg.Clock.Offset()
-	return gossip.Offsets{Least: offset.Least, Frame: x.cfg.Clock.Frame(), Most: offset.Most}
+	b := x.cfg.Clock.Bounds()
+	offset := b.At(x.cfg.Clock.Now())
+	if !b.Told {
+		offset.Least = 0
+	}
+	return gossip.Offsets{Least: offset.Least, Most: offset.Most, Bounded: b.Bounded}
 }
 
 // tell sends what is due to the other gateways.
@@ -59,11 +63,6 @@
 	}
 	x.cfg.Counters.Heard.Add(int64(len(heard)))
 	for _, n := range heard {
-		if !x.cfg.Clock.Confirmed() { // it is not known when that was by this clock: only what speaks against a host counts
-			if n.Position = 0; n.Role == balance.Primary {
-				n.Role = balance.Unknown
-			}
-		}
 		x.decide(n)
 	}
 }
--- a/internal/memory/exchange/handover.go
+++ b/internal/memory/exchange/handover.go
@@ -35,12 +35,15 @@
 // never later than it was.
 func (x *Exchange) Inherit(askedAt time.Duration, k handover.Knowledge) {
 	if k.ClockKnown {
-		x.cfg.Clock.Inherit(k.Ahead, k.Frame)
+		x.cfg.Clock.Inherit(k.Ahead)
 	}
 	e := inheriting{known: k, list: members{whole: true, list: make([]Member, 0, len(k.Hosts))}}
 	for _, h := range k.Hosts {
 		m := Member{Address: h.Address, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
-			Primary: h.Listed, Weight: h.Weight, Started: x.cfg.Clock.FleetOfLatest(h.Started)}}
+			Primary: h.Listed, Weight: h.Weight}}
+		if h.Started > 0 {
+			m.Started = x.cfg.Clock.fleetAtMost(h.Started)
+		}
 		if h.NotifiedFor > 0 {
 			m.NotifiedAt = askedAt - h.NotifiedFor
 		}
@@ -52,8 +55,11 @@
 
 func (x *Exchange) survey() handover.Knowledge {
 	now := x.cfg.Clock.Now()
-	k := handover.Knowledge{At: now, Revision: -1, Newest: max(x.newest, x.cfg.Settings.Floor), ClockKnown: x.cfg.Clock.Confirmed(),
-		Ahead: x.cfg.Clock.Offset(), Frame: x.cfg.Clock.Frame()}
+	b := x.cfg.Clock.Bounds()
+	k := handover.Knowledge{At: now, Revision: -1, Newest: max(x.newest, x.cfg.Settings.Floor), ClockKnown: b.Bounded && !b.Doubted}
+	if k.ClockKnown {
+		k.Ahead = b.At(now)
+	}
 	x.router.Look(now, func(s balance.Seen) {
 		m, listed := x.list[s.Server]
 		if !listed || m.State == balance.Left {
@@ -108,7 +114,7 @@
 // wrote notes the last write that the module remembers of any session.
 func (x *Exchange) wrote(now, commit time.Duration) {
 	if commit == 0 {
-		commit = now
+		commit = x.cfg.Clock.fleetAtMost(now)
 	}
 	x.newest = max(x.newest, commit)
 }
--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -167,11 +167,11 @@
 	clockProbeRounds = 8
 )
 
-// askClock asks hosts how this clock stands to the fleet's: no position is believed until that is known, and the first requests of a
-// gateway with little traffic may come late. Only primaries can tell; where the list names none others are asked, for their positions.
+// askClock asks hosts for a position: until one has told any, each host that has ever started counts as one that has just done so.
+// Primaries' positions are the newest, so they are asked where the list names any.
 func (x *Exchange) askClock() {
 	now := x.cfg.Clock.Now()
-	if x.cfg.Clock.Confirmed() || !x.cfg.Settings.Probes || len(x.clockProbes) > 0 || x.clockRounds >= clockProbeRounds ||
+	if x.cfg.Clock.Bounds().Told || !x.cfg.Settings.Probes || len(x.clockProbes) > 0 || x.clockRounds >= clockProbeRounds ||
 		now < x.clockAskAt {
 		return
 	}
@@ -211,45 +211,36 @@
 	return m.Member
 }
 
-// startedAt converts a host's start. Where it is doubtful how this clock stands to the fleet's, a host that has started at any time
-// may have just done so: one that is taken for warm too early falls.
+// startedAt is the latest time by this clock at which a host may have started: one that is taken for warm too early falls. Before any
+// host has told its position it may have just done so.
 func (x *Exchange) startedAt(fleet time.Duration) time.Duration {
 	if fleet == 0 {
 		return 0
 	}
-	started := x.cfg.Clock.Latest(fleet)
-	if x.cfg.Clock.Doubtful() {
-		started = max(started, x.begunAt)
+	now, b := x.cfg.Clock.Now(), x.cfg.Clock.Bounds()
+	if !b.Told {
+		return x.begunAt
 	}
-	return min(started, x.cfg.Clock.Now())
+	return min(fleet-b.At(now).Least, now)
 }
 
-// agesStep is by how much the addition to ages has to change before the module is told.
-const agesStep = time.Millisecond
-
-// narrowClock tells the module how well it is known by now how this clock stands.
-func (x *Exchange) narrowClock() {
-	if ages := x.cfg.Clock.Ages(); ages > x.ages || x.ages-ages >= agesStep {
-		x.ages = ages
-		x.decide(balance.ClockNarrowed{Ages: ages})
-	}
-}
-
-// noticeClock hands everybody the list anew once it is known, or doubtful, how this clock stands to the fleet's.
+// noticeClock puts in force what is known by now of how this clock stands to the fleet's, and hands everybody the list anew where that
+// changes starts by much.
 func (x *Exchange) noticeClock() {
 	x.askClock()
-	x.narrowClock()
-	moved := x.cfg.Clock.Epoch() != x.clockEpoch
-	if moved {
-		x.clockEpoch = x.cfg.Clock.Epoch()
-		x.decide(balance.ClockMoved{Since: x.allWritten()})
+	if known := x.cfg.Clock.ForModule(); known != x.clock {
+		x.clock = known
+		x.decide(known)
 	}
-	known, doubtful := x.cfg.Clock.Confirmed(), x.cfg.Clock.Doubtful()
-	if known == x.clockKnown && doubtful == x.clockDoubtful && !moved {
+	epoch, b := x.cfg.Clock.Epoch(), x.cfg.Clock.Bounds()
+	if x.clockEpoch != epoch {
+		x.clockEpoch = epoch
+		x.decide(balance.ClockReplaced{})
+	} else if x.clockTold == b.Told && x.clockDoubted == b.Doubted && x.clockBounded == b.Bounded {
 		return
 	}
-	x.clockKnown, x.clockDoubtful = known, doubtful
-	x.cfg.Log.Info("fleet's clock", zap.Bool("known", known), zap.Bool("doubtful", doubtful), zap.Duration("ahead_least", x.cfg.Clock.Offset().Least), zap.Duration("ahead_most", x.cfg.Clock.Offset().Most))
+	x.clockTold, x.clockDoubted, x.clockBounded = b.Told, b.Doubted, b.Bounded
+	x.cfg.Log.Info("fleet's clock", append([]zap.Field{zap.Bool("doubted", b.Doubted), zap.Int("epoch", epoch)}, clockFields("", b, x.cfg.Clock.Now())...)...)
 	e := members{}
 	for _, m := range x.list {
 		e.list = append(e.list, m)
--- /dev/null
+++ b/internal/memory/exchange/ownread_test.go
@@ -0,0 +1,33 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"yokemast/balance"
+	"yokemast/internal/control/fleetclock"
+)
+
+// The first answer of a primary was slow on its way back, so that positions seem to lie ahead of this clock.
+func TestAnOwnReadIsNotServedByAReplicaBehindItAfterASlowFirstAnswer(t *testing.T) {
+	for name, way := range map[string]time.Duration{"a slow answer": 40 * time.Millisecond, "a quick answer": 0} {
+		t.Run(name, func(t *testing.T) {
+			clock := NewClock()
+			x, h := pair(t, clock)
+			now := clock.Now()
+			clock.Observe(fleetclock.Observation{Host: "p", Present: now - way, Sent: now - way, Received: now})
+			x.noticeClock()
+			learn(x, "p", balance.Replica, 0)
+			stopped := clock.Now()
+			time.Sleep(5 * time.Millisecond)
+			if a := h.ask(x, "own", stopped+3*time.Millisecond); a != nil {
+				t.Fatalf("it goes to %s on %+v", a.Server, a.Grounds)
+			}
+			time.Sleep(350 * time.Millisecond) // until replicas are asked, too
+			learn(x, "r", balance.Replica, stopped)
+			if n := len(h.sent); n > 0 {
+				t.Errorf("it goes to %s, which is 3 ms behind it, on %+v; offset %+v", h.sent[0].Server, h.sent[0].Grounds, clock.Offset())
+			}
+		})
+	}
+}
--- a/internal/memory/exchange/request.go
+++ b/internal/memory/exchange/request.go
@@ -5,7 +5,6 @@
 
 	"yokemast/balance"
 	"yokemast/internal/control/cells"
-	"yokemast/internal/control/fleetclock"
 )
 
 // request takes a request: what makes no sense is rejected, all else is the module's.
@@ -68,33 +67,25 @@
 
 // pass hands a request to the module, or lets it wait at a fence.
 func (x *Exchange) pass(o *open, v cells.Verdict) {
-	r, now := o.Request, x.cfg.Clock.Now()
+	r := o.Request
 	if o.waits = v.Kind == cells.Hold; o.waits {
 		x.cfg.Counters.Held.Add(1)
 		return
 	}
-	q := balance.Request{ID: r.ID, Class: r.Class, Session: r.Session, Group: v.Group, Cell: v.Cell, Since: v.Since,
+	q := balance.Request{ID: r.ID, Class: r.Class, Session: r.Session, Group: v.Group, Cell: v.Cell, After: r.After,
 		Deadline: o.deadline, Elapsed: x.tries.Try(r.Class, o.class.Deadline, r.Wait), Retry: r.Retry, Lease: r.Lease > 0,
 		Patience: o.patience}
 	if o.again = q.Elapsed > 0; o.again {
 		x.cfg.Counters.Again.Add(1)
 	}
+	if v.Since > 0 {
+		q.Since = x.cfg.Clock.fleetAtMost(v.Since)
+	}
 	if q.Over = r.Over; q.Over > 0 {
 		x.cfg.Counters.Over.Add(1)
 	} else if v.Kind == cells.Over {
 		x.cfg.Counters.Over.Add(1)
 		q.Over = max(v.After, 1)
 	}
-	if r.After > 0 && x.cfg.Clock.Confirmed() {
-		// The module counts back from now, and takes an age of nothing for no write at all: a position that lies ahead of this clock
-		// must not turn into that.
-		q.WriteAge = max(now-x.cfg.Clock.Position(r.After), 1)
-	} else if r.After > 0 {
-		q.WriteAge, q.Since = 1, max(q.Since, x.allWritten())
-	}
 	x.decide(q)
 }
-
-// allWritten is a position that is at or after all that has been written by now, however this clock turns out to stand: positions may
-// come out later by fleetclock.AgeSlack than they are.
-func (x *Exchange) allWritten() time.Duration { return x.cfg.Clock.Now() + fleetclock.AgeSlack }
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -179,7 +179,7 @@
 			query = command.AppendQuery(nil, t.Until-now)
 		}
 	}
-	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until || t.b.over(t.Server, now) || t.b.refuted(t.Server, t.Grounds)
+	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until || t.Grounds.Expired(now, t.b.cfg.Clock.ForModule()) || t.b.over(t.Server, now) || t.b.refuted(t.Server, t.Grounds)
 	t.mu.Lock()
 	if t.ended || t.withdrawn || late {
 		t.mu.Unlock()
@@ -203,7 +203,7 @@
 		t.stream(r)
 		return
 	}
-	made := t.b.localize(t.Server, &r, now)
+	made := t.b.observe(t.Server, &r, now)
 	t.mu.Lock()
 	t.conn = nil
 	if t.ended {
--- a/internal/wire/backend/backend.go
+++ b/internal/wire/backend/backend.go
@@ -84,8 +84,7 @@
 	pools    *pooling.Pools
 	conns    map[int]*conn // that idle
 	last     int           // number of a connection
-	early    earlyPositions
-	waiting  []*waiter // for a connection, in their order
+	waiting  []*waiter     // for a connection, in their order
 }
 
 type key struct {
@@ -103,8 +102,7 @@
 	address string
 	cold    time.Duration // until then
 	until   time.Duration // nothing new goes out to it later; 0: no such bound
-	follows time.Duration // when it last said here that it is no primary; 0: it never did
-	leads   bool          // it has said since, in a whole answer, that it is
+	words   balance.RoleWords
 }
 
 // New makes a backend whose goroutines belong to the group and end with the context.
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -10,12 +10,10 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"yokemast/balance"
-	"yokemast/internal/control/fleetclock"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/testbed/stall"
@@ -162,48 +160,6 @@
 	}
 }
 
-func TestReport(t *testing.T) {
-	for in, want := range map[string]balance.Report{
-		"":                          {},
-		"x0=NaN,x1=1":               {},
-		"x0=1e300,x1=0":             {},
-		"x0=+Inf":                   {},
-		"x0=-5,x1=1":                {},
-		"x0=1767225600,x1=0.5":      {},
-		"x0=1767225600,x0=1":        {},
-		"x0=1767225600,x1":          {},
-		"x0=1767225601,x1=1":        {}, // ahead of the clock
-		"inflight=7,util=0.61":      {},
-		"x0=1767225600.123,x1=1":    {Has: true, Role: balance.Primary, Position: 1767225600122 * time.Millisecond, NotBefore: 1767225600122 * time.Millisecond},
-		"x0=1767225600.12,x1=0,y=3": {Has: true, Role: balance.Replica, Position: 1767225600119 * time.Millisecond, NotBefore: 1767225600119 * time.Millisecond},
-	} {
-		const now = 1767225600500 * time.Millisecond
-		clock := exchange.NewClock()
-		clock.Inherit(fleetclock.Interval{}, 0)
-		got := believableReport(clock, report(in), now)
-		if want.Has && want.Position-got.Position == time.Millisecond {
-			got.Position, got.NotBefore = want.Position, want.NotBefore // a binary fraction may lie one below: that never flatters
-		}
-		if diff := cmp.Diff(want, got); diff != "" {
-			t.Errorf("%q: %s", in, diff)
-		}
-	}
-}
-
-// While it is not known how the clock stands a report says only that its host is no primary.
-func TestReportBeforeTheClockIsKnown(t *testing.T) {
-	const now = 1767225600500 * time.Millisecond
-	for in, want := range map[string]balance.Report{
-		"x0=1767225600.123,x1=1": {},
-		"x0=1767225600.123,x1=0": {Has: true, Role: balance.Replica},
-		"x0=1767225600.123":      {},
-	} {
-		if diff := cmp.Diff(want, believableReport(exchange.NewClock(), report(in), now)); diff != "" {
-			t.Errorf("%q: %s", in, diff)
-		}
-	}
-}
-
 // arrivals is a host that notes when each query has come.
 func arrivals(t *testing.T) (address string, came chan time.Time) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -81,7 +81,7 @@
 // alive says whether the host has neither closed an idle connection nor written to it.
 func (c *conn) alive() bool { return c.in.Buffered() == 0 && socket.Quiet(c) }
 
-// reply is what a query came to. Its positions are by the fleet's clock until Backend.localize converts them.
+// reply is what a query came to. Its positions are by the fleet's clock.
 type reply struct {
 	result   balance.Result
 	value    pg.Value
--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -128,7 +128,8 @@
 	c.clean = end.Clean && !t.ended && c.in.Buffered() == 0
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
-	made := t.b.localize(t.Server, &h.notes, t.Sent)
+	h.notes.result = end.Result
+	made := t.b.observe(t.Server, &h.notes, t.Sent)
 	t.finish(exchange.Outcome{Outcome: balance.Outcome{Result: end.Result, Role: h.notes.role, Position: h.notes.position,
 		Report: h.notes.report, Made: made}}, end.Busy, false)
 }
--- a/internal/wire/backend/position_test.go
+++ b/internal/wire/backend/position_test.go
@@ -5,27 +5,114 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"yokemast/balance"
+	"yokemast/internal/control/fleetclock"
+	"yokemast/internal/memory/exchange"
 )
 
-// What replicas told before the first primary's answer is handed on then, once: they need not be asked again.
-func TestEarlyPositionsAreHandedOnOnce(t *testing.T) {
-	var p earlyPositions
-	told := map[string]earlyPosition{}
-	tell := func(server string, e earlyPosition) { told[server] = e }
-	p.note("r1", 5*time.Second, 6*time.Second, false, tell)
-	p.note("r2", 0, 6*time.Second, false, tell)
-	p.note("r1", 7*time.Second, 8*time.Second, false, tell)
-	if len(told) != 0 {
-		t.Fatalf("told too early: %v", told)
+// observer is a backend of which only what it learns of the clock counts.
+func observer() (*Backend, exchange.Clock) {
+	clock := exchange.NewClock()
+	return &Backend{cfg: Config{Clock: clock}, hosts: map[string]*host{}}, clock
+}
+
+func TestOnlyThePresentOfAPrimaryThatRanTheQueryBoundsTheClock(t *testing.T) {
+	for name, c := range map[string]struct {
+		told func(now time.Duration) reply
+		want bool
+	}{
+		"a primary's answer":     {func(now time.Duration) reply { return reply{role: balance.Primary, position: now} }, true},
+		"a replica's answer":     {func(now time.Duration) reply { return reply{role: balance.Replica, position: now} }, false},
+		"an answer with no role": {func(now time.Duration) reply { return reply{position: now} }, false},
+		"a primary that turns away": {func(now time.Duration) reply {
+			return reply{result: balance.Full, role: balance.Primary, position: now}
+		}, false},
+		"a primary that fails": {func(now time.Duration) reply {
+			return reply{result: balance.Failed, role: balance.Primary, position: now}
+		}, false},
+		"a primary's report": {func(now time.Duration) reply { return reply{report: reported(balance.Primary, now)} }, false},
+		"a report beside a replica's": {func(now time.Duration) reply {
+			return reply{role: balance.Replica, position: now, report: reported(balance.Primary, now)}
+		}, false},
+		"a role with no position beside": {func(now time.Duration) reply {
+			return reply{role: balance.Primary, report: reported(balance.Primary, now)}
+		}, false},
+	} {
+		b, clock := observer()
+		sent := clock.Now()
+		r := c.told(sent)
+		b.observe("s", &r, sent)
+		if got := clock.Bounds().Bounded; got != c.want {
+			t.Errorf("%s: bounded %t", name, got)
+		}
+		if r.position != 0 && r.position != sent {
+			t.Errorf("%s: a position is converted", name)
+		}
 	}
-	p.note("p", 9*time.Second, 9*time.Second, true, tell)
-	want := map[string]earlyPosition{"r1": {7 * time.Second, 8 * time.Second}}
-	if diff := cmp.Diff(want, told, cmp.AllowUnexported(earlyPosition{})); diff != "" {
-		t.Error(diff)
+}
+
+func reported(role balance.Role, position time.Duration) balance.Report {
+	return balance.Report{Has: true, Role: role, Position: position}
+}
+
+func TestAPrimarysWordIsDatedByItsPositionOnceTheClockIsBounded(t *testing.T) {
+	b, clock := observer()
+	now := clock.Now()
+	r := reply{role: balance.Primary, position: now + time.Hour} // the machine's clock is an hour behind
+	if made := b.observe("s", &r, now); made.NotBefore != now {
+		t.Errorf("before, it is dated %s after its query", made.NotBefore-now)
 	}
-	clear(told)
-	p.note("r1", 10*time.Second, 10*time.Second, true, tell)
-	if len(told) != 0 || p.byHost != nil {
-		t.Errorf("told again: %v", told)
+	clock.Inherit(fleetclock.Interval{Least: time.Hour, Most: time.Hour + 2*time.Millisecond})
+	r = reply{role: balance.Primary, position: clock.Now() + time.Hour}
+	if made := b.observe("s", &r, now-10*time.Second); made.NotBefore < now-20*time.Millisecond || made.NotBefore > clock.Now() {
+		t.Errorf("it is dated %s after", made.NotBefore-now)
+	}
+}
+
+func TestReport(t *testing.T) {
+	for in, want := range map[string]balance.Report{
+		"":                          {},
+		"x0=NaN,x1=1":               {},
+		"x0=1e300,x1=0":             {},
+		"x0=+Inf":                   {},
+		"x0=-5,x1=1":                {},
+		"x0=0.000,x1=0":             {}, // none has been made yet
+		"x0=1767225600,x1=0.5":      {},
+		"x0=1767225600,x0=1":        {},
+		"x0=1767225600,x1":          {},
+		"inflight=7,util=0.61":      {},
+		"x0=1767225600.123,x1=1":    reported(balance.Primary, 1767225600122*time.Millisecond),
+		"x0=1767225600.12,x1=0,y=3": reported(balance.Replica, 1767225600119*time.Millisecond),
+	} {
+		got := report(in)
+		got.NotBefore = 0 // see dated
+		if want.Has && want.Position-got.Position == time.Millisecond {
+			got.Position = want.Position // a binary fraction may lie one below: that never flatters
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%q: %s", in, diff)
+		}
+	}
+}
+
+// A report is as old as its position makes it at the most. Where nothing bounds the clock it says only that its host is no primary.
+func TestAReportIsDatedByItsPosition(t *testing.T) {
+	for _, role := range []balance.Role{balance.Primary, balance.Replica} {
+		clock := exchange.NewClock()
+		position := clock.Now() - 3*time.Second
+		got := dated(clock, reported(role, position))
+		want := reported(balance.Replica, position)
+		if role == balance.Primary {
+			want.Role = balance.Unknown
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("unbounded: %s", diff)
+		}
+		clock.Inherit(fleetclock.Interval{Least: -time.Millisecond, Most: 5 * time.Millisecond})
+		if got := dated(clock, reported(role, position)); got.Role != role || got.Position != position || got.NotBefore > position-5*time.Millisecond ||
+			got.NotBefore < position-7*time.Millisecond {
+			t.Errorf("bounded: %+v", got)
+		}
 	}
 }
--- a/internal/wire/backend/stream.go
+++ b/internal/wire/backend/stream.go
@@ -99,7 +99,7 @@
 // stream carries a large value: the outcome is told at its first bytes, and the connection is given back behind it.
 func (t *attempt) stream(r reply) {
 	s, b := r.stream, t.b
-	s.r = reply{role: r.role, position: r.position, report: r.report} // for the end: until then nothing that it tells is believed
+	s.r = reply{result: balance.OK, role: r.role, position: r.position, report: r.report} // for the end: until then nothing that it tells is believed
 	r.value.Size, r.value.Rest = s.size, s
 	o := exchange.Outcome{Outcome: balance.Outcome{Result: balance.OK}, Value: r.value}
 	if !t.finish(o, -1, true) { // given up meanwhile, and closed under it
@@ -126,7 +126,7 @@
 	}
 	b.put(t.Server, s.c)
 	if s.whole {
-		made := b.localize(t.Server, &s.r, t.Sent)
+		made := b.observe(t.Server, &s.r, t.Sent)
 		b.to.Learned(balance.Heard{Server: t.Server, Result: balance.OK, Role: s.r.role, Position: s.r.position}, made, s.r.report)
 	}
 }
