A read whose own answer tells data older than its class allows is not served

Change: the module is asked before an answer is served (Router.Stale). Such an attempt ends as stale: it may have run, so it goes again only where its class allows, else it fails. The age counts from when the query's last byte was written, which covers a hold-up before the write, and has the clock's safe end. It is a second line: the model, and the ledger of the tests, go on counting reads that run on old data.

--- a/balance/api.go
+++ b/balance/api.go
@@ -237,11 +237,12 @@
 	NotSent // never ran
 	Miss    // never ran
 	Garbled // what came back can't be read; it says nothing of the member but that it lives
+	Stale   // a read ran on data older than its class allows, as the answer itself tells
 )
 
 // String is the result in a word or two.
 func (x Result) String() string {
-	return [...]string{"ok", "error", "turned away", "timed out", "no connection", "reset", "canceled", "not sent", "miss", "garbled"}[x]
+	return [...]string{"ok", "error", "turned away", "timed out", "no connection", "reset", "canceled", "not sent", "miss", "garbled", "stale"}[x]
 }
 
 // NeverRan says that the attempt had no effect and will have none.
@@ -259,6 +260,8 @@
 	Position time.Duration // 0: not told; after a write, its commit
 	Report   Report
 	Made     Made // when the member said so; nothing: between the attempt's start and now
+	// Written is when the last byte of the query had been written; 0: when the attempt was sent.
+	Written time.Duration
 }
 
 // ProbeResult ends a Probe.
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -138,7 +138,7 @@
 		}
 	}
 	switch e.Result {
-	case OK, Failed, Garbled, Full, Miss:
+	case OK, Failed, Garbled, Full, Miss, Stale:
 		r.lives(m)
 	}
 	if q.ranAt == 0 && !e.Result.NeverRan() {
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -330,4 +330,6 @@
 }
 
 // wholeAnswer says that a result is told by an answer that came whole.
-func wholeAnswer(x Result) bool { return x == OK || x == Failed || x == Full || x == Miss }
+func wholeAnswer(x Result) bool {
+	return x == OK || x == Failed || x == Full || x == Miss || x == Stale
+}
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -42,6 +42,23 @@
 	return lag <= q.cls.Bound/keepsUpPart && standsFor <= q.cls.Bound-slack-r.holdUpMargin(q.cls)
 }
 
+// Stale says that an answer proves that its read ran on data older than its class allows: it must not be served. A primary's data is the
+// present, and members that check reads need no second look.
+func (r *Router) Stale(now time.Duration, e Outcome) bool {
+	q := r.reqs[e.ID]
+	if q == nil || e.Result != OK || e.Role == Primary || e.Position == 0 || r.s.Checks != ChecksNone {
+		return false
+	}
+	switch q.cls.Need {
+	case Session:
+		return e.Position+slack < q.wrote
+	case Bounded:
+		written := min(cmp.Or(e.Written, q.sentAt), now)
+		return r.clock.Known && written+r.clock.Ages-e.Position > q.cls.Bound
+	}
+	return false
+}
+
 // age is how old a position is, less the slack that the protocol has for what is not known of the clock; without bounds, any age.
 func (r *Router) age(position time.Duration) time.Duration {
 	if !r.clock.Known {
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -24,7 +24,7 @@
 	Taken, Served, Refused, Failed, Rejected, Gone Count // requests; rejected: never handed to the module
 	Again                                          Count // of those handed to the module, that their clients had tried before
 	Sent, Canceled, Probes                         Count // attempts and probes
-	Outcomes                                       [10]Count
+	Outcomes                                       [11]Count
 	Clients, ClientsOpen, ClientsOver              Count    // connections: accepted, open, turned away
 	ClientsDropped, ClientsEvicted, ClientsSlow    Count    // closed at once; made to give way; cut off as too slow
 	ClientsPressed                                 Count    // of those that gave way, early because places ran short
@@ -53,8 +53,8 @@
 	Panics, Timers                                 Count
 }
 
-var outcomeNames = [10]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
-	"not_sent", "miss", "garbled"}
+var outcomeNames = [11]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
+	"not_sent", "miss", "garbled", "stale"}
 
 // groundsNames are in the order of balance.GroundsKind.
 var groundsNames = [4]string{"none_needed", "position", "leader", "list"}
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -360,6 +360,9 @@
 
 func (x *Exchange) outcome(e Outcome) {
 	x.dropOutdated(e.Made, &e.Role, &e.Report)
+	if x.stale(e.Outcome) {
+		e.Result, e.Value = balance.Stale, nil
+	}
 	x.cfg.Counters.Outcomes[e.Result].Add(1)
 	o := x.open[e.ID]
 	if o == nil || e.Attempt != o.attempts-1 || !o.out {
@@ -386,6 +389,12 @@
 	x.forget(o)
 }
 
+// stale asks the module whether an answer proves that its read ran on data that is too old. A panic there says that it does not.
+func (x *Exchange) stale(e balance.Outcome) (stale bool) {
+	defer func() { _ = recover() }() // the same outcome is handed to the module next, which answers for the panic
+	return x.router.Stale(x.cfg.Clock.Now(), e)
+}
+
 // decide hands the module one event and carries out what it answers. A panic there must not end the process: what
 // is open is answered, and a new module starts from the list, as after a restart.
 func (x *Exchange) decide(ev balance.Event) {
--- a/internal/memory/exchange/gossip.go
+++ b/internal/memory/exchange/gossip.go
@@ -14,6 +14,9 @@
 	if x.cfg.Gossip == nil || n.Result == balance.Cancelled || n.Result == balance.NotSent {
 		return // that is this gateway's own doing and says nothing of the host
 	}
+	if n.Result == balance.Stale {
+		n.Result = balance.OK // the host is well
+	}
 	now := x.cfg.Clock.Now()
 	if n.At = now; made.NotAfter > 0 {
 		n.At = made.NotAfter
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -212,7 +212,7 @@
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
 	o := exchange.Outcome{Outcome: balance.Outcome{Result: r.result, Role: r.role, Position: r.position,
-		Report: r.report, Made: made}}
+		Report: r.report, Made: made, Written: r.written}}
 	if r.result == balance.OK {
 		o.Value = r.value
 	}
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -88,7 +88,8 @@
 	role     balance.Role
 	position time.Duration
 	report   balance.Report
-	stream   *stream // of a large value, of which the rest is still to come; nil: the reply is whole
+	written  time.Duration // when the query had been written whole; 0: it was not
+	stream   *stream       // of a large value, of which the rest is still to come; nil: the reply is whole
 }
 
 // errSpoilt says that what a host sent is no answer to what it was asked.
@@ -157,6 +158,7 @@
 		// Broken, or stuck, before the last byte: the host never starts what it has not got whole.
 		return reply{result: balance.NoConnection}
 	}
+	r.written = c.clock.Now()
 	var refusal *pg.Error
 	order := "" // of the messages that make up the answer
 	for {
