Upgrade test: a client that is not served shows what both processes logged of it

Need: SIGTERM before the heir is ready was rarely answered 53300, and no log had a line on it: the test read the logs before the lines were written, as a line goes through a goroutine and a pipe. Change: the answer is judged after the old process has ended. Where it is not the row, the heir is told to end too, and the failure shows what both logged of refusals, attempts, connections and their own state. Nothing that was checked before is left out.

--- a/cmd/yokemast/upgrade_test.go
+++ b/cmd/yokemast/upgrade_test.go
@@ -75,6 +75,29 @@
 	}
 }
 
+// reasons gives what the processes logged of requests that were not served. They must have ended: a line is written some time
+// after the answer that it explains.
+func reasons(all ...*gateway) string {
+	var out strings.Builder
+	for i, g := range all {
+		for line := range strings.Lines(g.log.String()) {
+			if explains(line) {
+				fmt.Fprintf(&out, "\nprocess %d: %s", i, strings.TrimSpace(line))
+			}
+		}
+	}
+	return out.String()
+}
+
+func explains(line string) bool {
+	for _, kind := range []string{"request rejected", "request given up", "attempt ended", "connection ended", "service"} {
+		if strings.Contains(line, `"msg":"`+kind+`"`) {
+			return true
+		}
+	}
+	return false
+}
+
 // A host that holds reads of "slow" until it is told.
 func holding(t testing.TB) (h *hosts.Host, release func()) {
 	hold := make(chan struct{})
@@ -290,10 +313,13 @@
 		old.waitLog(`"ending"`)
 		heir, admin := old.next()
 		heir.waitReady(admin)
-		if got := c.Ask(read("k", comment("view", ""))); got != "row k" {
-			t.Errorf("a client of the old one is answered %q", got)
-		}
+		got := c.Ask(read("k", comment("view", "")))
 		old.ended()
+		if got != "row k" {
+			_ = heir.cmd.Process.Signal(syscall.SIGTERM)
+			heir.ended()
+			t.Errorf("a client of the old one is answered %q: %s", got, reasons(old, heir))
+		}
 	})
 	t.Run("what is left is no socket", func(t *testing.T) {
 		dir := t.TempDir()
