An ending process serves classes that it has hardly been asked for

What callers saw: a request that reached a process after SIGTERM was answered 53300 though hosts stood idle; in an upgrade, one sent between the next process's yes and the moment that its connection is passed on. Cause: the end of the process shortens deadlines to 3.55 s after SIGTERM. How long answers of a class take starts from a guess, a quarter of its aim, and each answer moves that by one part in 16. Where half as much again as the guess is more than what is left, the module refuses at once, "too late", no attempt made: so for aims above 9.5 s from SIGTERM on, for each class and for as long as the process runs. The tests' class `view` has an aim of 10 s and the client of this test had asked for nothing before. Change: until a class has had 64 answers, when the guess weighs less than 2 in 100, it ends a request only once half of the request's own time is gone. Requests whose time is at least their class's aim are judged as before. Tests: TestEndingProcessServesClassesNobodyAskedForYet (real process, no race: view and own were answered 53300 before) and TestAGuessedAnswerTimeRefusesNobodyWhoseDeadlineIsShort (four refusals before; a class that is known to be too slow is still refused) and TestAGuessedAnswerTimeEndsARequestOnceHalfItsTimeIsGone (hopeless from its first moment before) fail without the change and pass with it.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -138,7 +138,8 @@
 func (r *Router) judge(m *member, c *cell, cls *class, result Result, took time.Duration, blamed bool) {
 	cut, answered := 0.0, result == OK || result == TimedOut
 	if result == OK {
-		cls.took += (took - cls.took) / 16
+		cls.took += (took - cls.took) / tookMemory
+		cls.answers = min(cls.answers+1, guessFades)
 	}
 	switch {
 	case result == Full:
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -83,10 +83,19 @@
 
 func (c *class) again() time.Duration { return min(c.took*3/2, c.Aim/2) } // that an attempt needs
 
+// needs is the time that an attempt for q is expected to need. A guess turns nobody away before half of the request's time is gone:
+// that time may be short for reasons of its own, such as the end of the process.
+func (r *Router) needs(q *request) time.Duration {
+	if q.cls.answers < guessFades {
+		return min(q.cls.again(), max((r.useful(q)-q.arrived)/2, 1))
+	}
+	return q.cls.again()
+}
+
 // hopeless says that q can hardly be answered in time. Half the aim is enough, or a slow class stayed shut.
 // What was never sent is not held past half its time, once it has been tried: its client can come back.
 func (r *Router) hopeless(q *request) bool {
-	return r.now+q.cls.again() > r.useful(q) ||
+	return r.now+r.needs(q) > r.useful(q) ||
 		q.attempts == 0 && r.now > q.arrived &&
 			r.now-q.arrived+2*beat > cmp.Or(q.Patience, (q.Deadline-q.arrived)/2)
 }
--- a/balance/router.go
+++ b/balance/router.go
@@ -38,6 +38,8 @@
 	fallbackPart         = 0.6     // of the primary's limit that reads a replica could serve may fill
 	coldMargin           = 0.6     // of the overload factor may be used, the rest is for retries
 	leastWeight          = 1e-9    // weights of nothing, all alike, still make a draw
+	tookMemory           = 16.0    // answers
+	guessFades           = 64      // answers, after which a first guess weighs less than 2 in 100
 	badMemory, failsMost = 10.0, 3 // attempts; errors in a row, which a good probe does not end
 
 	fewRouters                 = 2.0           // whose limits together a group bears
@@ -51,7 +53,8 @@
 
 type class struct {
 	Class
-	took time.Duration // smoothed time of an answer
+	took    time.Duration // smoothed time of an answer, from a guess on
+	answers int           // that it was smoothed over, up to guessFades
 }
 
 type tenant struct {
--- a/balance/timeout_test.go
+++ b/balance/timeout_test.go
@@ -23,3 +23,56 @@
 		}
 	}
 }
+
+// An ending process shortens deadlines, and a class that was hardly asked for is only guessed to be slow.
+func TestAGuessedAnswerTimeRefusesNobodyWhoseDeadlineIsShort(t *testing.T) {
+	const left = 3500 * ms
+	for _, c := range []struct {
+		name    string
+		answers int
+		took    time.Duration
+		sent    int
+	}{
+		{"never answered", 0, 0, 1},
+		{"answered once", 1, 5 * ms, 1},
+		{"answered until the guess fades", guessFades, 5 * ms, 1},
+		{"known to be too slow", guessFades, 2500 * ms, 0},
+	} {
+		for _, class := range []string{"any", "save"} {
+			g := newRig(t, func(s *Settings) {
+				for i := range s.Classes {
+					s.Classes[i].Aim, s.Classes[i].Deadline, s.Classes[i].LateWorth = 10*time.Second, 20*time.Second, 0
+				}
+			})
+			for range c.answers {
+				id, acts := g.ask(class, 0)
+				server := sends(acts)[0]
+				g.now += c.took
+				g.do(Outcome{ID: id, Server: server, Result: OK, Took: c.took, Final: true})
+			}
+			acts := g.do(Request{ID: "last", Class: class, Deadline: g.now + left})
+			if got := len(sends(acts)); got != c.sent {
+				t.Errorf("%s, %s, with %s left: %v", class, c.name, left, acts)
+			}
+		}
+	}
+}
+
+func TestAGuessedAnswerTimeEndsARequestOnceHalfItsTimeIsGone(t *testing.T) {
+	g := newRig(t, func(s *Settings) {
+		for i := range s.Classes {
+			s.Classes[i].Aim, s.Classes[i].Deadline = 10*time.Second, 20*time.Second
+		}
+	})
+	c := g.r.cells[0].classes["any"]
+	q := &request{Request: Request{Deadline: g.now + 3500*ms}, cls: c, arrived: g.now, attempts: 1}
+	for _, x := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, false}, {1700 * ms, false}, {1800 * ms, true}} {
+		g.r.now = q.arrived + x.after
+		if got := g.r.hopeless(q); got != x.want {
+			t.Errorf("%s after it came: hopeless is %t", x.after, got)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/yokemast/ending_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+)
+
+// From SIGTERM to its end a process serves those that it holds, whatever it has been asked for before.
+func TestEndingProcessServesClassesNobodyAskedForYet(t *testing.T) {
+	old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
+	c := old.client()
+	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	old.waitLog(`"event":"terminate"`)
+	for _, x := range []struct{ statement, want string }{
+		{read("k", comment("view", "")), "row k"},
+		{read("own", comment("own", "")), "row own"},
+		{write("w", "9f", comment("order", "")), "row w"},
+	} {
+		if got := c.Ask(x.statement); got != x.want {
+			t.Errorf("%s is answered %q", x.statement, got)
+		}
+	}
+	_ = c.Close()
+	old.ended()
+	if t.Failed() {
+		t.Log(reasons(old))
+	}
+}
