Log why a client that begins no command is ended; the upgrade test tells its times

Need: of 4,800 plays of the upgrade subtest under load 17 ended with "closed", and no line said who closed the connection. A client that has said nothing 2 s after its startup is ended (startWithin): only that end was not logged. Change: `connection ended` with why "ended: it began no command in time", and TestTheLogSaysWhyASilentClientIsEnded. The subtest's failure tells when the next process was started and ready after SIGTERM. The new test passes, and so does internal/wire/frontend.

--- a/cmd/yokemast/serve_test.go
+++ b/cmd/yokemast/serve_test.go
@@ -617,3 +617,12 @@
 		t.Errorf("a good one: %v, %s", err, out)
 	}
 }
+
+func TestTheLogSaysWhyASilentClientIsEnded(t *testing.T) {
+	g := start(t, nil, newHost(t, "s-1", "leader", nil))
+	c := g.client()
+	if got := c.Answer(); got != "closed" {
+		t.Errorf("a client that begins no command is answered %q", got)
+	}
+	g.waitLog(`"why":"ended: it began no command in time","client":"` + c.LocalAddr().String() + `"`)
+}
--- a/cmd/yokemast/upgrade_test.go
+++ b/cmd/yokemast/upgrade_test.go
@@ -310,15 +310,19 @@
 		if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
 		}
+		signaled := time.Now()
 		old.waitLog(`"ending"`)
 		heir, admin := old.next()
+		started := time.Since(signaled)
 		heir.waitReady(admin)
+		ready := time.Since(signaled)
 		got := c.Ask(read("k", comment("view", "")))
 		old.ended()
 		if got != "row k" {
 			_ = heir.cmd.Process.Signal(syscall.SIGTERM)
 			heir.ended()
-			t.Errorf("a client of the old one is answered %q: %s", got, reasons(old, heir))
+			t.Errorf("a client of the old one is answered %q; the heir was started %s and ready %s after SIGTERM: %s", got, started, ready,
+				reasons(old, heir))
 		}
 	})
 	t.Run("what is left is no socket", func(t *testing.T) {
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -384,6 +384,9 @@
 			over, begun := c.pause()
 			switch {
 			case over:
+				if !c.atRest {
+					c.s.note("ended: it began no command in time", c)
+				}
 				return
 			case begun:
 				c.begin()
