Log by id the reads served on replicas' positions round doubt about the clock

A read that goes to a replica on a position well inside its bound leaves no line, and where the clock by which that position was read is wrong, a stale read looks just so. Change: the exchange keeps the last 512 such reads (id, host, when sent, position). Where an answer contradicts what is believed of the fleet's clock, it logs those of the two seconds before, and those of the second after, one line each 0.15 s. fleetclock counts contradictions. With the trigger taken out, or either of its two calls in Run, a test of trace_test.go fails.

--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -71,6 +71,7 @@
 	dissenters int
 
 	epoch  int      // counts how often what was believed has been given up
+	denied int      // counts answers that contradicted what was believed
 	behind bool     // a position was ahead of this clock
 	hosts  []string // whose logs stand about at this clock's present
 	old    bool     // a host's log lies well before it
@@ -129,6 +130,7 @@
 		return true
 	}
 	if !e.believed.intersects(seen) {
+		e.denied++
 		return e.disagree(seen)
 	}
 	if seen.Most != unbounded {
@@ -161,7 +163,7 @@
 	}
 	if e.dissent.Most == unbounded { // replicas alone: that what was believed is wrong is all that is known
 		was := e.known
-		*e = Estimate{behind: true, epoch: e.epoch + 1} // what was converted before does not count any more
+		*e = Estimate{behind: true, epoch: e.epoch + 1, denied: e.denied} // what was converted before does not count any more
 		return was
 	}
 	if e.known {
@@ -197,6 +199,9 @@
 // Epoch changes whenever what was believed turns out wrong: times that were converted before do not compare with later ones.
 func (e *Estimate) Epoch() int { return e.epoch }
 
+// Contradictions counts the answers that contradicted what was believed.
+func (e *Estimate) Contradictions() int { return e.denied }
+
 // Inherit takes what an earlier process on this machine knew, in terms of this process's clock: the offset, and the frame of the
 // positions that come with it.
 func (e *Estimate) Inherit(offset Interval, frame time.Duration) {
--- a/internal/memory/exchange/clock.go
+++ b/internal/memory/exchange/clock.go
@@ -29,7 +29,7 @@
 	offset              fleetclock.Interval
 	frame, ages         time.Duration
 	confirmed, doubtful bool
-	epoch               int
+	epoch, doubts       int
 }
 
 // NewClock reads the wall.
@@ -64,6 +64,9 @@
 // Epoch changes whenever what was known of the fleet's clock turns out wrong: positions converted before do not compare with later ones.
 func (c Clock) Epoch() int { return c.fleet.now.Load().epoch }
 
+// Doubts counts the answers that contradicted what was believed of the fleet's clock.
+func (c Clock) Doubts() int { return c.fleet.now.Load().doubts }
+
 // Offset is what the fleet's clock shows more than this one; nothing as long as that is not known.
 func (c Clock) Offset() fleetclock.Interval { return c.fleet.now.Load().offset }
 
@@ -119,13 +122,13 @@
 func (f *fleetTime) update(change func(*fleetclock.Estimate) (changed bool)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	doubtful := f.estimate.Doubtful()
-	if change(&f.estimate) || f.estimate.Doubtful() != doubtful {
+	doubtful, doubts := f.estimate.Doubtful(), f.estimate.Contradictions()
+	if change(&f.estimate) || f.estimate.Doubtful() != doubtful || f.estimate.Contradictions() != doubts {
 		f.publish()
 	}
 }
 
 func (f *fleetTime) publish() {
 	offset, confirmed := f.estimate.Offset()
-	f.now.Store(&fleetNow{offset, f.estimate.Frame(), f.estimate.Ages(), confirmed, f.estimate.Doubtful(), f.estimate.Epoch()})
+	f.now.Store(&fleetNow{offset, f.estimate.Frame(), f.estimate.Ages(), confirmed, f.estimate.Doubtful(), f.estimate.Epoch(), f.estimate.Contradictions()})
 }
--- a/internal/memory/exchange/events.go
+++ b/internal/memory/exchange/events.go
@@ -92,6 +92,7 @@
 // served says on what evidence a read was served that did not rest on a position well inside its bound: those that could be found
 // to be stale. Others are only counted.
 func (x *Exchange) served(o *open, e Outcome) {
+	x.keepTrace(o, e.Server)
 	g := o.grounds
 	if !g.NeedsLeader() && (g.SendBy == 0 || g.SendBy-o.sentAt > o.class.Bound/2) {
 		return
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -104,6 +104,7 @@
 	clockProbes map[string]bool // hosts that are being asked for the time
 	clockRounds int             // how often some were
 	clockAskAt  time.Duration   // not again before
+	trace       trace
 	// What is known of the fleet's clock, as far as it is in force everywhere.
 	clockKnown, clockDoubtful bool
 	clockEpoch                int
@@ -221,6 +222,7 @@
 		x.settle(x.cfg.Clock.Now())
 		x.tell(x.cfg.Clock.Now())
 		x.look(x.cfg.Clock.Now())
+		x.logTrace(x.cfg.Clock.Now())
 		if len(batch) > 0 {
 			continue
 		}
@@ -239,9 +241,13 @@
 		if x.cells != nil {
 			wait = min(wait, max(x.lookAt-x.cfg.Clock.Now(), 0))
 		}
+		if x.trace.lineAt > 0 {
+			wait = min(wait, max(x.trace.lineAt-x.cfg.Clock.Now(), 0))
+		}
 		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
+			x.endTrace(x.cfg.Clock.Now())
 			return nil
 		case <-x.wake:
 		case <-timer.C:
