--- a/internal/memory/exchange/clock.go
+++ b/internal/memory/exchange/clock.go
@@ -25,6 +25,7 @@
 type fleetTime struct {
 	mu       sync.Mutex
 	estimate *fleetclock.Estimate
+	doubts   int         // answers that contradicted what was known
 	log      *zap.Logger // nil: nobody is told of contradictions
 	counts   *counters.Set
 
@@ -33,8 +34,8 @@
 
 // fleetNow is what is known at a moment.
 type fleetNow struct {
-	bounds fleetclock.Bounds
-	epoch  int
+	bounds        fleetclock.Bounds
+	epoch, doubts int
 }
 
 // farAhead is a position that no log has reached.
@@ -101,6 +102,9 @@
 // Epoch changes whenever what was known of the fleet's clock turns out wrong: what was dated by it does not hold any more.
 func (c Clock) Epoch() int { return c.fleet.now.Load().epoch }
 
+// Doubts counts the answers that contradicted what was known of the fleet's clock.
+func (c Clock) Doubts() int { return c.fleet.now.Load().doubts }
+
 // Earliest is the earliest time by this clock at which the fleet's showed a position; not ok: there is no bound.
 func (c Clock) Earliest(position time.Duration) (t time.Duration, ok bool) {
 	b := c.Bounds()
@@ -131,6 +135,9 @@
 	if change == fleetclock.Nothing {
 		return
 	}
+	if change == fleetclock.Contradicted {
+		f.doubts++
+	}
 	f.publish()
 	if f.log != nil && (change == fleetclock.Contradicted || change == fleetclock.Replaced) {
 		c.report(change, o, before)
@@ -176,7 +183,7 @@
 
 func (f *fleetTime) publish() {
 	b := f.estimate.Bounds()
-	f.now.Store(&fleetNow{b, f.estimate.Epoch()})
+	f.now.Store(&fleetNow{b, f.estimate.Epoch(), f.doubts})
 	if f.counts == nil {
 		return
 	}
