Test that fails: a replica told to stand still counts as one that keeps up

Need: evidence.positionAt moves only when the position rises, so a log that repeats one position stays as far behind as when it first told it; keepsUp then leaves out the margin for a hold-up where the log is known to stand still. Fails for an answer and for a report on (go test ./balance -run StandStill, one run): a read with a bound of 500 ms is sent at 450 ms, and may still be sent at 489.

--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -276,3 +276,25 @@
 		t.Errorf("to a replica that has the write: %+v", got)
 	}
 }
+
+// A replica whose answers repeat one position was hardly behind when it first told it, and stands still since.
+func TestAReplicaThatWasToldToStandStillDoesNotKeepUp(t *testing.T) {
+	for name, again := range map[string]func(g *rig){
+		"by its answer": func(g *rig) { g.know("a", Replica, 310*ms) },
+		"by its report": func(g *rig) {
+			g.do(ProbeResult{Server: "a", Result: OK, Made: Made{NotBefore: g.now, NotAfter: g.now},
+				Report: Report{Has: true, Role: Replica, Position: g.now - 310*ms}})
+		},
+	} {
+		g := newRig(t, func(s *Settings) { s.HoldUp, s.Classes[0].Bound, s.Probes = 150*ms, 500*ms, false })
+		g.know("a", Replica, 10*ms)
+		g.now += 300 * ms
+		again(g)
+		g.now += 140 * ms
+		g.know("b", Replica, 3*time.Second)
+		g.r.learn(g.r.members["p"], Statement{Role: Primary, Position: g.now - 10*ms, Made: Made{NotBefore: g.now - 10*ms, NotAfter: g.now}})
+		if _, acts := g.ask("browse", 0); slices.Contains(sends(acts), "a") {
+			t.Errorf("%s: a read of 500 ms goes to a log known to stand still for 450 ms, with no time for a hold-up: %v", name, acts)
+		}
+	}
+}
