Test that fails: old news is heard as new where little is known below of the clock

Need: Receive dates the end of an attempt by Offsets.Least, which gives the latest time that it may have been, not the earliest. With a lower bound of -1.5 s (a replica's position 1.5 s old, or a doubt) what ended 1.6 s ago is heard as 0.1 s old on, which clears suspect, downUntil and quietFrom. Newer datagrams are then refused as from the future (not tested).

--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -226,3 +226,17 @@
 		}
 	})
 }
+
+func TestAnEndIsNotHeardAsLaterThanItWasWhereLittleIsKnownOfTheClock(t *testing.T) {
+	for name, offsets := range map[string]Offsets{
+		"known below alone, by a log that is behind": {Least: -1500 * ms},
+		"in doubt": {Least: -1500 * ms, Most: 5 * ms, Bounded: true},
+	} {
+		s, r := state(nil), state(nil)
+		s.Note(now, balance.Heard{Server: "s-1", At: now})
+		out, err := r.Receive(now+1600*ms, offsets, s.Datagram(now, Offsets{Bounded: true}, nil), nil)
+		if err == nil && out[0].At > now+10*ms {
+			t.Errorf("%s: what ended 1.6 s ago is heard as ended %s ago", name, now+1600*ms-out[0].At)
+		}
+	}
+}
