Test that fails: a step of the clock under a second shifts what is handed over

Need: Decode takes the clocks of two processes for the same within readApart, 1 s, which no round trip proves; stepped back by 0.1 to 0.9 s the interval ends below the truth by as much. At larger steps Least is taken from the asking, not the arrival.

--- a/internal/disk/handover/handover_test.go
+++ b/internal/disk/handover/handover_test.go
@@ -108,3 +108,22 @@
 		t.Error(err, d)
 	}
 }
+
+// The earlier process knew its clock to the millisecond; the machine's was stepped between the starts of the two by less than a second.
+func TestASmallStepBetweenTheProcessesIsInsideTheClockThatIsHandedOver(t *testing.T) {
+	ms := time.Millisecond
+	for _, step := range []time.Duration{-900 * ms, -400 * ms, -100 * ms, 100 * ms, 400 * ms, 900 * ms, 3 * time.Second} {
+		for _, survey := range []time.Duration{0, 800 * ms} { // after it was asked for
+			asked, elder := now, now+survey-step // one moment, by the two clocks
+			k := Knowledge{At: elder, ClockKnown: true, Ahead: fleetclock.Interval{Least: step - ms, Most: step + ms}}
+			b, _ := Encode(k)
+			got, err := Decode(asked, asked+survey+ms, b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i := got.Ahead; got.ClockKnown && (i.Least > 0 || i.Most < 0) {
+				t.Errorf("a step of %s, surveyed after %s: the fleet's clock shows as much as the new one, handed over is %+v", step, survey, i)
+			}
+		}
+	}
+}
