Tests that fail: the machine's clock as a lasting witness; a busy host settles no clock

Need: (1) the machine's own clock stays one half of each pair after the first agreement, so one wrong answer moves Most from 306 ms to 61 ms where the offset is 300 ms. (2) doubt.fresh remembers 16 answers; with 40 queries out at one primary all of them overlap, and 10 s of answers settle neither a start nor a contradiction.

--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -249,3 +249,32 @@
 		}
 	})
 }
+
+func TestOneWrongAnswerMovesNoBoundWhereTheMachinesClockIsOffAndTheFirstAnswerWasSlow(t *testing.T) {
+	p := newPlay(300 * ms)
+	p.now += 400 * ms
+	p.Observe(Observation{Host: "a", Present: p.now - 400*ms + p.offset, Sent: p.now - 400*ms, Received: p.now})
+	p.check(t, "a slow first answer", true)
+	p.offset -= 250 * ms
+	p.present("b")
+	p.offset += 250 * ms
+	p.check(t, "one wrong answer", true)
+}
+
+func TestABusyHostSettlesTheClock(t *testing.T) {
+	for name, before := range map[string]func(p *play){
+		"at a start":            func(*play) {},
+		"after a contradiction": func(p *play) { p.Inherit(p.now, Interval{-ms, ms}) },
+	} {
+		p := newPlay(300 * ms)
+		before(p)
+		for range 10_000 { // 40 queries are out at any time
+			p.now += ms
+			p.Observe(Observation{Host: "a", Present: p.now - 20*ms + p.offset, Sent: p.now - 40*ms, Received: p.now})
+		}
+		if b := p.Bounds(); !b.Bounded || b.Doubted {
+			t.Errorf("%s: after 10 s of answers of one host bounded %t, doubted %t", name, b.Bounded, b.Doubted)
+		}
+		p.check(t, name, true)
+	}
+}
