Model: the log of a single replica stands still while its group's goes on

Need: the model raised the lag of all hosts at once only, so that no replica that had kept up stalled beside a log that moves, the case in which keepsUp leaves out the margin.

--- a/balance/model_world_test.go
+++ b/balance/model_world_test.go
@@ -338,7 +338,9 @@
 
 func (w *world) trouble() {
 	h := w.hosts[w.rng.IntN(len(w.hosts))]
-	switch w.rng.IntN(13) {
+	switch w.rng.IntN(16) {
+	case 13, 14, 15:
+		w.stall(h, w.between(300*ms, 2*time.Second))
 	case 0, 1, 2, 3, 4:
 		w.failOver()
 	case 5:
@@ -363,3 +365,12 @@
 		w.startBesideAHang()
 	}
 }
+
+// stall keeps a host's log where it stands for a while; the others' go on.
+func (w *world) stall(h *modelHost, d time.Duration) {
+	w.standing(h)
+	speed := h.speed
+	w.note("%s's log stands still for %s", h.id, d)
+	h.speed = 0
+	w.after(d, func() { w.standing(h); h.speed = speed })
+}
