--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -166,8 +166,13 @@
 	g.end()
 	g.life++
 	g.follows, g.lied = nil, false
+	b := g.clock.Bounds()
+	g.clock, g.epoch = fleetclock.New(g.local()), 0
+	if handover && b.Bounded && !b.Doubted {
+		g.clock.Inherit(g.local(), b.At(g.local()))
+	}
 	if !handover {
-		g.clock, g.epoch, g.told = nil, 0, map[*modelHost][]time.Duration{}
+		g.told = map[*modelHost][]time.Duration{}
 	}
 	g.start(handover)
 	if handover {
