Test that fails: a position that is told again settles and replaces the clock

Need: answers count as independent where their round trips do not overlap, also where all of them tell one and the same position.

--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -278,3 +278,25 @@
 		p.check(t, name, true)
 	}
 }
+
+func TestAPositionThatIsToldAgainIsOneWitness(t *testing.T) {
+	for name, hosts := range map[string][]string{"of one host": {"a", "a", "a"}, "of two hosts that stopped together": {"a", "b", "a"}} {
+		for _, known := range []bool{false, true} {
+			p := newPlay(0)
+			if known {
+				p.present("a")
+				p.present("b")
+			}
+			old := p.now - 2500*ms
+			p.Observe(Observation{Host: "a", Present: old, Sent: p.now, Received: p.now + ms})
+			for i, host := range hosts {
+				sent := p.now + time.Duration(i+1)*1500*time.Microsecond
+				p.Observe(Observation{Host: host, Present: old, Sent: sent, Received: sent + ms})
+			}
+			p.now += 10 * ms
+			if i := p.Bounds().At(p.now); i.Most < 0 {
+				t.Errorf("%s, known %t: a primary that stands still sets the clock to %+v", name, known, i)
+			}
+		}
+	}
+}
