--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -240,3 +240,12 @@
 		}
 	}
 }
+
+func TestAFreshDatagramIsUsedWhereLittleIsKnownBelow(t *testing.T) {
+	s, r := state(nil), state(nil)
+	s.Note(now, balance.Heard{Server: "s-1", At: now, Role: balance.Replica, Position: now - 10*ms})
+	out, err := r.Receive(now+60*ms, Offsets{Least: -200 * ms}, s.Datagram(now, Offsets{Bounded: true}, nil), nil)
+	if err != nil || len(out) != 1 {
+		t.Errorf("what ended 60 ms ago, with a log known to be 200 ms behind: %v, %v", out, err)
+	}
+}
