--- a/internal/control/fleetclock/doubt.go
+++ b/internal/control/fleetclock/doubt.go
@@ -16,14 +16,14 @@
 	known Interval // as it was; empty where there was none
 	hull  Interval // of what was known and what contradicts it
 	at    time.Duration
-	began time.Duration // answers to queries sent before say nothing new
-	fresh []witness     // of the present, since
+	began time.Duration // answers to queries sent before do not settle it
+	fresh []witness     // primaries' answers to queries sent since; at a start the machine's clock is the first
 }
 
 // unknown says that no interval was known before.
 func (d *doubt) unknown() bool { return d.began == -unbounded }
 
-// widen takes in what an answer says against the hull.
+// widen moves the hull's ends to where an answer that lies outside of it has them.
 func (d *doubt) widen(w witness) Change {
 	if d.unknown() {
 		return Nothing
--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -13,7 +13,8 @@
 //
 // Single answers may be wrong. A bound is therefore the looser of two that independent answers prove, and what contradicts the interval
 // puts it in doubt: until independent answers to later queries agree, both ends are the safe ones of what was known and what
-// contradicts it. The machine's own clock, as it was read at the start, counts as one witness like any other.
+// contradicts it. The machine's own clock, as it was read at the start, counts as one more witness, for an offset of nothing, until tighter
+// bounds of answers take its place.
 //
 // Clocks drift apart: bounds widen with time until answers renew them.
 package fleetclock
@@ -94,7 +95,7 @@
 	Nothing      Change = iota
 	Narrowed            // a bound moved
 	Contradicted        // the answer contradicts what is known, or the contradiction before it: both ends are the safe ones
-	Settled             // answers agree: the interval is known, and a contradiction was wrong
+	Settled             // answers agree: the interval is known for the first time, or as it was before a contradiction
 	Replaced            // answers agree on another interval than the one known before
 )
 
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package gossip decides what gateways tell each other of the hosts, and reads what others tell. Where many gateways
 // stand before many hosts, each of them sees little of any host; all of them together see it all. It does no I/O.
 //
-// A datagram is a head of 5 bytes (version, and the sender's clock in whole milliseconds, modulo 2^32) and notes of 6
+// A datagram is a head of 5 bytes (version, and the fleet's clock as the sender bounds it from below, in whole milliseconds, modulo 2^32) and notes of 6
 // bytes each, one for an attempt or a probe that has ended:
 //
 //	3 bytes  the host: a hash of its id
@@ -189,8 +189,8 @@
 )
 
 // Receive reads a datagram. One that is at fault in any part is not used at all. Notes on hosts that this gateway's list does not
-// name are left out. Positions come by the fleet's clock,
-// all else as the earliest that it may have been, by the clock that now is read from.
+// name are left out. Positions come by the fleet's clock; when an attempt ended, by the clock that now is read from, as the latest that it
+// may have been, and that a host leads as the earliest.
 func (s *State) Receive(now time.Duration, ahead Offsets, b []byte, out []balance.Heard) ([]balance.Heard, error) {
 	switch {
 	case len(b) < 1 || b[0] != version:
@@ -198,7 +198,7 @@
 	case len(b) < headSize+noteSize || len(b) > maxBytes || (len(b)-headSize)%noteSize != 0:
 		return out, fmt.Errorf("%w: %d bytes", ErrLength, len(b))
 	}
-	// The sender's clock: the moment of that reading that is nearest to now.
+	// The head: the reading of the fleet's clock, modulo 2^32, that is nearest to now.
 	ms := (now + ahead.Least) / time.Millisecond
 	head := (ms + time.Duration(int32(binary.BigEndian.Uint32(b[1:])-uint32(ms)))) * time.Millisecond
 	sent := head - ahead.Least
--- a/internal/disk/handover/handover.go
+++ b/internal/disk/handover/handover.go
@@ -136,9 +136,9 @@
 	ErrHost    = errors.New("handover: a host that makes no sense")
 )
 
-// Decode reads a handover that was asked for at a time and has come by now, both by this process's clock, to which all times in
-// it are converted where the machine's clock was stepped between the starts of the two processes: positions and starts are then
-// never later than they were, and the newest write never earlier.
+// Decode reads a handover that was asked for at a time and has come by now, both by this process's clock. Where the two processes' clocks
+// differ by more than readApart, times by the process's clock are converted as if the handover had been put together when it was asked for.
+// Positions and the newest write are the fleet's and stay.
 func Decode(asked, now time.Duration, b []byte) (Knowledge, error) {
 	switch {
 	case now-asked > oldest:
