--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -249,3 +249,54 @@
 		}
 	})
 }
+
+func TestOneWrongAnswerMovesNoBoundWhereTheMachinesClockIsOffAndTheFirstAnswerWasSlow(t *testing.T) {
+	p := newPlay(300 * ms)
+	p.now += 400 * ms
+	p.Observe(Observation{Host: "a", Present: p.now - 400*ms + p.offset, Sent: p.now - 400*ms, Received: p.now})
+	p.check(t, "a slow first answer", true)
+	p.offset -= 250 * ms
+	p.present("b")
+	p.offset += 250 * ms
+	p.check(t, "one wrong answer", true)
+}
+
+func TestABusyHostSettlesTheClock(t *testing.T) {
+	for name, before := range map[string]func(p *play){
+		"at a start":            func(*play) {},
+		"after a contradiction": func(p *play) { p.Inherit(p.now, Interval{-ms, ms}) },
+	} {
+		p := newPlay(300 * ms)
+		before(p)
+		for range 10_000 { // 40 queries are out at any time
+			p.now += ms
+			p.Observe(Observation{Host: "a", Present: p.now - 20*ms + p.offset, Sent: p.now - 40*ms, Received: p.now})
+		}
+		if b := p.Bounds(); !b.Bounded || b.Doubted {
+			t.Errorf("%s: after 10 s of answers of one host bounded %t, doubted %t", name, b.Bounded, b.Doubted)
+		}
+		p.check(t, name, true)
+	}
+}
+
+func TestAPositionThatIsToldAgainIsOneWitness(t *testing.T) {
+	for name, hosts := range map[string][]string{"of one host": {"a", "a", "a"}, "of two hosts that stopped together": {"a", "b", "a"}} {
+		for _, known := range []bool{false, true} {
+			p := newPlay(0)
+			if known {
+				p.present("a")
+				p.present("b")
+			}
+			old := p.now - 2500*ms
+			p.Observe(Observation{Host: "a", Present: old, Sent: p.now, Received: p.now + ms})
+			for i, host := range hosts {
+				sent := p.now + time.Duration(i+1)*1500*time.Microsecond
+				p.Observe(Observation{Host: host, Present: old, Sent: sent, Received: sent + ms})
+			}
+			p.now += 10 * ms
+			if i := p.Bounds().At(p.now); i.Most < 0 {
+				t.Errorf("%s, known %t: a primary that stands still sets the clock to %+v", name, known, i)
+			}
+		}
+	}
+}
