Witnesses of the clock lie apart in time, also at a busy host, and no one answer moves a bound

Round trips are independent only 10 ms apart: by then a position that stands still contradicts itself. - Where more than 16 queries were out at one host all remembered answers overlapped, and no doubt was ever settled. Only answers that are independent of those remembered are remembered now; the oldest makes room, a wrong first one too. - The machine's clock stayed a witness after the first agreement, so that one wrong answer moved the upper end. The bounds of the first agreement count as proven by two.

--- a/internal/control/fleetclock/doubt.go
+++ b/internal/control/fleetclock/doubt.go
@@ -3,9 +3,8 @@
 import "time"
 
 const (
-	// agreeing is how many answers of different hosts have to agree to settle a doubt; repeating is how many of a host that is the only
-	// one to answer.
-	agreeing  = 2
+	// repeating is how many answers of a host that is the only one to answer have to agree to settle a doubt; of two hosts one each is
+	// enough.
 	repeating = 3
 	// freshMost bounds the answers that are remembered while they do not agree.
 	freshMost = 16
@@ -13,17 +12,17 @@
 
 // doubt is an interval that was contradicted, or was never known.
 type doubt struct {
-	known Interval // as it was; empty where there was none
+	known Interval // as it was when the doubt began, widened since; empty where there was none
 	hull  Interval // of what was known and what contradicts it
 	at    time.Duration
-	began time.Duration // answers to queries sent before do not settle it
-	fresh []witness     // primaries' answers to queries sent since; at a start the machine's clock is the first
+	began time.Duration // answers to queries sent before say nothing new
+	fresh []witness     // of the present, since; each independent of the others
 }
 
 // unknown says that no interval was known before.
 func (d *doubt) unknown() bool { return d.began == -unbounded }
 
-// widen moves the hull's ends to where an answer that lies outside of it has them.
+// widen takes in what an answer says against the hull.
 func (d *doubt) widen(w witness) Change {
 	if d.unknown() {
 		return Nothing
@@ -41,21 +40,49 @@
 	if w.interval.Most >= unbounded || w.sent < d.began {
 		return nil
 	}
-	defer func() {
-		if d.fresh = append(d.fresh, w); len(d.fresh) > freshMost {
-			d.fresh = append(d.fresh[:1:1], d.fresh[2:]...) // what is assumed at a start stays, as the first
+	earlier := d.independentOf(w)
+	if settled := settling(earlier, w); settled != nil {
+		return settled
+	}
+	if len(earlier) == len(d.fresh) {
+		d.keep(w)
+	}
+	return nil
+}
+
+// independentOf gives the answers kept that are independent of one more, the newest last.
+func (d *doubt) independentOf(w witness) (out []witness) {
+	for _, o := range d.fresh {
+		if independent(o, w) {
+			out = append(out, o)
 		}
-	}()
+	}
+	return out
+}
+
+// keep remembers an answer. What is assumed stays; of answers the oldest makes room.
+func (d *doubt) keep(w witness) {
+	d.fresh = append(d.fresh, w)
+	if len(d.fresh) <= freshMost {
+		return
+	}
+	oldest := 0
+	if d.fresh[0].assumed {
+		oldest = 1
+	}
+	d.fresh = append(d.fresh[:oldest:oldest], d.fresh[oldest+1:]...)
+}
+
+// settling gives an answer with an earlier one of another host that agrees with it, or with earlier ones of its own host; nil: there are
+// not enough.
+func settling(earlier []witness, w witness) []witness {
 	own := []witness{w}
-	for i := len(d.fresh) - 1; i >= 0; i-- {
-		o := d.fresh[i]
-		if !independent(o, w) || !agree(append(own[:1:1], o), w.received) {
-			continue
-		}
-		if o.host != w.host {
+	for i := len(earlier) - 1; i >= 0; i-- {
+		o := earlier[i]
+		switch {
+		case o.host != w.host && agree([]witness{o, w}, w.received):
 			return []witness{o, w}
-		}
-		if independent(o, own[len(own)-1]) && agree(append(own[:len(own):len(own)], o), w.received) {
+		case o.host == w.host && agree(append(own[:len(own):len(own)], o), w.received):
 			own = append(own, o)
 		}
 		if len(own) == repeating {
--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -119,10 +119,8 @@
 func (e *Estimate) Inherit(now time.Duration, known Interval) {
 	earlier := witness{assumed: true, sent: now, received: now, interval: known}
 	e.least, e.most, e.doubt = side{}, side{}, nil
-	for range 2 { // it was proven by two
-		e.least.bounds = append(e.least.bounds, earlier.least())
-		e.most.bounds = append(e.most.bounds, earlier.most())
-	}
+	e.least.twice(earlier.least())
+	e.most.twice(earlier.most())
 }
 
 // Epoch counts how often an interval that was known has been replaced: what was dated by it does not hold any more.
@@ -192,6 +190,15 @@
 		change, e.least, e.most = Replaced, side{}, side{}
 		e.epoch++
 	}
+	if agreed[0].assumed { // the machine's clock need not be right for later answers
+		w := agreed[1]
+		e.addLeast(w)
+		if least, ok := e.least.bound(); ok {
+			e.least.twice(bound{value: least})
+		}
+		e.most.twice(bound{value: max(w.most().value, agreed[0].most().value)})
+		return change
+	}
 	for _, w := range agreed {
 		e.addLeast(w)
 		e.most.add(w.most())
--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -22,13 +22,13 @@
 
 // present is an answer that a primary made in the middle of 10 ms.
 func (p *play) present(host string) Change {
-	p.now += 10 * ms
+	p.now += apart + 10*ms
 	return p.Observe(Observation{Host: host, Present: p.now - 5*ms + p.offset, Sent: p.now - 10*ms, Received: p.now})
 }
 
 // position is an answer of a host whose log is behind by a lag; below 0, ahead.
 func (p *play) position(host string, lag time.Duration) Change {
-	p.now += 10 * ms
+	p.now += apart + 10*ms
 	return p.Observe(Observation{Host: host, Position: p.now - lag + p.offset, Sent: p.now - 10*ms, Received: p.now})
 }
 
@@ -212,16 +212,19 @@
 }
 
 // Whatever the answers take, whoever lags and whatever old position is repeated, the offset lies inside the bounds: also with one
-// answer that is wrong by any amount, where the machine's clock is right, and with drift at the rate that is allowed for.
+// answer that is wrong by any amount, where the machine's clock is right or the interval is known, and with drift at the rate that is
+// allowed for.
 func TestTheOffsetLiesInsideTheBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(name string, least, most time.Duration) time.Duration {
 			return time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, name))
 		}
 		offset, rate, wrong := time.Duration(0), draw("drift", -1000, 1000), -1
-		if rapid.Bool().Draw(t, "off") {
+		off := rapid.Bool().Draw(t, "off")
+		if off {
 			offset = draw("offset", -time.Second, time.Second)
-		} else {
+		}
+		if rapid.Bool().Draw(t, "one is wrong") {
 			wrong, rate = rapid.IntRange(0, 39).Draw(t, "wrong answer"), rate/2
 		}
 		e, now := New(start), start
@@ -233,7 +236,7 @@
 			now = received
 			o := Observation{Host: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), Sent: sent, Received: received}
 			told := fleet(made)
-			if n == wrong {
+			if n == wrong && (!off || e.Bounds().Bounded) {
 				told += draw("wrong by", -time.Hour, time.Hour)
 			}
 			if rapid.Bool().Draw(t, "primary") {
--- a/internal/control/fleetclock/witness.go
+++ b/internal/control/fleetclock/witness.go
@@ -10,13 +10,17 @@
 	interval       Interval // as of received
 }
 
-// independent says that one cause can hardly have made both wrong: their round trips do not overlap. Answers that were held and came
-// together are one.
+// apart is the least time between two round trips that count as independent: by then a primary whose position stands still tells one
+// that contradicts the first.
+const apart = 2 * presentAge
+
+// independent says that one cause can hardly have made both wrong: their round trips lie apart. Answers that were held and came together
+// are one.
 func independent(a, b witness) bool {
 	if a.assumed || b.assumed {
 		return a.assumed != b.assumed
 	}
-	return a.received <= b.sent || b.received <= a.sent
+	return a.received+apart <= b.sent || b.received+apart <= a.sent
 }
 
 // at is the witness's interval at a time.
@@ -58,6 +62,12 @@
 	s.bounds = best
 }
 
+// twice makes a bound both of the pair: it was proven by two witnesses, and no single answer to come moves it.
+func (s *side) twice(b bound) {
+	b.by = witness{assumed: true}
+	s.bounds = []bound{b, b}
+}
+
 func tighter(pair, than []bound) bool {
 	if len(than) < 2 {
 		return true
