Stand-in hosts: load reports that are kept, hangs that answer probes, answers held back

The stand-ins made a load report anew for each probe and told none with answers, so no test could meet a report that was old. A host of a cluster can now keep its reports: made after each pause that is drawn, not while it hangs or its reports are stopped, told in every answer as server_load and to SHOW server_load, x0=0.000,x1=0 before the first. ButProbes hangs for statements alone; Host.Report lets a scripted test say anything; Host.Delay holds each answer back. Without these the hosts are as before.

--- a/internal/testbed/hosts/cluster.go
+++ b/internal/testbed/hosts/cluster.go
@@ -23,6 +23,7 @@
 	Awake        Hang = iota
 	BeforeCommit      // nothing is run until it comes back
 	AfterCommit       // it runs what comes, and answers nothing
+	ButProbes         // nothing is run until it comes back; probes are answered with the load report that it kept
 )
 
 // Cluster is a primary and its replicas, which hold the same data. A replica shows what was committed up to its lag ago.
@@ -163,6 +164,14 @@
 	h.hung = how
 }
 
+// probeHangs waits while the host hangs for probes too; it says whether the process has died meanwhile.
+func (h *Host) probeHangs() (died bool) {
+	h.mu.Lock()
+	how := h.hung
+	h.mu.Unlock()
+	return how != ButProbes && h.hang(nil)
+}
+
 // hang waits while the host hangs; it says whether the process has died meanwhile.
 func (h *Host) hang(after *Hang) (died bool) {
 	h.mu.Lock()
@@ -187,6 +196,7 @@
 	h.Listener.Close()
 	h.mu.Lock()
 	h.life++
+	h.stopReportsLocked()
 	h.mu.Unlock()
 	h.Reset()
 }
@@ -213,6 +223,7 @@
 	h.mu.Lock()
 	h.Listener = l
 	h.log.appliedAt = time.Now() // nothing was applied while it was down
+	h.startReportsLocked()
 	h.mu.Unlock()
 	go h.accept(l)
 	return nil
@@ -320,6 +331,7 @@
 		return nil
 	}
 	answer := h.apply(s, arrived)
+	h.delay()
 	if hung == AfterCommit {
 		h.hang(nil)
 	}
--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -178,7 +178,7 @@
 // query runs a simple query: outside a transaction all its statements are one.
 func (s *seat) query(out []byte, text string) []byte {
 	if text == "SHOW server_load" {
-		return pg.AppendRow(out, pg.Value{Data: []byte(s.h.load())}, "SHOW")
+		return pg.AppendRow(out, pg.Value{Data: []byte(s.h.toldLoad())}, "SHOW")
 	}
 	own, now := maps.Clone(s.own), maps.Clone(s.now)
 	ran := false
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -42,6 +42,11 @@
 	AfterCommit func() bool   // is asked after each commit of a general host: true closes the connection without an answer
 	Ledger      *rules.Ledger // is told what comes; nil: nobody is
 	Skew        time.Duration // that the clock by which it tells times is ahead
+	// Report gives the load report that is told to probes and with every answer. nil: it is made anew for each probe, and answers
+	// tell none.
+	Report func() string
+	// Delay gives how long an answer takes from its making until it is written; nil: no time. General hosts do not heed it.
+	Delay func() time.Duration
 
 	// Of a host in a cluster: what it can do.
 	Slots    int           // requests that it runs at a time; 0: any number
@@ -64,6 +69,7 @@
 	waiting  int
 	seated   map[pg.Key]*seat
 	life     int // counts starts: what a dead process held is gone
+	reports  *reporter
 }
 
 // New makes a scripted host that listens on loopback.
@@ -158,12 +164,13 @@
 		}
 		query := strings.TrimSuffix(string(body), "\x00")
 		if query == "SHOW server_load" {
-			if h.hang(nil) {
+			if h.probeHangs() {
 				return
 			}
-			load := h.load()
+			load := h.toldLoad()
+			h.delay()
 			_, err := c.Write(pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte(load)}, "SHOW")))
-			if err == nil && strings.HasSuffix(load, "x1=0") {
+			if err == nil && strings.HasSuffix(load, "x1=0") && load != unmadeReport {
 				h.tellFollower(c, asked)
 			}
 			continue
@@ -222,6 +229,22 @@
 	return standing{h.Role(), time.Now()}
 }
 
+// toldLoad is the load report as the host tells it now.
+func (h *Host) toldLoad() string {
+	if h.Report != nil {
+		return h.Report()
+	}
+	return h.load()
+}
+
+// delay waits for as long as an answer takes from its making until it is written.
+func (h *Host) delay() {
+	if h.Delay != nil {
+		time.Sleep(h.Delay())
+	}
+}
+
+// load is a load report made now.
 func (h *Host) load() string {
 	now, primary := h.standing(), 0
 	if now.role == Leader {
@@ -233,6 +256,9 @@
 // notes are what a host says of itself with an answer.
 func (h *Host) notes(now standing) []byte {
 	out := pg.Append(nil, pg.ParameterStatus, []byte("node_role\x00"+now.role+"\x00"))
+	if h.Report != nil {
+		out = pg.Append(out, pg.ParameterStatus, []byte("server_load\x00"+h.Report()+"\x00"))
+	}
 	return pg.Append(out, pg.ParameterStatus, fmt.Appendf(nil, "replay_position\x00%d\x00", now.position.Add(h.Skew).UnixMilli()))
 }
 
