Soak plans: how old each field is, what makes it older, a second group

A plan held what hosts, discovery and other gateways send to the ages that the gateway assumes, so that model and soak could only agree.

--- a/internal/testbed/datagrams/datagrams.go
+++ b/internal/testbed/datagrams/datagrams.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// leastDelay and mostDelay bound how long a datagram travels.
+	// leastDelay and mostDelay bound how long a datagram travels where nothing else was set.
 	leastDelay, mostDelay = time.Millisecond, 40 * time.Millisecond
 	// lossPart is one in how many datagrams that never arrive.
 	lossPart = 20
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	members []*net.UDPAddr
+	least   time.Duration
+	most    time.Duration
 }
 
 // New opens a network on loopback; delays and losses come from the seed.
@@ -32,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Network{conn: conn, rng: rand.New(rand.NewPCG(seed, 0x756470))}
+	n := &Network{conn: conn, rng: rand.New(rand.NewPCG(seed, 0x756470)), least: leastDelay, most: mostDelay}
 	go n.run()
 	return n, nil
 }
@@ -52,6 +54,13 @@
 	return nil
 }
 
+// SetDelay sets how long datagrams travel from now on.
+func (n *Network) SetDelay(least, most time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.least, n.most = least, most
+}
+
 // Close ends the network.
 func (n *Network) Close() { _ = n.conn.Close() }
 
@@ -74,6 +83,6 @@
 		if to.String() == from || n.rng.IntN(lossPart) == 0 {
 			continue
 		}
-		time.AfterFunc(leastDelay+time.Duration(n.rng.Int64N(int64(mostDelay-leastDelay))), func() { _, _ = n.conn.WriteToUDP(datagram, to) })
+		time.AfterFunc(n.least+time.Duration(n.rng.Int64N(int64(n.most-n.least))), func() { _, _ = n.conn.WriteToUDP(datagram, to) })
 	}
 }
--- a/internal/testbed/hosts/report.go
+++ b/internal/testbed/hosts/report.go
@@ -5,12 +5,8 @@
 	"time"
 )
 
-const (
-	// unmadeReport is what a host tells before it has made its first load report.
-	unmadeReport = "x0=0.000,x1=0"
-	// UsualLeast and UsualMost bound the time from one load report to the next, by the operators' page.
-	UsualLeast, UsualMost = 59 * time.Millisecond, 190 * time.Millisecond
-)
+// unmadeReport is what a host tells before it has made its first load report.
+const unmadeReport = "x0=0.000,x1=0"
 
 // reporter keeps the newest load report of a host's process between two makings. It is guarded by its host's mutex.
 type reporter struct {
--- a/internal/testbed/hosts/report_test.go
+++ b/internal/testbed/hosts/report_test.go
@@ -12,6 +12,8 @@
 	"yokemast/internal/wire/pg"
 )
 
+const reportLeast, reportMost = 59 * time.Millisecond, 190 * time.Millisecond
+
 // newReporting gives the primary of a cluster that listens nowhere, with reports.
 func newReporting(least, most time.Duration) *Host {
 	h := &Host{ID: "s-0", cluster: &Cluster{Group: 1}}
@@ -33,21 +35,21 @@
 
 func TestALoadReportIsKeptUntilTheNextIsMade(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newReporting(UsualLeast, UsualMost)
+		h := newReporting(reportLeast, reportMost)
 		if got := h.toldLoad(); got != unmadeReport {
 			t.Errorf("before the first is made it tells %q", got)
 		}
-		time.Sleep(UsualMost)
+		time.Sleep(reportMost)
 		oldest, made := time.Duration(0), map[string]bool{}
 		for range 10000 {
 			time.Sleep(time.Millisecond)
 			oldest = max(oldest, h.age(t))
 			made[h.toldLoad()] = true
 		}
-		if oldest < UsualLeast || oldest > UsualMost+time.Millisecond {
+		if oldest < reportLeast || oldest > reportMost+time.Millisecond {
 			t.Errorf("the oldest report told was %s old", oldest)
 		}
-		if len(made) < int(10*time.Second/UsualMost) || len(made) > int(10*time.Second/UsualLeast)+1 {
+		if len(made) < int(10*time.Second/reportMost) || len(made) > int(10*time.Second/reportLeast)+1 {
 			t.Errorf("%d reports were made in 10 s", len(made))
 		}
 		h.stopReportsLocked()
@@ -57,7 +59,7 @@
 func TestNoLoadReportIsMadeWhileAHostHangs(t *testing.T) {
 	for _, how := range []Hang{BeforeCommit, AfterCommit, ButProbes} {
 		synctest.Test(t, func(t *testing.T) {
-			h := newReporting(UsualLeast, UsualMost)
+			h := newReporting(reportLeast, reportMost)
 			time.Sleep(time.Second)
 			before := h.toldLoad()
 			h.SetHang(how)
@@ -67,7 +69,7 @@
 			if got := h.toldLoad(); got != before || !strings.HasSuffix(got, "x1=1") {
 				t.Errorf("woken it tells %q, before it told %q", got, before)
 			}
-			time.Sleep(UsualMost)
+			time.Sleep(reportMost)
 			if got := h.toldLoad(); !strings.HasSuffix(got, "x1=0") {
 				t.Errorf("after the next was made it tells %q", got)
 			}
@@ -78,7 +80,7 @@
 
 func TestStoppedLoadReportsNameARoleThatIsNoLongerTrue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newReporting(UsualLeast, UsualMost)
+		h := newReporting(reportLeast, reportMost)
 		time.Sleep(time.Second)
 		h.StopReports(true)
 		h.cluster.Promote(h.cluster.hosts[1])
--- a/internal/testbed/soak/plan.go
+++ b/internal/testbed/soak/plan.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// FirstInCI and LastInCI are the seeds that are played where none are named.
+const FirstInCI, LastInCI = 1, 12
+
 // Kind is a kind of event.
 type Kind string
 
@@ -36,8 +39,18 @@
 	HandOver       Kind = "hand over"       // leadership moves on, and comes back a moment later
 	Lag            Kind = "lag"             // all replicas apply the log more slowly, and are as far behind as the event's Lag
 	Burst          Kind = "burst"           // the gateway is told SIGHUP, SIGUSR1 and SIGHUP in a row, then is stopped for a moment
+	Series         Kind = "series"          // a planned restart with other signals before and behind SIGTERM
+	Kill           Kind = "kill"            // SIGKILL at once, and a start
+	HangButProbes  Kind = "hang but probes" // the group's primary answers probes alone, by the report that it kept; the group's log stands still
+	ReportsStop    Kind = "reports stop"    // the group's hosts make no load reports
+	OldRole        Kind = "old role"        // the group's primary hands over, and its load report goes on to say that it leads
+	HeldAnswers    Kind = "held answers"    // the group's primary makes its answers, holds them, and gives them all together
+	LogStalls      Kind = "log stalls"      // the group's replicas, which kept up, apply nothing
 )
 
+// ageTroubles are the events that make what hosts tell older than it seems.
+var ageTroubles = []Kind{HangButProbes, HangButProbes, ReportsStop, OldRole, HeldAnswers, LogStalls}
+
 // Event is one thing that happens.
 type Event struct {
 	At     time.Duration // after the beginning
@@ -45,6 +58,38 @@
 	Kind   Kind
 	Target int
 	Lag    time.Duration // of replicas
+	Group  int           // that it strikes, from 0
+	// With is what happens to the gateway named by Target in the same moment; "": nothing. With a restart the event begins when the next
+	// process starts.
+	With Kind
+	Next bool // another host leads before the one that hangs is awake again
+}
+
+// Age is how old a field is that hosts, discovery or other gateways send.
+type Age string
+
+// Ages. Older ones are out of the pages' bounds, where those give any.
+const (
+	Usual   Age = "usual"
+	Allowed Age = "as old as allowed"
+	Older   Age = "older"
+)
+
+// Bounds of ages, by the pages.
+const (
+	ReportLeast, ReportMost = 59 * time.Millisecond, 190 * time.Millisecond // from one load report to the next
+	KnownWithin             = 100 * time.Millisecond                        // an answer, after it was written
+	ToldWithin              = 6 * time.Second                               // a change of the list
+	RoleToldWithin          = 5 * time.Second                               // a role on the list
+)
+
+// Ages are those of the fields that others send, by what carries them.
+type Ages struct {
+	Answers Age // role and position
+	Reports Age // x0 and x1
+	Starts  Age // up_since_ms
+	Roles   Age // the list's role
+	Gossip  Age // the times in datagrams
 }
 
 // Roles is how the list tells who is the primary.
@@ -58,7 +103,17 @@
 )
 
 func (e Event) String() string {
-	return fmt.Sprintf("%s %s %d for %s", e.At.Round(time.Millisecond), e.Kind, e.Target, e.For.Round(time.Millisecond))
+	out := fmt.Sprintf("%s %s %d for %s", e.At.Round(time.Millisecond), e.Kind, e.Target, e.For.Round(time.Millisecond))
+	if e.Group > 0 {
+		out += fmt.Sprintf(" in group %d", e.Group)
+	}
+	if e.With != "" {
+		out += " with " + string(e.With)
+	}
+	if e.Next {
+		out += ", another leads"
+	}
+	return out
 }
 
 // Plan is a run.
@@ -67,16 +122,20 @@
 	Gateways, Hosts   int
 	Clients           int // of each gateway
 	Length            time.Duration
-	Grace             time.Duration // of drains
-	Deadline, Longest time.Duration // of reads, and of the class that waits longest
-	Window            time.Duration // of the keyed class of writes; 0: writes must not run twice
-	Ask               bool          // lists are asked for, not pushed
-	Skew              time.Duration // what the others' clock shows more than the machine's
-	Crowd             bool          // many more clients, that hold connections
-	Roles             Roles         // how the list tells them
-	RoleLag, StartLag time.Duration // by which it tells roles and starts late
-	Lag               time.Duration // of replicas
-	Gossip            bool          // gateways tell each other
+	Grace             time.Duration    // of drains
+	Deadline, Longest time.Duration    // of reads, and of the class that waits longest
+	Window            time.Duration    // of the keyed class of writes; 0: writes must not run twice
+	Ask               bool             // lists are asked for, not pushed
+	Skew              time.Duration    // what the others' clock shows more than the machine's
+	Crowd             bool             // many more clients, that hold connections
+	Roles             Roles            // how the list tells them
+	RoleLag, StartLag time.Duration    // by which it tells roles and starts late
+	Lag               time.Duration    // of replicas
+	Gossip            bool             // gateways tell each other
+	Eager             int              // clients of each gateway that ask with hardly a pause, beside the others
+	SecondGroup       int              // hosts of a second group; 0: there is one group
+	Reports           [2]time.Duration // bounds of the time from one load report to the next
+	Ages              Ages
 	Events            []Event
 }
 
@@ -119,6 +178,7 @@
 			Kind: kinds[rng.IntN(len(kinds))], Lag: between(0, 3*time.Second)})
 	}
 	p.drains(rng, last)
+	p.ages(rand.New(rand.NewPCG(seed, 0x61676573)), last)
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
@@ -143,3 +203,49 @@
 		}
 	}
 }
+
+// ages draws how old what others send is, and events that make it older. It has a generator of its own, so that the rest of a seed's
+// plan stays what it was before there was any of this.
+func (p *Plan) ages(rng *rand.Rand, last time.Duration) {
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(rng.Int64N(int64(most-least)))
+	}
+	age := func() Age { return []Age{Usual, Allowed, Older}[rng.IntN(3)] }
+	p.Ages = Ages{Answers: age(), Reports: age(), Starts: age(), Roles: age(), Gossip: age()}
+	if rng.IntN(2) == 0 {
+		p.SecondGroup = 3
+	}
+	if rng.IntN(4) == 0 {
+		p.Eager = 12
+	}
+	p.Reports = [2]time.Duration{ReportLeast, ReportMost}
+	startLag, roleLag := between(0, time.Second), between(0, time.Second)
+	slow := between(ReportMost, 2*time.Second)
+	switch p.Ages.Reports {
+	case Allowed:
+		p.Reports[0] = ReportMost - 10*time.Millisecond
+	case Older:
+		p.Reports = [2]time.Duration{slow, 2 * slow}
+	}
+	switch p.Ages.Starts {
+	case Allowed:
+		p.StartLag = ToldWithin - startLag
+	case Older:
+		p.StartLag = ToldWithin + 2*startLag
+	}
+	switch p.Ages.Roles {
+	case Allowed:
+		p.RoleLag = RoleToldWithin - roleLag
+	case Older:
+		p.RoleLag = RoleToldWithin + 3*roleLag
+	}
+	for range 1 + rng.IntN(3) {
+		e := Event{At: between(500*time.Millisecond, last), For: between(300*time.Millisecond, 3*time.Second),
+			Kind: ageTroubles[rng.IntN(len(ageTroubles))], Target: rng.IntN(p.Gateways), Next: rng.IntN(2) == 0}
+		e.With = []Kind{"", HoldUp, Burst, Restart, Series, Kill, Kill}[rng.IntN(7)]
+		if p.SecondGroup > 0 {
+			e.Group = rng.IntN(2)
+		}
+		p.Events = append(p.Events, e)
+	}
+}
--- a/internal/testbed/soak/plan_test.go
+++ b/internal/testbed/soak/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -21,9 +22,75 @@
 		}
 	}
 	for _, k := range []Kind{AgentSilent, AgentSlow, AgentBusy, AgentResets, AgentTruncates, AgentTrickles, Reload, Reloads, Moves, HoldUp,
-		Restart, Drain, Gone, Back, Hang, Crash, Resets} {
+		Restart, Drain, Gone, Back, Hang, Crash, Resets, HangButProbes, ReportsStop, OldRole, HeldAnswers, LogStalls} {
 		if !seen[k] {
 			t.Errorf("no plan has a %s", k)
 		}
 	}
 }
+
+func TestCIPlaysEachFieldAsOldAsAllowedAndOlder(t *testing.T) {
+	seen := map[string]map[Age]bool{"answers": {}, "reports": {}, "starts": {}, "roles": {}, "gossip": {}}
+	for seed := uint64(FirstInCI); seed <= LastInCI; seed++ {
+		p := New(seed)
+		seen["answers"][p.Ages.Answers] = true
+		seen["reports"][p.Ages.Reports] = true
+		seen["starts"][p.Ages.Starts] = true
+		if p.Roles == RolesLate {
+			seen["roles"][p.Ages.Roles] = true
+		}
+		if p.Gossip {
+			seen["gossip"][p.Ages.Gossip] = true
+		}
+	}
+	for field, ages := range seen {
+		for _, a := range []Age{Allowed, Older} {
+			if !ages[a] {
+				t.Errorf("no seed of CI has %s %s", field, a)
+			}
+		}
+	}
+}
+
+func TestAgesKeepToTheirBounds(t *testing.T) {
+	for seed := range uint64(500) {
+		p := New(seed)
+		for _, field := range []struct {
+			name        string
+			age         Age
+			lag, within time.Duration
+		}{
+			{"report", p.Ages.Reports, p.Reports[1], ReportMost},
+			{"start", p.Ages.Starts, p.StartLag, ToldWithin},
+			{"role", p.Ages.Roles, p.RoleLag, RoleToldWithin},
+		} {
+			if older := field.lag > field.within; older != (field.age == Older) {
+				t.Errorf("seed %d: a %s that is %s is told within %s, bound %s", seed, field.name, field.age, field.lag, field.within)
+			}
+		}
+		if p.Reports[0] > p.Reports[1] {
+			t.Errorf("seed %d: reports are made every %s", seed, p.Reports)
+		}
+	}
+}
+
+func TestEachAgeTroubleComesWithEachThingAtAGateway(t *testing.T) {
+	seen := map[[2]Kind]bool{}
+	groups := map[int]bool{}
+	for seed := range uint64(1000) {
+		for _, e := range New(seed).Events {
+			seen[[2]Kind{e.Kind, e.With}] = true
+			groups[e.Group] = true
+		}
+	}
+	for _, trouble := range ageTroubles {
+		for _, with := range []Kind{"", HoldUp, Burst, Restart, Series, Kill} {
+			if !seen[[2]Kind{trouble, with}] {
+				t.Errorf("no plan has a %s with %q", trouble, with)
+			}
+		}
+	}
+	if len(groups) != 2 {
+		t.Errorf("events strike %d groups", len(groups))
+	}
+}
