--- a/internal/testbed/stall/stall.go
+++ b/internal/testbed/stall/stall.go
@@ -25,6 +25,7 @@
 
 	mu   sync.Mutex
 	seen []stall
+	most stall
 }
 
 // Start begins to watch.
@@ -57,11 +58,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seen = append(m.seen, stall{now, long})
+	if long > m.most.long {
+		m.most = stall{now, long}
+	}
 	for now.Sub(m.seen[0].at) > window {
 		m.seen = m.seen[1:]
 	}
 }
 
+// Longest is the longest stall so far, and when it ended.
+func (m *Monitor) Longest() (long time.Duration, ended time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.most.long, m.most.at
+}
+
 // Lately is the sum of the stalls of the last two seconds.
 func (m *Monitor) Lately() (sum time.Duration) {
 	m.mu.Lock()
--- a/internal/testbed/stall/stall_test.go
+++ b/internal/testbed/stall/stall_test.go
@@ -16,3 +16,13 @@
 		t.Errorf("stalls of %s lately", got)
 	}
 }
+
+func TestTheLongestStallIsKept(t *testing.T) {
+	m := &Monitor{}
+	ended := time.Now().Add(-2 * window)
+	m.note(ended, time.Second)
+	m.note(ended.Add(2*window), 30*time.Millisecond)
+	if long, at := m.Longest(); long != time.Second || !at.Equal(ended) {
+		t.Errorf("the longest stall was of %s until %s", long, at)
+	}
+}
