--- a/cmd/yokemast/soak_test.go
+++ b/cmd/yokemast/soak_test.go
@@ -229,7 +229,19 @@
 			}
 		}
 	}
-	r.ledger.Breaks("%s is not ready within %s", n.name, patience)
+	r.ledger.Breaks("%s is not ready within %s (its process: %s)", n.name, patience, n.state())
+}
+
+// state is the state of the gateway's process by the kernel's letter; Z: it has ended.
+func (n *soakNode) state() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.cmd.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	return rest[:min(1, len(rest))]
 }
 
 func (n *soakNode) signal(s syscall.Signal) {
