Soak plans: a gateway's trouble may come after the hosts'; logs may stand still beside

What happens to the gateway may now come up to the event's length later, the group's logs may stand still for as long, and a plan has two to four such events.

--- a/cmd/yokemast/soak_age_test.go
+++ b/cmd/yokemast/soak_age_test.go
@@ -73,20 +73,24 @@
 	}
 }
 
-// playAge plays an event that makes what a group's hosts tell old, together with what happens to a gateway in that moment.
+// playAge plays an event that makes what a group's hosts tell old, together with what happens to a gateway in that moment or later.
 func (r *soakRun) playAge(e soak.Event) {
-	n := r.nodes[e.Target]
-	strike := func() { r.strike(e) }
+	n, strike := r.nodes[e.Target], func() { r.strike(e) }
+	switch {
+	case e.With == "" || e.After > 0:
+		strike()
+		strike = nil
+	case e.With != soak.Restart && e.With != soak.Series && e.With != soak.Kill:
+		strike()
+	}
 	switch e.With {
 	case "":
-		strike()
 	case soak.Restart, soak.Series:
-		r.work.Go(func() { r.restart(n, e.With == soak.Series, strike) })
+		r.work.Go(func() { time.Sleep(e.After); r.restart(n, e.With == soak.Series, strike) })
 	case soak.Kill:
-		r.work.Go(func() { r.kill(n, strike) })
+		r.work.Go(func() { time.Sleep(e.After); r.kill(n, strike) })
 	default:
-		strike()
-		r.playNode(n, soak.Event{Kind: e.With, For: e.For})
+		time.AfterFunc(e.After, func() { r.playNode(n, soak.Event{Kind: e.With, For: e.For}) })
 	}
 }
 
@@ -96,6 +100,9 @@
 	if old == nil {
 		return // another of these is being played
 	}
+	if e.Stalled {
+		r.stallLogs(c, e.For)
+	}
 	switch e.Kind {
 	case soak.HangButProbes:
 		old.SetHang(hosts.ButProbes)
@@ -115,11 +122,16 @@
 		r.lead(c, r.next(old))
 		time.AfterFunc(e.For, func() { old.StopReports(false) })
 	case soak.LogStalls:
-		r.setApplySpeed(c, stalled)
-		time.AfterFunc(e.For, func() { r.setApplySpeed(c, 0) })
+		r.stallLogs(c, e.For)
 	}
 }
 
+// stallLogs has the logs of a group's replicas stand still for a while.
+func (r *soakRun) stallLogs(c *hosts.Cluster, long time.Duration) {
+	r.setApplySpeed(c, stalled)
+	time.AfterFunc(long, func() { r.setApplySpeed(c, 0) })
+}
+
 // wake lets a host that hangs go on, as the primary where nobody has taken its place.
 func (r *soakRun) wake(h *hosts.Host) {
 	if c := r.clusterOf(h); c.Primary() == nil {
--- a/internal/testbed/soak/plan.go
+++ b/internal/testbed/soak/plan.go
@@ -59,10 +59,12 @@
 	Target int
 	Lag    time.Duration // of replicas
 	Group  int           // that it strikes, from 0
-	// With is what happens to the gateway named by Target in the same moment; "": nothing. With a restart the event begins when the next
-	// process starts.
-	With Kind
-	Next bool // another host leads before the one that hangs is awake again
+	// With is what happens to the gateway named by Target in the same moment, or that long After; "": nothing. With a restart and no
+	// After the event begins when the next process starts.
+	With    Kind
+	After   time.Duration
+	Next    bool // another host leads before the one that hangs is awake again
+	Stalled bool // the logs of the group's replicas stand still for as long
 }
 
 // Age is how old a field is that hosts, discovery or other gateways send.
@@ -110,9 +112,15 @@
 	if e.With != "" {
 		out += " with " + string(e.With)
 	}
+	if e.After > 0 {
+		out += " after " + e.After.Round(time.Millisecond).String()
+	}
 	if e.Next {
 		out += ", another leads"
 	}
+	if e.Stalled {
+		out += ", logs stand still"
+	}
 	return out
 }
 
@@ -239,13 +247,17 @@
 	case Older:
 		p.RoleLag = RoleToldWithin + 3*roleLag
 	}
-	for range 1 + rng.IntN(3) {
+	for range 2 + rng.IntN(3) {
 		e := Event{At: between(500*time.Millisecond, last), For: between(300*time.Millisecond, 3*time.Second),
 			Kind: ageTroubles[rng.IntN(len(ageTroubles))], Target: rng.IntN(p.Gateways), Next: rng.IntN(2) == 0}
 		e.With = []Kind{"", HoldUp, Burst, Restart, Series, Kill, Kill}[rng.IntN(7)]
 		if p.SecondGroup > 0 {
 			e.Group = rng.IntN(2)
 		}
+		if e.With != "" && rng.IntN(2) == 0 {
+			e.After = between(0, e.For)
+		}
+		e.Stalled = rng.IntN(2) == 0
 		p.Events = append(p.Events, e)
 	}
 }
