Rules: a read of old data is named with its gateway and time

Half of the reads that broke in the soak had no line in the gateway's log (it drops lines over a rate), so that the break could not be set beside what the gateway knew then.

--- a/internal/testbed/rules/freshness.go
+++ b/internal/testbed/rules/freshness.go
@@ -86,5 +86,6 @@
 		return
 	}
 	l.counts.Stale++
-	l.breaks("%s is read at %s from data %v too old", id, host, bound.Sub(position))
+	l.breaks("%s is read at %s from data %v too old, sent by %s at %s", id, host, bound.Sub(position), l.of(id).via,
+		sent.UTC().Format("15:04:05.000"))
 }
