--- a/cmd/yokemast/soak_group_test.go
+++ b/cmd/yokemast/soak_group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -140,7 +141,8 @@
 		r.network.Address(), strings.Join(peers, ",")), 1)
 }
 
-// peerAddress is where a gateway of the run listens for datagrams.
+// peerAddress is where a gateway of the run listens for datagrams, of its own also beside other runs of the same seed.
 func (r *soakRun) peerAddress(i int) string {
-	return fmt.Sprintf("127.%d.%d.%d:7946", 192+r.plan.Seed/250%32, 1+r.plan.Seed%250, 1+i)
+	pid := uint64(os.Getpid())
+	return fmt.Sprintf("127.%d.%d.%d:7946", 192+pid%32, 1+(pid/32+r.plan.Seed)%250, 1+i)
 }
