Soak's agent: a list written for a process that has ended tells the next one nothing

The moment that the rule counted from is 1.500 s after the old process's last list: the slow agent's answer to that one's last call, 0.7 s after it had ended. The rule is that a change is told once discovery has written it to the gateway. A list now counts as written only where its caller is still there; for every caller that is there nothing is changed, and the other bounds (6 s, from the start) stand. Measured: the test fails without the condition, passes five times under the race detector with it.

--- a/internal/testbed/discovery/discovery.go
+++ b/internal/testbed/discovery/discovery.go
@@ -23,7 +23,8 @@
 	// Before, if set, is asked first at each call, of which n came before; true: it has answered, or has ended the call.
 	// It is set before the first call.
 	Before func(n int, w http.ResponseWriter, r *http.Request) bool
-	// Answered, if set, is told the revision of each list as it is about to be written. It is set before the first call.
+	// Answered, if set, is told the revision of each list as it is about to be written to a caller that is still there. It is set before
+	// the first call.
 	Answered func(revision int)
 
 	mu       sync.Mutex
@@ -104,7 +105,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if s.Answered != nil {
+	if s.Answered != nil && r.Context().Err() == nil {
 		s.Answered(revision)
 	}
 	fmt.Fprint(w, list)
