--- a/cmd/yokemast/stale_clock_test.go
+++ b/cmd/yokemast/stale_clock_test.go
@@ -14,8 +14,8 @@
 const (
 	// hungFor is how long a primary has answered nothing but probes when a gateway starts.
 	hungFor = 2700 * time.Millisecond
-	// pause is between two resets of a primary's connections: so often it is probed.
-	pause = 40 * time.Millisecond
+	// resetPause is between two resets of a primary's connections: so often it is probed.
+	resetPause = 40 * time.Millisecond
 	// stoppedLog is a lag at which a log that has been applied so far is applied no further.
 	stoppedLog = time.Hour
 	// servedMany is how many requests a gateway serves easily in a second.
@@ -136,13 +136,13 @@
 // waitAgreeing waits until the old reports have been told as the test means them to be, and for so long that reads go by it.
 func (b *stoppedBench) waitAgreeing(meanwhile func()) {
 	b.t.Helper()
-	for end := time.Now().Add(patience); !b.agreeing(); time.Sleep(pause) {
+	for end := time.Now().Add(patience); !b.agreeing(); time.Sleep(resetPause) {
 		if time.Now().After(end) {
 			b.t.Fatalf("old reports are not told %d times within %s\n%s", agreeingProbes, agreeingWithin, b.log)
 		}
 		meanwhile()
 	}
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(pause) {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(resetPause) {
 		meanwhile()
 	}
 }
