A step of the machine's clock under 1 s between two processes makes nothing seem fresher

Cause: Decode took clocks of the two processes that differ by up to 1 s for ones that were only read apart (readApart), and moved nothing. After a step back of less, the interval of the fleet's clock and the leaders' words seemed fresher by the step.

Change: the handover was put together after it was asked for and before it came; so the clocks' difference lies between two ends, always, and each time is converted by the end that is safe for it. What rounding to milliseconds takes off At is taken off the other times too. The time at which the handover came is kept, so that opening addresses does not widen the interval. Where the clock was not stepped the interval is wider by the round trip's length than before.

Of the older tests two handed over with 5 ms between asking and coming and expected nothing to move: wrong, since that leaves the clocks' difference open by as much. They now ask and get in the same moment, and compare as exactly. The third expected dates of followers' words and starts by the earlier end: wrong, a start must not seem earlier than it was; it now expects each time by its own end, exactly, and also with no step.

TestWhatIsRoundedOffErrsToTheSafeSide fails where the rounding is left out of account.

--- a/internal/disk/handover/handover.go
+++ b/internal/disk/handover/handover.go
@@ -2,8 +2,8 @@
 // that can't be read whole, or is of another version, is none: the next process then starts from discovery alone.
 //
 // It is a head of 16 bytes (4 bytes "ymho", version, 2 bytes of nothing, length of the body, CRC-32C of the body; big-endian)
-// and a body in JSON. Times are Unix times in milliseconds by the process's clock, positions and the newest write by the fleet's; 0 for
-// none. Positions are rounded down, starts up.
+// and a body in JSON. Times are Unix times in milliseconds by the process's clock, set back so that it showed a whole number of them when
+// the handover was put together; positions and the newest write are by the fleet's clock; 0 for none. Positions are rounded down, starts up.
 package handover
 
 import (
@@ -32,9 +32,6 @@
 	MaxBytes = 4 << 20
 	// oldest is how old a handover may be: it is given from process to process, so that a late one is stuck somewhere.
 	oldest = 10 * time.Second
-	// readApart is how far the two processes' clocks may differ because they were read at different times. Where they differ by
-	// more the machine's clock was stepped between their starts.
-	readApart = time.Second
 )
 
 // Host is what was known of one.
@@ -54,7 +51,7 @@
 
 // Knowledge is all that is handed over.
 type Knowledge struct {
-	At       time.Duration // when it was put together
+	At       time.Duration // when it was put together; decoded, the earliest that this may have been
 	Revision int64         // of the list; below 0: none
 	Newest   time.Duration // of the writes of sessions that were remembered; 0: none were
 	Hosts    []Host
@@ -102,11 +99,13 @@
 
 // Encode gives the handover.
 func Encode(k Knowledge) ([]byte, error) {
-	b := body{At: down(k.At), Revision: k.Revision, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
-		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least), Most: up(k.Ahead.Most)}
+	at := down(k.At)
+	back := k.At - of(at) // by this much the clock is set back
+	b := body{At: at, Revision: k.Revision, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
+		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least + back), Most: up(k.Ahead.Most + back)}
 	for _, h := range k.Hosts {
-		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(h.Started), down(h.Leads),
-			up(h.Follows), down(h.Position), h.Alive, up(h.NotifiedFor)})
+		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(moved(h.Started, -back)),
+			down(moved(h.Leads, -back)), up(moved(h.Follows, -back)), down(h.Position), h.Alive, up(h.NotifiedFor)})
 	}
 	text, err := json.Marshal(b)
 	if err != nil {
@@ -115,6 +114,14 @@
 	return append(head(version, text), text...), nil
 }
 
+// moved is a time by another clock, which shows so much more; none stays none.
+func moved(t, by time.Duration) time.Duration {
+	if t == 0 {
+		return 0
+	}
+	return t + by
+}
+
 func headVersion(b []byte) uint16 { return binary.BigEndian.Uint16(b[4:]) }
 
 func head(version uint16, text []byte) []byte {
@@ -137,8 +144,10 @@
 )
 
 // Decode reads a handover that was asked for at a time and has come by now, both by this process's clock, to which all times in
-// it are converted where the machine's clock was stepped between the starts of the two processes: positions and starts are then
-// never later than they were, and the newest write never earlier.
+// it are converted. The machine's clock may have been stepped between the starts of the two processes, by however little. The handover was
+// put together after it was asked for and before it came, which gives two ends for how the clocks differ. Each time is converted by the end
+// that is safe for it: words that a host leads are never later than they were, words that it does not and starts never earlier, and the
+// fleet's clock lies inside the interval.
 func Decode(asked, now time.Duration, b []byte) (Knowledge, error) {
 	switch {
 	case now-asked > oldest:
@@ -159,11 +168,8 @@
 	if headVersion(b) != version && k.Newest > 0 {
 		k.Newest = Later
 	}
-	step := time.Duration(0)
-	if k.At < asked-readApart || k.At > now+readApart {
-		step = asked - k.At
-		k.At, k.Ahead = asked, fleetclock.Interval{Least: k.Ahead.Least - step, Most: k.Ahead.Most - step}
-	}
+	least, most := asked-k.At, now-k.At // what this process's clock shows more
+	k.At, k.Ahead = asked, fleetclock.Interval{Least: k.Ahead.Least - most, Most: k.Ahead.Most - least}
 	for i, e := range root.Get("hosts").Array() {
 		h := Host{Server: e.Get("id").Str, Address: e.Get("address").Str, Group: int(e.Get("group").Int()),
 			State: balance.State(e.Get("state").Int()), Listed: e.Get("listed").Bool(), Weight: e.Get("weight").Num,
@@ -176,11 +182,7 @@
 				h.Follows = of(e.Get("role_at").Int()) // never earlier than the answer
 			}
 		}
-		for _, t := range []*time.Duration{&h.Started, &h.Leads, &h.Follows} {
-			if *t > 0 {
-				*t += step
-			}
-		}
+		h.Leads, h.Started, h.Follows = moved(h.Leads, least), moved(h.Started, most), moved(h.Follows, most)
 		// What lies ahead would pass stale data as fresh for good.
 		if h.Server == "" || h.State < balance.Active || h.State > balance.Left || h.Leads > now ||
 			k.ClockKnown && h.Position > now+k.Ahead.Most+time.Millisecond ||
--- a/internal/disk/handover/handover_test.go
+++ b/internal/disk/handover/handover_test.go
@@ -27,12 +27,36 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := Decode(now-5*time.Millisecond, now, b)
+	at := known().At
+	got, err := Decode(at, at, b) // the clocks differ by nothing, for certain
 	if d := cmp.Diff(known(), got); d != "" || err != nil {
 		t.Error(err, d)
 	}
 }
 
+func TestWhatIsRoundedOffErrsToTheSafeSide(t *testing.T) {
+	const part = 700 * time.Microsecond
+	told := known()
+	told.At += part
+	b, err := Encode(told)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(told.At, told.At, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Ahead.Least > told.Ahead.Least || got.Ahead.Most < told.Ahead.Most {
+		t.Errorf("the fleet's clock is ahead by %v, was %v", got.Ahead, told.Ahead)
+	}
+	for i, h := range got.Hosts {
+		was := told.Hosts[i]
+		if h.Leads > was.Leads || h.Follows < was.Follows || h.Started < was.Started || h.Position > was.Position {
+			t.Errorf("%+v, was %+v", h, was)
+		}
+	}
+}
+
 // A handover with any byte changed, cut off anywhere, too old or of another version is not used in any part.
 func TestTornOldOrOther(t *testing.T) {
 	b, _ := Encode(known())
@@ -65,22 +89,24 @@
 	}
 }
 
-// Between the starts of the two processes the machine's wall clock was stepped: what is handed over counts by the new one's clock.
+// Between the starts of the two processes the machine's wall clock was stepped: what is handed over counts by the new one's clock, as far
+// as it is known when it was put together.
 func TestAStepBetweenTheProcesses(t *testing.T) {
-	for _, step := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second} {
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second, 0} {
 		b, _ := Encode(known())
 		asked := now + step
-		got, err := Decode(asked, asked+4*time.Millisecond, b)
+		came := asked + 4*time.Millisecond
+		got, err := Decode(asked, came, b)
 		if err != nil {
 			t.Fatalf("%s: %v", step, err)
 		}
 		want := known()
-		moved := asked - want.At
-		want.At, want.Ahead = asked, fleetclock.Interval{Least: want.Ahead.Least - moved, Most: want.Ahead.Most - moved}
-		want.Hosts[0].Leads += moved
-		want.Hosts[0].Follows += moved
-		want.Hosts[1].Follows += moved
-		want.Hosts[1].Started += moved
+		least, most := asked-want.At, came-want.At
+		want.At, want.Ahead = asked, fleetclock.Interval{Least: want.Ahead.Least - most, Most: want.Ahead.Most - least}
+		want.Hosts[0].Leads += least
+		want.Hosts[0].Follows += most
+		want.Hosts[1].Follows += most
+		want.Hosts[1].Started += most
 		if d := cmp.Diff(want, got); d != "" {
 			t.Errorf("%s: %s", step, d)
 		}
@@ -93,9 +119,10 @@
 	text := []byte(`{"at":1767225599997,"revision":41,"newest":0,"clock":true,"ahead":0,"hosts":[
 		{"id":"s-1","address":"127.0.0.9:5432","group":3,"listed":true,"weight":1,"role":1,"role_at":1767225599995,"position":1767225599991,"alive":true},
 		{"id":"s-2","address":"127.0.0.8:5432","group":3,"listed":true,"weight":1,"role":2,"role_at":1767225599990,"position":1767225599980,"alive":true}]}`)
-	got, err := Decode(now-5*time.Millisecond, now, append(head(earlier, text), text...))
+	at := known().At
+	got, err := Decode(at, at, append(head(earlier, text), text...))
 	b, _ := Encode(known())
-	two, err2 := Decode(now-5*time.Millisecond, now, append(head(dated, b[headSize:]), b[headSize:]...))
+	two, err2 := Decode(at, at, append(head(dated, b[headSize:]), b[headSize:]...))
 	want2 := known()
 	want2.ClockKnown, want2.Newest, want2.Hosts[0].Position, want2.Hosts[0].Leads = false, Later, 0, 0
 	if d := cmp.Diff(want2, two); d != "" || err2 != nil {
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -22,6 +22,7 @@
 // stays empty: nothing is opened, asked or told.
 type upgrade struct {
 	asked time.Duration // when the process before was asked what it knows
+	came  time.Duration // when its answer had come
 	line  *succession.Line
 	elder *succession.Elder // nil: there is none
 
@@ -66,6 +67,7 @@
 	}
 	g.upgrade.asked = g.clock.Now()
 	line, elder, err := succession.Join(g.ctx, os.TempDir(), g.c.Listen)
+	g.upgrade.came = g.clock.Now()
 	if err != nil {
 		g.log.Warn("no handover", zap.Error(err))
 		_ = g.duty.tell(service.ElderFound) // someone may be there who does not answer
@@ -88,7 +90,7 @@
 	if g.upgrade.elder == nil {
 		return handover.Knowledge{}, false
 	}
-	k, err := handover.Decode(g.upgrade.asked, g.clock.Now(), g.upgrade.elder.Knowledge)
+	k, err := handover.Decode(g.upgrade.asked, g.upgrade.came, g.upgrade.elder.Knowledge)
 	if err != nil {
 		g.log.Warn("what the process before knew is not used", zap.Error(err))
 		return k, false
