A class keeps the stricter of two needs until the new settings bind

Cause: stricter took the need of the new class at once, also where the old one's includes it, so that a read which was bounded could be served any data in the 1.2 s in which both versions hold.

Change: of two needs the one that includes the other holds (Latest includes all reads' needs, each includes AnyData), with its bound. Of bounded and session neither includes the other: the new one holds, as before. Latest would cover both, but sends all reads of the class to the primaries for the 1.2 s; left out for that.

Measured: before, the test failed: "before the new settings bind a read may be served from data of any age: {Name:view Need:0 Bound:0s ...".

--- /dev/null
+++ b/internal/control/reload/need_test.go
@@ -0,0 +1,43 @@
+package reload
+
+import (
+	"testing"
+	"time"
+
+	"yokemast/balance"
+)
+
+func TestAReadKeepsTheBoundOfTheOldSettingsUntilTheNewOnesBind(t *testing.T) {
+	view := balance.Class{Name: "view", Need: balance.Bounded, Bound: 200 * time.Millisecond}
+	v := New(balance.Settings{Classes: []balance.Class{view}}, time.Second)
+	loose := view
+	loose.Need, loose.Bound = balance.AnyData, 0
+	v.Take(0, balance.Settings{Classes: []balance.Class{loose}})
+	if got := v.InForce().Classes[0]; got.Need != balance.Bounded || got.Bound != view.Bound {
+		t.Errorf("before the new settings bind a read may be served from data of any age: %+v", got)
+	}
+}
+
+func TestOfTwoNeedsTheOneThatIncludesTheOtherHolds(t *testing.T) {
+	for _, c := range []struct{ old, new, want balance.Need }{
+		{balance.Session, balance.AnyData, balance.Session},
+		{balance.AnyData, balance.Session, balance.Session},
+		{balance.Latest, balance.AnyData, balance.Latest},
+		{balance.Latest, balance.Bounded, balance.Latest},
+		{balance.Latest, balance.Session, balance.Latest},
+		{balance.Session, balance.Latest, balance.Latest},
+		{balance.Bounded, balance.Session, balance.Session},
+		{balance.Session, balance.Bounded, balance.Bounded},
+		{balance.Write, balance.AnyData, balance.AnyData},
+		{balance.Latest, balance.Write, balance.Write},
+	} {
+		v := New(balance.Settings{Classes: []balance.Class{{Name: "a", Need: c.old}}}, time.Second)
+		v.Take(0, balance.Settings{Classes: []balance.Class{{Name: "a", Need: c.new}}})
+		if got := v.InForce().Classes[0].Need; got != c.want {
+			t.Errorf("from need %d to %d: %d, want %d", c.old, c.new, got, c.want)
+		}
+		if v.Settle(time.Second); v.InForce().Classes[0].Need != c.new {
+			t.Errorf("from need %d to %d: after the grace %d", c.old, c.new, v.InForce().Classes[0].Need)
+		}
+	}
+}
--- a/internal/control/reload/reload.go
+++ b/internal/control/reload/reload.go
@@ -79,15 +79,26 @@
 	return s
 }
 
-// stricter gives the class under which no promise of either is broken. What a class needs is taken from the new one: no
-// word on that includes every other.
+// stricter gives the class under which no promise of either is broken, but for what a class needs where neither need includes the other:
+// that is the new one's.
 func stricter(old, c balance.Class) balance.Class {
 	c.Effect = max(old.Effect, c.Effect) // safe, keyed, unsafe
 	c.Scope = max(old.Scope, c.Scope)    // all, zone, group
 	c.KeyTTL = min(old.KeyTTL, c.KeyTTL)
 	c.Deadline = min(old.Deadline, c.Deadline)
-	if old.Need == balance.Bounded && c.Need == balance.Bounded {
+	switch {
+	case old.Need == balance.Bounded && c.Need == balance.Bounded:
 		c.Bound = min(old.Bound, c.Bound)
+	case includes(old.Need, c.Need):
+		c.Need, c.Bound = old.Need, old.Bound
 	}
 	return c
 }
+
+// includes says that data which is current enough for one need is so for another. A write's need includes no read's.
+func includes(need, other balance.Need) bool {
+	if need == balance.Write || other == balance.Write {
+		return need == other
+	}
+	return need == other || need == balance.Latest || other == balance.AnyData
+}
--- a/internal/control/reload/reload_test.go
+++ b/internal/control/reload/reload_test.go
@@ -68,8 +68,12 @@
 		draw := func(label string) balance.Settings {
 			s := settings(rapid.IntRange(1, 10).Draw(t, label+" attempts"))
 			for i := range rapid.IntRange(1, 4).Draw(t, label+" classes") {
-				s.Classes = append(s.Classes, class(fmt.Sprint("k", i), balance.Effect(rapid.IntRange(0, 2).Draw(t, "effect")),
-					time.Duration(rapid.IntRange(1, 9).Draw(t, "bound"))*100*ms))
+				c := class(fmt.Sprint("k", i), balance.Effect(rapid.IntRange(0, 2).Draw(t, "effect")),
+					time.Duration(rapid.IntRange(1, 9).Draw(t, "bound"))*100*ms)
+				if c.Need = rapid.SampledFrom([]balance.Need{balance.AnyData, balance.Bounded, balance.Latest}).Draw(t, "need"); c.Need != balance.Bounded {
+					c.Bound = 0
+				}
+				s.Classes = append(s.Classes, c)
 			}
 			return s
 		}
@@ -98,7 +102,8 @@
 					if j < 0 {
 						t.Fatalf("class %s of a version told at %s is not taken at %s", c.Name, h.at, now)
 					}
-					if o := v.InForce().Classes[j]; o.Effect < c.Effect || o.Bound > c.Bound || o.Deadline > c.Deadline {
+					if o := v.InForce().Classes[j]; o.Effect < c.Effect || o.Need < c.Need || // in this order each includes those before
+						o.Need == balance.Bounded && c.Need == balance.Bounded && o.Bound > c.Bound || o.Deadline > c.Deadline {
 						t.Fatalf("%+v is laxer than %+v, told at %s, now %s", o, c, h.at, now)
 					}
 				}
