An older list is not used after a newer one of the same address, whatever moves

Cause: after a move the answers of calls to the last address were used without a look at their revisions; an older one that came late took a drain back. The same after a move there and back, where what had been used was forgotten. And any answer to a call for the whole list counted as the agent's word that it counts anew, also to a call that began before the lower revision was seen.

Change: what was used is kept for each address, while calls to it are out. A lower revision is taken only from a call for the whole list that began after a lower one had come, which is kept for each address too, so that moves there and back hide no agent that counts anew.

Not done: an agent that is behind the one before it. Revisions of two addresses need not compare.

Measured: before, the test failed: "a list of revision 42 is used after one of revision 43 of the same address", and the same after a move there and back, and "an answer to a call of before is taken for the agent's word that it counts anew".

--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -15,6 +15,7 @@
 package listwatch
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -78,16 +79,22 @@
 	silent     bool          // one has
 }
 
+// used is what was used of an address.
+type used struct {
+	revision int64 // of the last answer that was used; Whole: there was none
+	rewound  int   // the newest call when a lower revision came, which was not used; 0: none has come since the last answer that was
+}
+
 // Watch is the state of one gateway's calls. It is not safe for concurrent use.
 type Watch struct {
 	rng      *rand.Rand
 	address  string
-	revision int64 // of the last answer that was used, at the present address; Whole: there was none
-	answered bool  // by the present address
-	moved    bool  // the present chain of calls began with a move
-	rewound  bool  // the last answer was of a lower revision, and not used
-	broken   bool  // a call has failed or fallen silent since the last answer
-	crowded  bool  // a call was turned away since the last answer, or none was ever answered
+	revision int64           // of the last answer that was used, at the present address; Whole: there was none
+	answered bool            // by the present address
+	moved    bool            // the present chain of calls began with a move
+	broken   bool            // a call has failed or fallen silent since the last answer
+	crowded  bool            // a call was turned away since the last answer, or none was ever answered
+	used     map[string]used // by address: the present one, and those with calls out
 	last     int
 	calls    []outstanding // oldest first
 	next     time.Duration // when the next call begins at the latest; never: when something happens
@@ -104,7 +111,7 @@
 // New starts with a list of a revision, or none (Whole). The first call asks for an answer at once.
 func New(address string, revision int64, seed uint64) *Watch {
 	return &Watch{rng: rand.New(rand.NewPCG(seed, 0x61736b)), address: address, revision: revision, crowded: true,
-		silentAt: none}
+		used: map[string]used{address: {revision: revision}}, silentAt: none}
 }
 
 // Revision is that of the last answer that was used; Whole: there was none at the present address.
@@ -117,7 +124,10 @@
 		return
 	}
 	// Another agent need not count as the last one did: a revision of that one's could hide changes for good.
-	w.address, w.revision, w.answered, w.rewound = address, Whole, false, false
+	w.address, w.revision, w.answered = address, Whole, false
+	if _, known := w.used[address]; !known {
+		w.used[address] = used{revision: Whole}
+	}
 	w.moved, w.broken, w.crowded, w.silentAt, w.next = true, false, false, none, never
 	if !slices.ContainsFunc(w.calls, func(c outstanding) bool { return c.Address == address && c.Revision == Whole && !c.silent }) {
 		w.next = now
@@ -133,25 +143,40 @@
 	c := w.calls[i]
 	w.calls = slices.Delete(w.calls, i, i+1)
 	if c.Address != w.address {
-		return !w.answered
+		return !w.answered && w.newer(c.Call, revision)
 	}
 	w.failures = 0
 	if took := now - c.began - c.Wait; took >= 0 { // else news came meanwhile: that says nothing of the time
 		w.latency = max(took, w.latency*3/4)
 	}
-	// A lower revision is an older list, unless discovery began to count anew: then the answer to a call for all of it says so too.
-	if revision < w.revision && !(w.rewound && c.Revision == Whole) {
-		w.rewound, w.next = true, now+soon
+	if !w.newer(c.Call, revision) {
+		w.next = now + soon
 		return false
 	}
 	w.revision, w.answered, w.next = revision, true, now
-	w.moved, w.rewound, w.broken, w.crowded, w.silentAt = false, false, false, false, none
+	w.moved, w.broken, w.crowded, w.silentAt = false, false, false, none
 	for i := range w.calls {
 		w.calls[i].began = none // superseded: Step drops them
 	}
 	return true
 }
 
+// newer takes the revision of a call's answer, and says whether it may be used after what was used of the same address. A lower one is
+// an older list, unless discovery began to count anew: then the answer to a later call for all of it says so too.
+func (w *Watch) newer(c Call, revision int64) bool {
+	u := w.used[c.Address]
+	confirmed := u.rewound > 0 && c.ID > u.rewound && c.Revision == Whole
+	if revision >= u.revision || confirmed {
+		w.used[c.Address] = used{revision: revision}
+		return true
+	}
+	if u.rewound == 0 {
+		u.rewound = w.last
+	}
+	w.used[c.Address] = u
+	return false
+}
+
 // Failed takes the end of a call that brought no list.
 func (w *Watch) Failed(now time.Duration, id int, why Failure) {
 	i := w.find(id)
@@ -213,12 +238,20 @@
 		}
 		return gone
 	})
+	w.forgetUsed()
 	if len(w.calls) == 0 && w.next == never {
 		w.next = now
 	}
 	return drop
 }
 
+// forgetUsed drops what was used of addresses that nothing can come from any more.
+func (w *Watch) forgetUsed() {
+	maps.DeleteFunc(w.used, func(address string, _ used) bool {
+		return address != w.address && !slices.ContainsFunc(w.calls, func(c outstanding) bool { return c.Address == address })
+	})
+}
+
 // noticeSilence asks for another call where one should have been answered.
 func (w *Watch) noticeSilence(now time.Duration) {
 	for i := range w.calls {
@@ -263,7 +296,7 @@
 	w.last++
 	c := Call{ID: w.last, Address: w.address, Revision: w.revision}
 	switch {
-	case w.rewound:
+	case w.used[w.address].rewound > 0:
 		c.Revision = Whole
 	case w.answered && !w.broken:
 		c.Wait = watchWait
