A drain in a process's first list, or behind a failed call, counts from when the agent may have had it

A list counted from when it was read: a drain's grace began late by the time to the first answer, and after a call that failed, was turned away, fell silent or brought an older list by up to the time since the last answer.

Change: the watcher hands over a list with when the gateway counts as notified of it: the process's first moment for the first one, the arrival of the last answer that was used where a call since has brought none, else its own arrival. 30 s back at most: the grace is over by then, and a host that is gone is still remembered while attempts may be on their way to it. The list of the configuration counts from the process's first moment, and so does a drain of a host that was never heard of before. What it costs: nothing new goes to hosts that drain in what is left of their grace; also writes to a primary that drains.

Test: of the inventory, unchanged; sessions of calls answered by hand.

With lists counted from their arrival the new tests fail: "the first list counts as notified 700ms after the process's first moment", "the list counts as notified 4.8s after the last answer" (failed, busy, not used, silent).

--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -117,6 +117,9 @@
 // Revision is that of the last answer that was used; Whole: there was none at the present address.
 func (w *Watch) Revision() int64 { return w.revision }
 
+// Broken says that a call to the present address has failed or fallen silent since the last answer.
+func (w *Watch) Broken() bool { return w.broken }
+
 // Move goes on at another address. The present one changes nothing: calls that are out go on. Those to another address go on,
 // and their answers are used, until the new one has answered: a series of moves must not keep the list from coming.
 func (w *Watch) Move(now time.Duration, address string) {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -60,6 +60,7 @@
 	own    *operator.File // nil without one
 	log    *zap.Logger
 	clock  exchange.Clock
+	begun  time.Duration // the process's first moment
 	counts *counters.Set
 
 	ctx   context.Context
@@ -95,6 +96,7 @@
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
 	g := &gateway{c: c, own: own, log: log, clock: exchange.NewClock().Watched(log, counts), counts: counts, ctx: ctx, group: group}
+	g.begun = g.clock.Now()
 	defer g.logCounters()
 	g.duty = newController(g.clock, c.Settings.Balance.Classes, log, counts)
 	g.join()
@@ -167,6 +169,7 @@
 		Share: c.Sockets / sharePart, Pool: pool, MaxBytes: int64(float64(c.MemoryMB) * (1 << 20) * statementPart), MaxLarge: g.heap() / largePart,
 		RetryAfter: retryAdvice(settings), Yes: g.duty.Ready, Emptied: g.duty.wake}, g.x)
 	g.watcher = discovery.NewWatcher(c.Discovery, c.Seed)
+	g.watcher.Begun = g.begun
 	g.watcher.Log, g.watcher.Counters, g.watcher.Clock, g.watcher.Members, g.watcher.Answered = g.log, g.counts, g.clock, g.x.Members, g.ready()
 	return g.operate()
 }
@@ -229,7 +232,7 @@
 func (g *gateway) run() {
 	revision := g.c.Known.Revision
 	if len(g.c.Known.Members) > 0 {
-		g.x.Members(g.clock.Now(), true, g.c.Known.Members)
+		g.x.Members(g.begun, true, g.c.Known.Members)
 	}
 	if known, ok := g.inherited(); ok { // newer than what the file says
 		g.x.Inherit(g.upgrade.asked, known)
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -122,9 +122,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	begunAt := cfg.Clock.Now()
 	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), versions: reload.New(s, settleAfter), tries: waits.New(),
 		open: map[string]*open{}, groups: map[int]bool{}, list: map[string]Member{},
-		bounds: newBounds(s), begunAt: cfg.Clock.Now()}
+		bounds: newBounds(s, begunAt), begunAt: begunAt}
 	x.use(s)
 	x.clock = x.cfg.Clock.ForModule()
 	x.router.Handle(x.begunAt, x.clock, nil)
--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -28,14 +28,15 @@
 // bounds holds until when new requests may be sent to which host. A list binds from the moment that it is handed over, however
 // far the event loop is behind; so it is safe for concurrent use.
 type bounds struct {
-	mu     sync.Mutex
-	drains *draining.Tracker
-	known  map[string]bool
-	hosts  Hosts // nil until Run
+	begunAt time.Duration // the process's first moment
+	mu      sync.Mutex
+	drains  *draining.Tracker
+	known   map[string]bool
+	hosts   Hosts // nil until Run
 }
 
-func newBounds(s balance.Settings) *bounds {
-	return &bounds{drains: draining.New(drainRules(s)), known: map[string]bool{}}
+func newBounds(s balance.Settings, begunAt time.Duration) *bounds {
+	return &bounds{begunAt: begunAt, drains: draining.New(drainRules(s)), known: map[string]bool{}}
 }
 
 func drainRules(s balance.Settings) draining.Rules {
@@ -45,12 +46,17 @@
 var drainStates = map[balance.State]draining.State{balance.Active: draining.Serving, balance.Draining: draining.Draining,
 	balance.Left: draining.Gone}
 
-// take puts a list in force that arrived at a time.
+// take puts a list in force that arrived at a time. A host that drains when the process first hears of it may have done so since before
+// the process began: what discovery's agent has counts as notified from the process's first moment.
 func (b *bounds) take(at time.Duration, e members) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	named := map[string]bool{}
 	for _, m := range e.list {
+		at := at
+		if !b.known[m.Server] {
+			at = min(at, b.begunAt)
+		}
 		named[m.Server], b.known[m.Server] = true, true
 		b.tellLocked(b.drains.Set(at, m.NotifiedAt, m.Server, drainStates[m.State]))
 	}
--- /dev/null
+++ b/internal/wire/discovery/notified_test.go
@@ -0,0 +1,100 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yokemast/internal/control/listwatch"
+	"yokemast/internal/memory/counters"
+	"yokemast/internal/memory/exchange"
+)
+
+const ms = time.Millisecond
+
+// played is a session whose calls are answered by hand. It keeps when lists count as notified.
+type played struct {
+	*session
+	began    time.Duration
+	notified []time.Duration
+}
+
+func play(revision int64) *played {
+	p := &played{}
+	w := NewWatcher("a", 1)
+	w.Log, w.Counters, w.Clock, w.Answered = zap.NewNop(), &counters.Set{}, exchange.NewClock(), func() {}
+	w.Members = func(at time.Duration, _ bool, _ []exchange.Member) { p.notified = append(p.notified, at) }
+	p.began = w.Clock.Now()
+	w.Begun = p.began - 400*ms
+	p.session = &session{Watcher: w, ctx: context.Background(), cancels: map[int]context.CancelFunc{}, decisions: listwatch.New("a", revision, 1)}
+	return p
+}
+
+// begin begins the calls that are due so long after the session began.
+func (p *played) begin(after time.Duration) (calls []listwatch.Call) {
+	calls, _, _ = p.decisions.Step(p.began + after)
+	p.missed = p.missed || p.decisions.Broken()
+	for _, c := range calls {
+		p.cancels[c.ID] = func() {}
+	}
+	return calls
+}
+
+func (p *played) answer(c listwatch.Call, after time.Duration, revision int64) {
+	p.ended(result{call: c, at: p.began + after, list: List{Revision: revision, Complete: true}})
+}
+
+func (p *played) last() time.Duration { return p.notified[len(p.notified)-1] - p.began }
+
+func TestADrainInTheFirstAnswerCountsFromTheProcesssFirstMoment(t *testing.T) {
+	p := play(41)
+	call := p.begin(0)[0]
+	p.answer(call, 300*ms, 42)
+	if got := p.last(); got != -400*ms {
+		t.Errorf("the first list counts as notified %s after the process's first moment", got+400*ms)
+	}
+	p.answer(p.begin(time.Second)[0], 2*time.Second, 43)
+	if got := p.last(); got != 2*time.Second {
+		t.Errorf("news that a watch brings counts as notified %s before it arrived", 2*time.Second-got)
+	}
+}
+
+func TestADrainAfterACallThatBroughtNoListCountsFromTheLastAnswer(t *testing.T) {
+	for name, trouble := range map[string]func(p *played, watch listwatch.Call){
+		"failed":   func(p *played, watch listwatch.Call) { p.ended(result{call: watch, err: errors.New("reset")}) },
+		"busy":     func(p *played, watch listwatch.Call) { p.ended(result{call: watch, err: errBusy}) },
+		"not used": func(p *played, watch listwatch.Call) { p.answer(watch, 400*ms, 7) },
+		"silent":   func(*played, listwatch.Call) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := play(41)
+			p.answer(p.begin(0)[0], 300*ms, 42)
+			trouble(p, p.begin(350 * ms)[0])
+			next := p.begin(5 * time.Second)
+			if len(next) != 1 {
+				t.Fatalf("%d calls begin", len(next))
+			}
+			p.answer(next[0], 5100*ms, 43)
+			if got := p.last(); got != 300*ms {
+				t.Errorf("the list counts as notified %s after the last answer", got-300*ms)
+			}
+			p.answer(p.begin(5200 * ms)[0], 6*time.Second, 44)
+			if got := p.last(); got != 6*time.Second {
+				t.Errorf("the news after it counts as notified %s before it arrived", 6*time.Second-got)
+			}
+		})
+	}
+}
+
+func TestAListAfterALongOutageIsNotOlderThanHostsAreRemembered(t *testing.T) {
+	p := play(41)
+	p.answer(p.begin(0)[0], 0, 42)
+	p.ended(result{call: p.begin(time.Second)[0], err: errors.New("reset")})
+	p.answer(p.begin(time.Hour)[0], time.Hour, 43)
+	if got := time.Hour - p.last(); got != longestAgo {
+		t.Errorf("it counts as notified %s before it arrived, want %s", got, longestAgo)
+	}
+}
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -25,6 +25,9 @@
 	// for while the agent is away must not take up the whole call's time.
 	connectWithin = 500 * time.Millisecond
 	maxList       = 8 << 20
+	// longestAgo is how long before its arrival a list counts as notified at most. By then any drain's grace is over, and a host that is gone
+	// is still remembered while attempts may be on their way to it.
+	longestAgo = 30 * time.Second
 )
 
 // errBusy says that discovery has too many calls.
@@ -35,7 +38,8 @@
 	Log      *zap.Logger
 	Counters *counters.Set
 	Clock    exchange.Clock
-	// Members takes a list, or the entries that changed, that arrived at a time.
+	Begun    time.Duration // the process's first moment, by Clock
+	// Members takes a list, or the entries that changed, and when the gateway counts as notified of it: when it arrived, or earlier.
 	Members  func(at time.Duration, whole bool, list []exchange.Member)
 	Answered func() // called once, when the agent has answered for the first time
 
@@ -99,6 +103,7 @@
 	cancels   map[int]context.CancelFunc
 	calls     sync.WaitGroup
 	answered  bool
+	missed    bool  // a call has brought no list that was used since the last that did, or has fallen silent
 	failed    int64 // calls since the last answer
 }
 
@@ -129,6 +134,7 @@
 func (s *session) step() time.Duration {
 	now := s.Clock.Now()
 	begin, drop, next := s.decisions.Step(now)
+	s.missed = s.missed || s.decisions.Broken()
 	for _, id := range drop {
 		if cancel := s.cancels[id]; cancel != nil {
 			cancel()
@@ -168,6 +174,7 @@
 		return
 	}
 	if !s.decisions.Answered(now, r.call.ID, r.list.Revision) {
+		s.missed = true
 		s.Log.Info("list not used", zap.String("agent", r.call.Address), zap.Int64("revision", r.list.Revision), zap.Int64("known", s.decisions.Revision()))
 		return
 	}
@@ -175,13 +182,15 @@
 		s.Log.Info("discovery answers again", zap.Int64("failed", s.failed))
 		s.failed = 0
 	}
+	notified := s.notifiedAt(r.at)
+	s.missed = false
 	s.Counters.Lists.Add(1)
 	s.heardAt.Store(int64(r.at))
 	s.revision.Store(s.decisions.Revision())
 	if r.list.Complete || len(r.list.Members) > 0 {
 		s.Log.Info("hosts listed", zap.Bool("whole", r.list.Complete), zap.Int64("revision", r.list.Revision), zap.Int("entries", len(r.list.Members)),
-			zap.String("agent", r.call.Address), zap.Duration("handled_after", now-r.at))
-		s.Members(r.at, r.list.Complete, r.list.Members)
+			zap.String("agent", r.call.Address), zap.Duration("handled_after", now-r.at), zap.Duration("notified_before", r.at-notified))
+		s.Members(notified, r.list.Complete, r.list.Members)
 	}
 	if !s.answered {
 		s.answered = true
@@ -189,8 +198,23 @@
 	}
 }
 
+// notifiedAt is when the gateway counts as notified of what a list tells that arrived at a time. The agent may have had it since before, and
+// what the agent has counts as told: from the process's first moment for the first list, and from the last answer on where a call has brought
+// none since.
+func (s *session) notifiedAt(arrived time.Duration) time.Duration {
+	since := arrived
+	switch {
+	case !s.answered:
+		since = s.Begun
+	case s.missed:
+		since = time.Duration(s.heardAt.Load())
+	}
+	return max(since, arrived-longestAgo)
+}
+
 // fail takes a call that brought no list.
 func (s *session) fail(now time.Duration, r result) {
+	s.missed = true
 	s.Counters.ListErrors.Add(1)
 	why := listwatch.Broken
 	if errors.Is(r.err, errBusy) {
