A host that starts while none has told its position counts as starting then

Found by the review (its test failed): it counted as started with the process, so warm after a while.

--- a/internal/control/fleetclock/witness.go
+++ b/internal/control/fleetclock/witness.go
@@ -46,42 +46,46 @@
 
 // side is the tightest pair of bounds in one direction that two independent witnesses prove: the looser one holds also if one of them
 // is wrong. There is a single one until a second is told.
-type side struct{ bounds []bound }
+type side struct {
+	bounds [2]bound
+	count  int
+}
 
 // add takes a bound in where that makes the pair tighter.
 func (s *side) add(b bound) {
-	best := s.bounds
-	for _, o := range s.bounds {
-		if pair := []bound{o, b}; independent(o.by, b.by) && tighter(pair, best) {
+	best := *s
+	for _, o := range s.bounds[:s.count] {
+		if pair := (side{[2]bound{o, b}, 2}); independent(o.by, b.by) && pair.tighter(&best) {
 			best = pair
 		}
 	}
-	if len(best) == 0 || len(best) == 1 && b.value < best[0].value {
-		best = []bound{b}
+	if best.count == 0 || best.count == 1 && b.value < best.bounds[0].value {
+		best = side{[2]bound{b}, 1}
 	}
-	s.bounds = best
+	*s = best
 }
 
 // twice makes a bound both of the pair: it was proven by two witnesses, and no single answer to come moves it.
 func (s *side) twice(b bound) {
 	b.by = witness{assumed: true}
-	s.bounds = []bound{b, b}
+	*s = side{[2]bound{b, b}, 2}
 }
 
-func tighter(pair, than []bound) bool {
-	if len(than) < 2 {
+// tighter says that a pair proves more than what there is.
+func (s *side) tighter(than *side) bool {
+	if than.count < 2 {
 		return true
 	}
-	x, y := looser(pair), looser(than)
-	return x < y || x == y && min(pair[0].value, pair[1].value) < min(than[0].value, than[1].value)
+	x, y := s.looser(), than.looser()
+	return x < y || x == y && min(s.bounds[0].value, s.bounds[1].value) < min(than.bounds[0].value, than.bounds[1].value)
 }
 
-func looser(pair []bound) time.Duration { return max(pair[0].value, pair[1].value) }
+func (s *side) looser() time.Duration { return max(s.bounds[0].value, s.bounds[1].value) }
 
 // bound is the one that holds even if one witness is wrong; not ok: there are not two yet.
 func (s *side) bound() (value time.Duration, ok bool) {
-	if len(s.bounds) < 2 {
+	if s.count < 2 {
 		return 0, false
 	}
-	return looser(s.bounds), true
+	return s.looser(), true
 }
--- a/internal/memory/exchange/evidence_test.go
+++ b/internal/memory/exchange/evidence_test.go
@@ -77,12 +77,12 @@
 	}
 }
 
-// behind lets answers of two primaries show, one after another, that the clock is behind the fleet's by so much.
+// behind lets answers of two primaries, which lie apart, show that the clock is behind the fleet's by so much.
 func behind(clock Clock, by time.Duration) {
-	for _, host := range []string{"p", "q", "p", "q"} {
-		sent := clock.Now()
-		received := clock.Now()
-		clock.Observe(fleetclock.Observation{Host: host, Present: received + by, Sent: sent, Received: received})
+	now := clock.Now()
+	for i, host := range []string{"p", "q", "p", "q"} {
+		at := now + time.Duration(i-4)*20*time.Millisecond
+		clock.Observe(fleetclock.Observation{Host: host, Present: at + by, Sent: at, Received: at})
 	}
 }
 
@@ -93,12 +93,15 @@
 	x, h := pair(t, clock)
 	x.noticeClock()
 	now := clock.Now()
-	learn(x, "r", balance.Replica, now-600*time.Millisecond)
+	learn(x, "r", balance.Replica, now-600*time.Millisecond) // of a bound of 1 s
 	a := h.ask(x, "view", 0)
 	if a == nil || a.Server != "r" || a.Grounds.Kind != balance.ByPosition || a.Grounds.Expired(clock.Now(), clock.ForModule()) {
 		t.Fatalf("a read goes to %+v", a)
 	}
 	behind(clock, 600*time.Millisecond)
+	if clock.Epoch() == 0 {
+		t.Fatal("the clock is not replaced")
+	}
 	if !a.Grounds.Expired(clock.Now(), clock.ForModule()) {
 		t.Error("a read that was decided on before may still go out")
 	}
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -74,15 +74,15 @@
 func TestStartBy(t *testing.T) {
 	x, h, ask := fresh(t)
 	before := x.cfg.Clock.Now()
-	ask("order")
 	ask("view")
+	ask("order")
 	list(x, balance.Draining)
 	told := x.cfg.Clock.Now()
 	ask("order")
 	if len(h.sent) != 3 {
 		t.Fatalf("sent %v", h.sent)
 	}
-	write, excused, draining := h.sent[0].StartBy, h.sent[1], h.sent[2].StartBy
+	write, excused, draining := h.sent[1].StartBy, h.sent[0], h.sent[2].StartBy
 	if write != 0 || excused.StartBy != 0 || excused.Grounds.Kind != balance.Excused || draining <= told || draining > told+time.Second {
 		t.Errorf("bounds %v, %v (%v), %v after %v", write, excused.StartBy, excused.Grounds, draining-told, told-before)
 	}
@@ -316,9 +316,9 @@
 		if got := x.startedAt(started); got < now-time.Minute {
 			t.Errorf("ahead by %s: a start a minute ago counts as %s ago", off, now-got)
 		}
-		for _, host := range []string{"s", "t"} {
-			now := x.cfg.Clock.Now()
-			x.cfg.Clock.Observe(fleetclock.Observation{Host: host, Present: now - off, Sent: now, Received: now})
+		for i, host := range []string{"s", "t"} {
+			at := now + time.Duration(i-5)*20*time.Millisecond // round trips that lie apart
+			x.cfg.Clock.Observe(fleetclock.Observation{Host: host, Present: at - off, Sent: at, Received: at})
 		}
 		if got := x.startedAt(started); (now - got - time.Minute).Abs() > 5*time.Millisecond {
 			t.Errorf("ahead by %s: once that is known a start a minute ago counts as %s ago", off, now-got)
--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -225,7 +225,7 @@
 	}
 	now, b := x.cfg.Clock.Now(), x.cfg.Clock.Bounds()
 	if !b.Told {
-		return x.begunAt
+		return now
 	}
 	return min(fleet-b.At(now).Least, now)
 }
