Every bounded read leaves time for a hold-up; reads wait for the answer that bounds the clock

The margin is kept for every read now, and is half of a short bound, not a third. The model grants no hold-up any more, but for 45 ms where a bound of 200 ms has no room for both it and an inexact clock.

--- a/balance/api.go
+++ b/balance/api.go
@@ -280,7 +280,7 @@
 	Took          time.Duration
 	Role          Role
 	Position      time.Duration // 0: not told
-	At            time.Duration // when it ended
+	At            time.Duration // when it ended, at the earliest; 0: not known
 	NotBefore     time.Duration // its role was told no earlier; of no use but of a primary's
 	NotAfter      time.Duration // and no later; 0: now
 	Source        Source        // FromGossip, or FromAnswer where this router's host side learnt it behind an outcome
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -40,6 +40,9 @@
 	m.of[q.cell]++
 	q.at, q.sentAt, q.parked, q.withdrawn = m, r.now, false, false
 	q.tried, q.attempts = append(q.tried, m), q.attempts+1
+	if !r.clock.Known && m == r.believed(q.group) {
+		r.clockScout = q
+	}
 	r.do(Send{q.ID, m.Server, q.limit, r.grounds(q, m)})
 	if m == q.group.primary {
 		r.wake(q.group) // it may fall silent
@@ -120,7 +123,9 @@
 	if m.of[q.cell]--; m.of[q.cell] == 0 {
 		delete(m.of, q.cell)
 	}
-	q.at = nil
+	if q.at = nil; r.clockScout == q {
+		r.clockScout = nil
+	}
 	g := q.group
 	switch e.Result {
 	case OK:
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -11,19 +11,25 @@
 // choose is the ordinary path: the primary for what needs it, the draw among replicas for other reads.
 func (r *Router) choose(q *request) *member {
 	c := q.cls
-	if c.Need == Write || c.Need == Latest || c.Need == Session && q.wrote > 0 && (!r.clock.Known || r.age(q.wrote) < pinWindow) {
+	if c.Need == Write || c.Need == Latest || c.Need == Session && q.wrote > 0 && r.now+r.clock.Ages-q.wrote < pinWindow {
 		return r.primaryFor(q, 1, 1)
 	}
 	if m := r.draw(q); m != nil {
 		return m
 	}
 	// What replicas cannot serve drowns the primary when they all lag.
-	if r.asking(q) || !passes(q, q.cell.ends(q.group)[1]) {
+	if r.asking(q) || r.boundingClock(q) || !passes(q, q.cell.ends(q.group)[1]) {
 		return nil
 	}
 	return r.primaryFor(q, fallbackPart, fallbackPart)
 }
 
+// boundingClock says that q, which needs no more than that the clock is bounded, waits for an answer that may do so: the first reads of
+// all routers that have just started would crowd the primaries.
+func (r *Router) boundingClock(q *request) bool {
+	return q.cls.Need == Bounded && !r.clock.Known && r.s.Checks == ChecksNone && r.clockScout != nil && r.now-r.clockScout.sentAt < scoutFor
+}
+
 // draw picks a replica for q at random by weight, nil if none may take it.
 func (r *Router) draw(q *request) *member {
 	var total, all float64
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -42,14 +42,12 @@
 	Role     Role          // Unknown: nothing was said of it
 	Position time.Duration // that its log had reached; 0: not told
 	Made     Made
-	ToldAt   time.Duration // about when it was made, where Made does not bound that from above; 0: it does
 }
 
 // evidence is what is known of one member's role and log.
 type evidence struct {
 	position     time.Duration // highest that was told: it never goes back
 	positionFrom Source
-	positionAt   time.Duration // about when that was told
 	leads        time.Duration // the newest word that it is the primary was made no earlier; 0: there was none
 	leadsFrom    Source
 	follows      time.Duration // the newest word that it is none was made no later; 0: there was none
@@ -62,7 +60,7 @@
 // possible, words for it as if they had been made as early as possible.
 func (e *evidence) add(now time.Duration, s Statement) {
 	if s.Position > e.position {
-		e.position, e.positionFrom, e.positionAt = s.Position, s.Source, cmp.Or(s.ToldAt, s.Made.NotAfter, now)
+		e.position, e.positionFrom = s.Position, s.Source
 	}
 	e.told = e.told || s.Role != Unknown
 	switch s.Role {
@@ -151,7 +149,6 @@
 		s.Position = 0 // from the future: it would pass stale data as fresh once that has come
 	}
 	m.evidence.add(r.now, s)
-	m.group.newest = max(m.group.newest, s.Position)
 	r.noteRole(m, s.Source, before)
 }
 
@@ -284,7 +281,8 @@
 
 // onClockBounds takes how the clock stands. A position that turns out to lie in the future was none.
 func (r *Router) onClockBounds(e ClockBounds) {
-	narrower := e.Known && (!r.clock.Known || e.Most < r.clock.Most)
+	first := e.Known && !r.clock.Known
+	narrower := first || e.Known && e.Most < r.clock.Most
 	if r.clock = e; !narrower {
 		return
 	}
@@ -293,9 +291,9 @@
 			m.evidence.position = 0
 		}
 	}
-	for _, g := range r.groups {
-		if g.newest > r.latestPosition(r.now) {
-			g.newest = 0
+	if first {
+		for _, g := range r.groups {
+			r.release(g)
 		}
 	}
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -72,8 +72,7 @@
 	if m == nil {
 		return
 	}
-	r.learn(m, Statement{Source: e.Source, Role: e.Role, Position: e.Position, Made: Made{NotBefore: e.NotBefore, NotAfter: cmp.Or(e.NotAfter, r.now)},
-		ToldAt: e.At})
+	r.learn(m, Statement{Source: e.Source, Role: e.Role, Position: e.Position, Made: Made{NotBefore: e.NotBefore, NotAfter: cmp.Or(e.NotAfter, r.now)}})
 	switch {
 	case e.Result == NoConnection:
 		m.suspect = m.suspect || e.At > m.quietFrom // a probe comes before what is sent
--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -530,7 +530,9 @@
 	switch q.class {
 	case "view":
 		bound = t.written - q.bound
-		slack += held // docs/freshness.md: a hold-up between the look and the write is covered only where a log may be falling behind
+		if q.bound < 2*modelHoldUp && held > 0 { // docs/freshness.md: a short bound has no room for a hold-up and an inexact clock at once
+			slack += fleetclock.AgeSlack
+		}
 	case "own":
 		bound, slack = q.after, 0 // the position is told exactly
 	default:
--- a/balance/router.go
+++ b/balance/router.go
@@ -17,6 +17,7 @@
 	pinWindow    = 300 * ms // session reads stay on the primary this long after a write
 	blacklistFor = 5 * time.Second
 	beat         = 20 * ms         // pace of what waits, also for a position that was asked for
+	scoutFor     = 150 * ms        // reads wait for an answer that may bound the clock
 	retryPause   = 50 * ms         // before a primary that was full, or none, is asked for again
 	quietFloor   = 100 * ms        // a primary with work out and silent for longer is probed
 	cutPause     = 100 * ms        // between two cuts of a limit
@@ -29,9 +30,8 @@
 
 	// holdUpSlack is the part of the protocol's 50 ms of slack that a process held up before a send may use; the rest is for the
 	// clock (fleetclock.AgeSlack). At most one part in holdUpPart of a bound is kept free for that: short bounds would leave no
-	// replica to read from. A log that was behind by one part in keepsUpPart of the bound at most keeps up; reports are up to 0.2 s
-	// old, and a log seems so much behind.
-	holdUpSlack, holdUpPart, keepsUpPart = 5 * ms, 3, 2
+	// replica to read from.
+	holdUpSlack, holdUpPart = 5 * ms, 2
 
 	forgottenMost        = 10000   // members that left, remembered as having told a role
 	sessionLimit         = 20000   // remembered writes
@@ -66,7 +66,6 @@
 	members                 []*member
 	primary                 *member       // who said so last, if nothing later speaks against it
 	ledBefore               time.Duration // newest such word of members that are forgotten
-	newest                  time.Duration // position of any member
 	parked                  []*request
 	scout                   *request // the one write that looks for the primary while there is none
 	scoutAfter, soughtAt    time.Duration
@@ -103,6 +102,7 @@
 	all                sharers            // of a primary
 	shared             map[string]sharers // of a replica
 	clock              ClockBounds
+	clockScout         *request      // whose answer may bound the clock, where nothing does; nil: none is out
 	bound              time.Duration // the least bound of a bounded class: the pace of position probes
 	members            map[string]*member
 	forgotten          map[string]bool // members that left, of which a role had been told
