A read that a hold-up carried past its bound is not served; the margin stays for logs that fall behind

What a hold-up beside a stall leads to shows in the answer: its position against when the query was written (Router.Stale), so such a read is not served, and the margin need not be kept where a log keeps up.

--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -48,6 +48,7 @@
 type evidence struct {
 	position     time.Duration // highest that was told: it never goes back
 	positionFrom Source
+	positionAt   time.Duration // when that was told last, at the latest
 	leads        time.Duration // the newest word that it is the primary was made no earlier; 0: there was none
 	leadsFrom    Source
 	follows      time.Duration // the newest word that it is none was made no later; 0: there was none
@@ -59,8 +60,10 @@
 // add takes a statement that reached the router at a time. Words against being read from bind as if they had been made as late as
 // possible, words for it as if they had been made as early as possible.
 func (e *evidence) add(now time.Duration, s Statement) {
-	if s.Position > e.position {
-		e.position, e.positionFrom = s.Position, s.Source
+	if told := cmp.Or(s.Made.NotAfter, now); s.Position > e.position {
+		e.position, e.positionFrom, e.positionAt = s.Position, s.Source, told
+	} else if s.Position == e.position {
+		e.positionAt = max(e.positionAt, told) // its log stands still
 	}
 	e.told = e.told || s.Role != Unknown
 	switch s.Role {
@@ -149,6 +152,7 @@
 		s.Position = 0 // from the future: it would pass stale data as fresh once that has come
 	}
 	m.evidence.add(r.now, s)
+	m.group.newest = max(m.group.newest, s.Position)
 	r.noteRole(m, s.Source, before)
 }
 
@@ -291,6 +295,11 @@
 			m.evidence.position = 0
 		}
 	}
+	for _, g := range r.groups {
+		if g.newest > r.latestPosition(r.now) {
+			g.newest = 0
+		}
+	}
 	if first {
 		for _, g := range r.groups {
 			r.release(g)
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -20,16 +20,28 @@
 	return r.clock.Known && r.now <= r.sendBy(q, m)
 }
 
-// sendBy is until when a bounded read may go to m on its known position. It leaves time for a process that is held up between the last
-// look and the write, as far as the bound has room for that: what kept up when it told its position may stand still since.
+// sendBy is until when a bounded read may go to m on its known position. Where m may be falling behind it leaves time for a process
+// that is held up between the last look and the write, as far as the bound has room for that. Where m keeps up and stands still just then,
+// the answer tells: see Stale.
 func (r *Router) sendBy(q *request, m *member) time.Duration {
-	return m.evidence.position - r.clock.Ages + q.cls.Bound - slack - r.holdUpMargin(q.cls)
+	by := m.evidence.position - r.clock.Ages + q.cls.Bound - slack
+	if !r.keepsUp(q, m) {
+		by -= r.holdUpMargin(q.cls)
+	}
+	return by
 }
 
 func (r *Router) holdUpMargin(c *class) time.Duration {
 	return max(0, min(r.s.HoldUp-holdUpSlack, c.Bound/holdUpPart))
 }
 
+// keepsUp says that m's log, as it was told last, was hardly behind, and that its group's log has moved since not long ago: what is
+// known of m is then old only because nothing was heard of it lately.
+func (r *Router) keepsUp(q *request, m *member) bool {
+	lag := m.evidence.positionAt + r.clock.Ages - m.evidence.position
+	return lag <= q.cls.Bound/keepsUpPart && r.age(m.group.newest) <= q.cls.Bound-slack-r.holdUpMargin(q.cls)
+}
+
 // Stale says that an answer proves that its read ran on data older than its class allows: it must not be served. A primary's data is the
 // present, and members that check reads need no second look.
 func (r *Router) Stale(now time.Duration, e Outcome) bool {
--- a/balance/router.go
+++ b/balance/router.go
@@ -30,8 +30,9 @@
 
 	// holdUpSlack is the part of the protocol's 50 ms of slack that a process held up before a send may use; the rest is for the
 	// clock (fleetclock.AgeSlack). At most one part in holdUpPart of a bound is kept free for that: short bounds would leave no
-	// replica to read from.
-	holdUpSlack, holdUpPart = 5 * ms, 2
+	// replica to read from. A log that was behind by one part in keepsUpPart of the bound at most keeps up; reports are up to 0.2 s
+	// old, and a log seems so much behind.
+	holdUpSlack, holdUpPart, keepsUpPart = 5 * ms, 3, 2
 
 	forgottenMost        = 10000   // members that left, remembered as having told a role
 	sessionLimit         = 20000   // remembered writes
@@ -66,6 +67,7 @@
 	members                 []*member
 	primary                 *member       // who said so last, if nothing later speaks against it
 	ledBefore               time.Duration // newest such word of members that are forgotten
+	newest                  time.Duration // position of any member
 	parked                  []*request
 	scout                   *request // the one write that looks for the primary while there is none
 	scoutAfter, soughtAt    time.Duration
