--- a/cmd/yokemast/main.go
+++ b/cmd/yokemast/main.go
@@ -47,6 +47,7 @@
 
 // Run serves.
 func (s *serveCmd) Run() error {
+	signals := lifecycle.NotifySignals()
 	c, err := lifecycle.LoadConfig(s.Config)
 	if err != nil {
 		return err
@@ -66,7 +67,7 @@
 		}
 		return c, err
 	}
-	return lifecycle.Serve(c, own, lifecycle.Reload{Config: reload, Operator: s.operator}, s.LogEach)
+	return lifecycle.Serve(signals, c, own, lifecycle.Reload{Config: reload, Operator: s.operator}, s.LogEach)
 }
 
 type checkCmd struct {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -83,10 +83,9 @@
 
 // Serve runs a gateway until SIGTERM or SIGINT, or until a part of it can't go on. At SIGHUP it takes discovery, the settings
 // and the cells from what reload gives. own is the operator's file, nil without one. each is how many lines of a kind are
-// logged in a second.
-func Serve(c Config, own *operator.File, reload Reload, each int) error {
-	// From the first line on, and to the last: a SIGHUP that nobody waits for ends the process.
-	signals := notifySignals()
+// logged in a second. signals are followed from before the configuration was read, to the end: a SIGHUP that nobody waits for ends the
+// process, and one that came meanwhile has the configuration read anew.
+func Serve(signals Signals, c Config, own *operator.File, reload Reload, each int) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 
 	counts := &counters.Set{}
--- a/internal/lifecycle/signals.go
+++ b/internal/lifecycle/signals.go
@@ -10,12 +10,13 @@
 	"yokemast/internal/control/service"
 )
 
-// signals are those that the process follows, each kind on a channel of its own: one that can't be taken at once is dropped, and
+// Signals are those that the process follows, each kind on a channel of its own: one that can't be taken at once is dropped, and
 // a series of SIGHUP must not take a SIGTERM's place. One of a kind that waits stands for all that came meanwhile.
-type signals struct{ terminate, reload, report chan os.Signal }
+type Signals struct{ terminate, reload, report chan os.Signal }
 
-func notifySignals() signals {
-	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+// NotifySignals has the process follow signals from now on. A SIGHUP that comes before ends it, unless it was started with SIGHUP ignored.
+func NotifySignals() Signals {
+	s := Signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
 	signal.Notify(s.report, syscall.SIGUSR1)
@@ -38,7 +39,7 @@
 }
 
 // handleSignals follows the other signals.
-func (g *gateway) handleSignals(s signals, again *reloading) error {
+func (g *gateway) handleSignals(s Signals, again *reloading) error {
 	for {
 		select {
 		case <-g.ctx.Done():
