--- a/internal/memory/exchange/clock.go
+++ b/internal/memory/exchange/clock.go
@@ -144,11 +144,11 @@
 	}
 }
 
-// Inherit takes what an earlier process on this machine knew, in terms of this clock.
-func (c Clock) Inherit(offset fleetclock.Interval) {
+// Inherit takes what an earlier process on this machine knew at a time, in terms of this clock.
+func (c Clock) Inherit(at time.Duration, offset fleetclock.Interval) {
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	c.fleet.estimate.Inherit(c.Now(), offset)
+	c.fleet.estimate.Inherit(at, offset)
 	c.fleet.publish()
 }
 
--- a/internal/memory/exchange/evidence_test.go
+++ b/internal/memory/exchange/evidence_test.go
@@ -58,7 +58,7 @@
 // known is a clock that is known to be right.
 func known() Clock {
 	c := NewClock()
-	c.Inherit(fleetclock.Interval{})
+	c.Inherit(c.Now(), fleetclock.Interval{})
 	return c
 }
 
@@ -145,7 +145,7 @@
 	if a := h.ask(x, "own", wrote); a != nil && a.Server == "r" {
 		t.Error("it goes to a replica that lacks the write")
 	}
-	clock.Inherit(fleetclock.Interval{Least: time.Hour, Most: time.Hour})
+	clock.Inherit(clock.Now(), fleetclock.Interval{Least: time.Hour, Most: time.Hour})
 	x.noticeClock()
 	if a := h.ask(x, "own", wrote); a != nil && a.Server == "r" {
 		t.Error("it goes to a replica that lacks the write once the clock is known")
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -487,6 +487,7 @@
 		t.Until = min(t.Until, now+a.Timeout)
 	}
 	t.Grounds, o.grounds = a.Grounds, a.Grounds
+	t.Keyed = o.Write && o.class.Effect == balance.Keyed
 	x.cfg.Counters.Grounds[a.Grounds.Kind].Add(1)
 	if a.Grounds.SendBy > 0 {
 		// The known position is inside the bound now; a slow connect must not carry the read past it.
--- a/internal/memory/exchange/handover.go
+++ b/internal/memory/exchange/handover.go
@@ -35,7 +35,7 @@
 // never later than it was.
 func (x *Exchange) Inherit(askedAt time.Duration, k handover.Knowledge) {
 	if k.ClockKnown {
-		x.cfg.Clock.Inherit(k.Ahead)
+		x.cfg.Clock.Inherit(k.At, k.Ahead)
 	}
 	e := inheriting{known: k, list: members{whole: true, list: make([]Member, 0, len(k.Hosts))}}
 	for _, h := range k.Hosts {
--- a/internal/memory/exchange/types.go
+++ b/internal/memory/exchange/types.go
@@ -51,6 +51,7 @@
 	Until   time.Duration // the gateway stops waiting then
 	StartBy time.Duration // it must not go out any later; 0: no such bound
 	Grounds balance.Grounds
+	Keyed   bool // its answer may be that of an earlier write with the same key
 }
 
 // Outcome ends an attempt: the module's outcome, and the value if it was served.
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -203,7 +203,7 @@
 		t.stream(r)
 		return
 	}
-	made := t.b.observe(t.Server, &r, now)
+	made := t.b.observe(t.Server, &r, now, t.Keyed)
 	t.mu.Lock()
 	t.conn = nil
 	if t.ended {
--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -129,7 +129,7 @@
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
 	h.notes.result = end.Result
-	made := t.b.observe(t.Server, &h.notes, t.Sent)
+	made := t.b.observe(t.Server, &h.notes, t.Sent, t.Keyed)
 	t.finish(exchange.Outcome{Outcome: balance.Outcome{Result: end.Result, Role: h.notes.role, Position: h.notes.position,
 		Report: h.notes.report, Made: made}}, end.Busy, false)
 }
--- a/internal/wire/backend/position.go
+++ b/internal/wire/backend/position.go
@@ -20,15 +20,15 @@
 )
 
 // observe learns from what a host told of itself in an answer to a query sent at a time, by this machine's clock. It says when the
-// host made it.
-func (b *Backend) observe(server string, r *reply, sent time.Duration) balance.Made {
+// host made it. The answer to a keyed write may be that of an earlier one, commit and all: it tells no present.
+func (b *Backend) observe(server string, r *reply, sent time.Duration, keyed bool) balance.Made {
 	clock := b.cfg.Clock
 	received := clock.Now()
 	told := fleetclock.Observation{Host: server, Position: r.position, Sent: sent, Received: received}
 	if r.report.Has {
 		told.Position = max(told.Position, r.report.Position)
 	}
-	if r.role == balance.Primary && r.result == balance.OK { // of what it turned away its log may stand elsewhere
+	if r.role == balance.Primary && r.result == balance.OK && !keyed { // of what it turned away its log may stand elsewhere
 		told.Present = r.position
 	}
 	clock.Observe(told)
@@ -38,7 +38,7 @@
 	made := balance.Made{NotBefore: sent, NotAfter: received, Epoch: clock.Epoch()} // what is dated below is no older than the epoch
 	if r.role == balance.Primary {
 		b.leadsNow(server)
-		if earliest, ok := clock.Earliest(r.position); ok { // a primary's position is the present; of a write, its commit, rounded up
+		if earliest, ok := clock.Earliest(r.position); ok && !keyed { // a primary's position is the present; of a write, its commit, rounded up
 			made.NotBefore = max(sent, min(earliest-positionStep, received))
 		}
 	}
--- a/internal/wire/backend/position_test.go
+++ b/internal/wire/backend/position_test.go
@@ -19,30 +19,32 @@
 
 func TestOnlyThePresentOfAPrimaryThatRanTheQueryBoundsTheClock(t *testing.T) {
 	for name, c := range map[string]struct {
-		told func(now time.Duration) reply
-		want bool
+		told  func(now time.Duration) reply
+		keyed bool
+		want  bool
 	}{
-		"a primary's answer":     {func(now time.Duration) reply { return reply{role: balance.Primary, position: now} }, true},
-		"a replica's answer":     {func(now time.Duration) reply { return reply{role: balance.Replica, position: now} }, false},
-		"an answer with no role": {func(now time.Duration) reply { return reply{position: now} }, false},
+		"a primary's answer": {func(now time.Duration) reply { return reply{role: balance.Primary, position: now} }, false, true},
+		"the answer of a keyed write, or of the one before": {func(now time.Duration) reply { return reply{role: balance.Primary, position: now} }, true, false},
+		"a replica's answer":     {func(now time.Duration) reply { return reply{role: balance.Replica, position: now} }, false, false},
+		"an answer with no role": {func(now time.Duration) reply { return reply{position: now} }, false, false},
 		"a primary that turns away": {func(now time.Duration) reply {
 			return reply{result: balance.Full, role: balance.Primary, position: now}
-		}, false},
+		}, false, false},
 		"a primary that fails": {func(now time.Duration) reply {
 			return reply{result: balance.Failed, role: balance.Primary, position: now}
-		}, false},
-		"a primary's report": {func(now time.Duration) reply { return reply{report: reported(balance.Primary, now)} }, false},
+		}, false, false},
+		"a primary's report": {func(now time.Duration) reply { return reply{report: reported(balance.Primary, now)} }, false, false},
 		"a report beside a replica's": {func(now time.Duration) reply {
 			return reply{role: balance.Replica, position: now, report: reported(balance.Primary, now)}
-		}, false},
+		}, false, false},
 		"a role with no position beside": {func(now time.Duration) reply {
 			return reply{role: balance.Primary, report: reported(balance.Primary, now)}
-		}, false},
+		}, false, false},
 	} {
 		b, clock := observer()
 		sent := clock.Now()
 		r := c.told(sent)
-		b.observe("s", &r, sent)
+		b.observe("s", &r, sent, c.keyed)
 		if got := clock.Bounds().Bounded; got != c.want {
 			t.Errorf("%s: bounded %t", name, got)
 		}
@@ -60,12 +62,12 @@
 	b, clock := observer()
 	now := clock.Now()
 	r := reply{role: balance.Primary, position: now + time.Hour} // the machine's clock is an hour behind
-	if made := b.observe("s", &r, now); made.NotBefore != now {
+	if made := b.observe("s", &r, now, false); made.NotBefore != now {
 		t.Errorf("before, it is dated %s after its query", made.NotBefore-now)
 	}
-	clock.Inherit(fleetclock.Interval{Least: time.Hour, Most: time.Hour + 2*time.Millisecond})
+	clock.Inherit(clock.Now(), fleetclock.Interval{Least: time.Hour, Most: time.Hour + 2*time.Millisecond})
 	r = reply{role: balance.Primary, position: clock.Now() + time.Hour}
-	if made := b.observe("s", &r, now-10*time.Second); made.NotBefore < now-20*time.Millisecond || made.NotBefore > clock.Now() {
+	if made := b.observe("s", &r, now-10*time.Second, false); made.NotBefore < now-20*time.Millisecond || made.NotBefore > clock.Now() {
 		t.Errorf("it is dated %s after", made.NotBefore-now)
 	}
 }
@@ -109,7 +111,7 @@
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Errorf("unbounded: %s", diff)
 		}
-		clock.Inherit(fleetclock.Interval{Least: -time.Millisecond, Most: 5 * time.Millisecond})
+		clock.Inherit(clock.Now(), fleetclock.Interval{Least: -time.Millisecond, Most: 5 * time.Millisecond})
 		if got := dated(clock, reported(role, position)); got.Role != role || got.Position != position || got.NotBefore > position-5*time.Millisecond ||
 			got.NotBefore < position-7*time.Millisecond {
 			t.Errorf("bounded: %+v", got)
--- a/internal/wire/backend/replaced_clock_test.go
+++ b/internal/wire/backend/replaced_clock_test.go
@@ -12,7 +12,7 @@
 
 func TestAnAttemptDecidedOnByAClockThatWasReplacedDoesNotGoOut(t *testing.T) {
 	r := newRig(t, func(c net.Conn, _ int64) { _, _ = c.Write(append(role("follower"), row()...)) })
-	r.clock.Inherit(fleetclock.Interval{})
+	r.clock.Inherit(r.clock.Now(), fleetclock.Interval{})
 	epoch := r.clock.Epoch()
 	r.b.cfg.DialControl = func(string, string, syscall.RawConn) error { // while the connection comes up
 		for now := r.clock.Now(); r.clock.Epoch() == epoch; now += time.Millisecond {
