A follower's word that came before a time-out is heeded, also when it is read after it

Cause: a read deadline that passes while the process is held up ends the read before what lies in the socket is read. The connection was closed over the host's word that it follows, and the next attempt went out on an older word that it leads.

Of what is read then only node_role follower counts: the outcome stays a time-out and the connection is closed before it is told, as before, also where a whole answer lies there. Conversations and large values are read as before.

--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -29,7 +29,8 @@
 	id           int
 	address      string
 	clock        exchange.Clock
-	in           *bufio.Reader
+	incoming     *incoming
+	in           *bufio.Reader // of incoming
 	writeLimited bool          // a deadline for writing was set: it has to be moved each time
 	key          pg.Key        // that a cancel names
 	link         *pooling.Link // what it has been set up with; nil: nothing
@@ -39,7 +40,8 @@
 }
 
 func newConn(n *net.TCPConn, address string, clock exchange.Clock) *conn {
-	return &conn{TCPConn: n, address: address, clock: clock, in: bufio.NewReaderSize(socket.Steady{Conn: n}, readBuffer)}
+	i := &incoming{conn: n}
+	return &conn{TCPConn: n, address: address, clock: clock, incoming: i, in: bufio.NewReaderSize(i, readBuffer)}
 }
 
 // close ends the sending first: that takes effect at once, also under a write that is going on.
@@ -141,8 +143,9 @@
 	}, len(query) > readBuffer, tag, until)
 }
 
-// exchange is roundTrip with what writes the query; large says that it may get stuck on its way.
-func (c *conn) exchange(write func() error, large bool, tag string, until time.Duration) (r reply) {
+// exchange is roundTrip with what writes the query; large says that it may get stuck on its way. Of an answer that is read past its
+// time only the word that the host is no primary counts.
+func (c *conn) exchange(write func() error, large bool, tag string, until time.Duration) reply {
 	c.clean = false
 	// A small query goes into the empty buffer of an idle connection at once; only a large one can get stuck on its way.
 	limit := c.SetReadDeadline
@@ -157,6 +160,18 @@
 		// Broken, or stuck, before the last byte: the host never starts what it has not got whole.
 		return reply{result: balance.NoConnection}
 	}
+	c.incoming.drain = true
+	r := c.answer(tag)
+	c.incoming.drain = false
+	if c.incoming.late {
+		c.clean = false
+		return r.broken(balance.TimedOut)
+	}
+	return r
+}
+
+// answer reads the answer to a query that has been written.
+func (c *conn) answer(tag string) (r reply) {
 	var refusal *pg.Error
 	order := "" // of the messages that make up the answer
 	for {
--- a/internal/wire/socket/socket.go
+++ b/internal/wire/socket/socket.go
@@ -30,6 +30,24 @@
 	return err == nil && quiet
 }
 
+// ReadArrived reads what has arrived on a connection, without waiting and whatever its deadline. It gives 0 where nothing has, or the
+// connection has ended.
+func ReadArrived(c syscall.Conn, p []byte) (n int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) {
+		for range peeks {
+			n, _, err = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+			if err == nil || err == syscall.EAGAIN || !Transient(err) {
+				return
+			}
+		}
+	})
+	return max(n, 0)
+}
+
 // Unsent is how many bytes that were written the other end has not acknowledged yet; 0 where that is not known.
 func Unsent(c syscall.Conn) int {
 	raw, err := c.SyscallConn()
