Test: the reader of a late answer waits until its deadline is in force

The timer that puts it in force may fire later; then the read gives the answer, rightly.

Change: it waits until a read is refused by the deadline. All that it asked for is asked for.

--- a/internal/wire/backend/unread_word_test.go
+++ b/internal/wire/backend/unread_word_test.go
@@ -16,8 +16,6 @@
 type lateReader struct {
 	outcomes
 	answered chan struct{}
-	until    time.Duration
-	clock    exchange.Clock
 }
 
 func (lateReader) Large() bool { return true }
@@ -25,7 +23,10 @@
 func (l lateReader) WriteQuery(w io.Writer, _ time.Duration) error {
 	_, err := w.Write(pg.AppendQuery(nil, "x"))
 	<-l.answered
-	time.Sleep(l.until - l.clock.Now() + time.Millisecond)
+	raw, _ := w.(*conn).SyscallConn()
+	for raw.Read(func(uintptr) bool { return true }) == nil { // the deadline is not in force yet
+		time.Sleep(time.Millisecond)
+	}
 	return err
 }
 
@@ -41,7 +42,7 @@
 	before := r.clock.Now()
 	until := before + 100*time.Millisecond
 	r.b.Send(exchange.Attempt{ID: "first", Server: "s", Sent: before, Until: until, Grounds: balance.Grounds{Kind: balance.LeaderWord, Leads: before},
-		Command: lateReader{answered: answered, until: until, clock: r.clock}})
+		Command: lateReader{answered: answered}})
 	if o := wait(t, r.outcomes, "the first outcome"); o.Result != balance.TimedOut {
 		t.Fatalf("the first attempt ended with %+v", o.Outcome)
 	}
