A follower's word that came before a cancel is heeded: the reader looks before the close

Cause: Cancel closed the connection under the goroutine that reads the answer. A word that the host follows which had arrived, but was not read yet, went with it; the next attempt went out on an older word that it leads.

Change: where an attempt's goroutine waits for nothing but its host, Cancel ends the sending at once and the wait with it. That goroutine reads what has arrived, as past a time-out, closes the connection and only then tells the outcome, which is canceled as before. An attempt that still writes a large query, a conversation and the end of the process are closed at once as before. No new goroutine; Cancel waits for nothing.

--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -61,12 +62,12 @@
 	t.run()
 }
 
-// Cancel stops waiting for an attempt; the connection is closed before the outcome is told.
+// Cancel stops waiting for an attempt; the connection is closed before the outcome is told. Its sending has ended when Cancel returns.
 func (b *Backend) Cancel(id string, number int) {
 	b.mu.Lock()
 	t := b.attempts[key{id, number}]
 	b.mu.Unlock()
-	if t != nil {
+	if t != nil && !t.cancel() {
 		t.end(canceled)
 	}
 }
@@ -102,6 +103,8 @@
 	begun bool               // its first byte may have gone out
 	ended bool
 
+	awaits    bool // its goroutine waits for nothing but the host, and ends it
+	canceled  bool // while it awaits: it is to end so, once what has arrived is read
 	withdrawn bool
 }
 
@@ -120,8 +123,31 @@
 // meet it.
 func (t *attempt) end(o exchange.Outcome) { t.finish(o, -1, false) }
 
+// cancel ends the sending of an attempt that awaits its answer, and its wait: its goroutine looks at what has arrived, closes the
+// connection and ends it. false: it does not await one.
+func (t *attempt) cancel() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.awaits || t.ended {
+		return false
+	}
+	if !t.canceled {
+		t.canceled = true
+		t.conn.stopWaiting()
+	}
+	return true
+}
+
+// await lets the attempt's goroutine end it when it is canceled. false: it has ended.
+func (t *attempt) await() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.awaits = !t.ended
+	return t.awaits
+}
+
 // finish is end with the time that the host took, if that is known apart; below 0: all since it was sent. With keep the
-// connection stays open, for what is still to come of the answer; false: the attempt had ended before.
+// connection stays open, for what is still to come of the answer; false: the attempt had ended or been canceled before.
 func (t *attempt) finish(o exchange.Outcome, busy time.Duration, keep bool) bool {
 	t.mu.Lock()
 	if t.ended {
@@ -129,6 +155,9 @@
 		return false
 	}
 	t.ended = true
+	if t.canceled {
+		o, busy, keep = canceled, -1, false
+	}
 	if t.conn != nil && !keep {
 		t.conn.close()
 	}
@@ -146,7 +175,7 @@
 		o.Took = t.b.cfg.Clock.Now() - t.Sent
 	}
 	t.b.to.Outcome(o)
-	return true
+	return !t.canceled
 }
 
 func (t *attempt) run() {
@@ -187,7 +216,7 @@
 		result(balance.NotSent)
 		return
 	}
-	t.conn, t.begun = c, true
+	t.conn, t.begun, t.awaits = c, true, large == nil && !converses
 	t.mu.Unlock()
 	if converses {
 		t.converse(c, talk)
@@ -195,7 +224,7 @@
 	}
 	var r reply
 	if large != nil {
-		r = c.exchange(func() error { return large.WriteQuery(c, t.Until-now) }, true, command.Tag(), t.Until)
+		r = c.exchange(func() error { return t.writeLarge(c, large, now) }, true, command.Tag(), t.Until)
 	} else {
 		r = c.roundTrip(query, command.Tag(), t.Until)
 	}
@@ -205,9 +234,9 @@
 	}
 	made := t.b.observe(t.Server, &r, now)
 	t.mu.Lock()
-	t.conn = nil
-	if t.ended {
-		c.clean = false // closed under it
+	t.conn, t.awaits = nil, false
+	if t.ended || t.canceled {
+		c.clean = false // closed under it, or its sending is over
 	}
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
@@ -218,3 +247,14 @@
 	}
 	t.end(o)
 }
+
+// writeLarge writes a query that does not fit into memory.
+func (t *attempt) writeLarge(c *conn, query Large, now time.Duration) error {
+	if err := query.WriteQuery(c, t.Until-now); err != nil {
+		return err
+	}
+	if !t.await() {
+		return net.ErrClosed
+	}
+	return nil
+}
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -52,6 +52,12 @@
 	})
 }
 
+// stopWaiting ends the sending, and every wait on the connection: a query's answer is read no further than it has arrived.
+func (c *conn) stopWaiting() {
+	_ = c.CloseWrite()
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
 func (c *conn) until(t time.Duration) error {
 	return c.SetDeadline(time.Now().Add(t - c.clock.Now()))
 }
--- a/internal/wire/backend/unread_word_test.go
+++ b/internal/wire/backend/unread_word_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -83,3 +84,55 @@
 		t.Errorf("the host reads %v", err)
 	}
 }
+
+// stalledReader holds up who tells what a host said of itself, once.
+type stalledReader struct {
+	*recorder
+	stalled, resume chan struct{}
+}
+
+func (s *stalledReader) Learned(balance.Heard, balance.Made, balance.Report) {
+	s.stalled <- struct{}{}
+	<-s.resume
+}
+
+func TestAFollowersWordThatCameBeforeACancelIsHeeded(t *testing.T) {
+	rest, ended := make(chan struct{}), make(chan error, 1)
+	r := newRig(t, func(c net.Conn, n int64) {
+		if n > 0 {
+			_, _ = c.Write(append(role("leader"), row()...))
+			return
+		}
+		_, _ = c.Write(role("follower"))
+		<-rest
+		_, _ = c.Write(append(role("follower"), row()...))
+		_ = c.SetDeadline(time.Now().Add(soon))
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	})
+	reader := &stalledReader{r.recorder, make(chan struct{}), make(chan struct{})}
+	r.b.to = reader
+	r.send("first", balance.Grounds{})
+	<-reader.stalled
+	later := r.clock.Now() // the first word speaks against nothing decided from here on
+	first := r.b.attempts[key{"first", 0}].conn
+	close(rest)
+	for socket.Quiet(first) {
+		time.Sleep(time.Millisecond)
+	}
+	r.b.Cancel("first", 0)
+	if err := wait(t, ended, "the end of the sending"); err != io.EOF {
+		t.Errorf("when Cancel has returned the host reads %v", err)
+	}
+	close(reader.resume)
+	if o := wait(t, r.outcomes, "the first outcome"); o.Result != balance.Cancelled || o.Role != balance.Unknown {
+		t.Errorf("the first attempt ended with %+v", o.Outcome)
+	}
+	if err := first.SetDeadline(time.Time{}); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the outcome was told before its connection was closed: %v", err)
+	}
+	r.send("second", balance.Grounds{Kind: balance.LeaderWord, Leads: later})
+	if o := wait(t, r.outcomes, "the second outcome"); o.Result != balance.NotSent {
+		t.Errorf("an attempt that needs the primary ended with %v after the host's word that it follows had come", o.Result)
+	}
+}
