What waits at the clients' address at the end is accepted, however late the process gets to it

Cause: at its end the process accepts for 20 ms more. A deadline that has passed ends Accept before it looks at the queue, so that a stall of 20 ms reset connections that the machine had accepted, with the requests on them.

Change: when the deadline has passed Accept goes on for as long as poll says that a connection waits, and until the context ends, which the process ends with before the kill: no flood keeps it longer. Where another process listens at the same socket it stops as before and leaves the queue to that one (Leave).

Not covered: a connection that comes between the last look and the close, and a process whose heir died after accepting was over (it closes at once, as before).

--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -46,7 +46,7 @@
 	statementPart         = 0.15                  // of the memory, for statements held whole at a time
 	programMB             = 14                    // of the memory that the collector does not see: the program itself, stacks of threads
 	largePart             = 3                     // of what the collector may let pile up, for larger ones, which are held in pieces
-	lastAccepts           = 20 * time.Millisecond // in which what waits at the clients' address is accepted before it is closed
+	lastAccepts           = 20 * time.Millisecond // for which the clients' address is accepted from before it is closed, and as long as any wait there
 	tellHold              = 50 * time.Millisecond // a note waits so long for others to go with it
 	tellPerTake           = 192                   // bytes delivered to other gateways for each request
 	tellBurst             = 8 << 10
@@ -281,6 +281,7 @@
 		g.hosts.Limit(hosts)
 		g.front.Resize(g.heap() / largePart)
 	}
+	g.front.Leave(v.Heir != service.None)
 	switch {
 	case v.Accept && !g.accepting:
 		_ = g.listener.SetDeadline(time.Time{})
--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,7 @@
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/socket"
 )
 
 const (
@@ -86,6 +88,7 @@
 
 	group     errgroup.Group // of sessions
 	accepting atomic.Int32   // calls of Accept
+	leaves    atomic.Bool    // what waits at a listener's deadline is another process's
 
 	mu       sync.Mutex
 	pass     Pass // nil: connections are ended, not passed on
@@ -125,8 +128,12 @@
 	return nil
 }
 
-// Accept accepts clients until the listener is closed, or until its deadline: then it may be accepted from again. The
-// context's end ends the sessions.
+// Leave says whether connections that wait at a listener when its deadline passes are left there, for another process that listens at
+// the same address. They are accepted otherwise.
+func (s *Server) Leave(leaves bool) { s.leaves.Store(leaves) }
+
+// Accept accepts clients until the listener is closed, or until its deadline has passed and, without Leave, nothing waits there: then
+// it may be accepted from again. The context's end ends the sessions, and the accepting of what waits past the deadline.
 func (s *Server) Accept(ctx context.Context, l net.Listener) {
 	s.accepting.Add(1)
 	defer func() {
@@ -140,6 +147,8 @@
 		case errors.Is(err, os.ErrDeadlineExceeded) && failures > 0 && failures < acceptFailures && extend(l):
 			failures++
 			continue
+		case errors.Is(err, os.ErrDeadlineExceeded) && failures == 0 && s.takes(ctx, l) && extend(l):
+			continue // the process may have been held up since before the deadline
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return
 		case err != nil: // no descriptor left, or the client went before it was accepted
@@ -169,7 +178,13 @@
 	}
 }
 
-// extend gives a listener whose last call failed a moment more: what waits in its queue could not be accepted by its deadline.
+// takes says whether connections wait at a listener that are this process's to accept.
+func (s *Server) takes(ctx context.Context, l net.Listener) bool {
+	c, ok := l.(syscall.Conn)
+	return ok && ctx.Err() == nil && !s.leaves.Load() && socket.Waiting(c)
+}
+
+// extend gives a listener a moment more: what waits in its queue could not be accepted by its deadline.
 func extend(l net.Listener) bool {
 	d, ok := l.(interface{ SetDeadline(time.Time) error })
 	return ok && d.SetDeadline(time.Now().Add(2*acceptPause)) == nil
--- a/internal/wire/socket/socket.go
+++ b/internal/wire/socket/socket.go
@@ -30,6 +30,25 @@
 	return err == nil && quiet
 }
 
+// Waiting says whether a connection waits to be accepted at a listener. It does not wait, whatever the deadline.
+func Waiting(l syscall.Conn) bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		for range peeks {
+			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+			n, err := unix.Poll(fds, 0)
+			if waiting = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0; !Transient(err) {
+				return
+			}
+		}
+	})
+	return err == nil && waiting
+}
+
 // ReadArrived reads what has arrived on a connection, without waiting and whatever its deadline. It gives 0 where nothing has, or the
 // connection has ended.
 func ReadArrived(c syscall.Conn, p []byte) (n int) {
