A hold-up before the last answers loses no request: the end waits for what is unanswered

Cause: the last answers are due 150 ms before the kill, and the process ends 80 ms before it. A hold-up of 150 ms covers both times: when the process goes on, both are due, and it may end before the answers are written, although the kill has not come.

Change: at its time to end a process with requests unanswered stays until they are answered, 60 ms at most, so that it ends before the kill where a client never takes its answer. What it serves, and until when, is as before. answerAhead stays: a hold-up that begins right at the time of the last answers still lasts to the kill. More room would cost service.

--- /dev/null
+++ b/cmd/yokemast/end_stall_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yokemast/internal/testbed/clients"
+)
+
+func TestAHoldUpBeforeTheLastAnswersLosesNoRequest(t *testing.T) {
+	h := newHost(t, "s-1", "leader", nil)
+	h.Script = func(int, string) []byte { return []byte{} } // silent
+	g := start(t, nil, h)
+	var all []*clients.Client
+	for range 20 {
+		c := g.client()
+		c.Send(write("k", "9f", comment("order", "")))
+		all = append(all, c)
+	}
+	g.waitCounter("requests_taken", len(all))
+	_ = g.cmd.Process.Signal(syscall.SIGTERM)
+	told := time.Now()
+	const lastAnswers, holdUp = 3550 * time.Millisecond, 150 * time.Millisecond // after SIGTERM
+	held := told.Add(lastAnswers - 10*time.Millisecond)
+	time.Sleep(time.Until(held))
+	_ = g.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(held.Add(holdUp)))
+	_ = g.cmd.Process.Signal(syscall.SIGCONT)
+	answers := map[string]int{}
+	for _, c := range all {
+		answers[c.Answer()]++
+	}
+	t.Logf("%v, %s after SIGTERM", answers, time.Since(told))
+	if answers["closed"] > 0 {
+		t.Errorf("%d of %d requests are lost", answers["closed"], len(all))
+	}
+	if strings.Contains(g.log.String(), "ending with requests unanswered") {
+		t.Errorf("something was not answered: %s", g.log)
+	}
+}
--- a/internal/lifecycle/service.go
+++ b/internal/lifecycle/service.go
@@ -25,6 +25,9 @@
 	// answerAhead is how long before that the last answer is due, and endAhead the end of the process.
 	answerAhead = 150 * time.Millisecond
 	endAhead    = 80 * time.Millisecond
+	// lateAnswers is how long the process still stays then for answers that a hold-up has delayed: both times may pass during one.
+	lateAnswers  = 60 * time.Millisecond
+	answersPause = time.Millisecond // between two looks at what is unanswered
 	// shedAhead is how long before the last answer connections are ended between requests. Until then clients are
 	// served as before: they go on using the connections they have, and nobody takes this gateway's place so soon.
 	shedAhead = 600 * time.Millisecond
@@ -125,12 +128,12 @@
 	for {
 		v := c.refresh()
 		apply(v)
-		all, waiting := held()
+		all, _ := held()
 		if v.Idle && all == 0 {
 			return
 		}
 		if v.Over {
-			if waiting > 0 {
+			if waiting := c.awaitAnswers(ctx, held); waiting > 0 {
 				c.log.Warn("ending with requests unanswered", zap.Int("clients", waiting))
 			}
 			return
@@ -147,3 +150,15 @@
 		}
 	}
 }
+
+// awaitAnswers waits until no connection waits for an answer, for lateAnswers at most. It says how many still do.
+func (c *controller) awaitAnswers(ctx context.Context, held func() (all, waiting int)) int {
+	end := c.clock.Now() + lateAnswers
+	for {
+		_, waiting := held()
+		if waiting == 0 || c.clock.Now() >= end || ctx.Err() != nil {
+			return waiting
+		}
+		time.Sleep(answersPause)
+	}
+}
