--- /dev/null
+++ b/internal/wire/backend/unread_word_test.go
@@ -0,0 +1,138 @@
+package backend
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"yokemast/balance"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/socket"
+)
+
+// lateReader is a command whose process is held up from when its query is written until the attempt's time is over.
+type lateReader struct {
+	outcomes
+	answered chan struct{}
+}
+
+func (lateReader) Large() bool { return true }
+
+func (l lateReader) WriteQuery(w io.Writer, _ time.Duration) error {
+	_, err := w.Write(pg.AppendQuery(nil, "x"))
+	<-l.answered
+	raw, _ := w.(*conn).SyscallConn()
+	for raw.Read(func(uintptr) bool { return true }) == nil { // the deadline is not in force yet
+		time.Sleep(time.Millisecond)
+	}
+	return err
+}
+
+func TestAFollowersWordThatCameBeforeATimeOutIsHeeded(t *testing.T) {
+	answered := make(chan struct{})
+	r := newRig(t, func(c net.Conn, n int64) {
+		_, _ = c.Write(append(role("follower"), row()...))
+		if n == 0 {
+			time.Sleep(5 * time.Millisecond) // the answer has arrived by then
+			close(answered)
+		}
+	})
+	before := r.clock.Now()
+	until := before + 100*time.Millisecond
+	r.b.Send(exchange.Attempt{ID: "first", Server: "s", Sent: before, Until: until, Grounds: balance.Grounds{Kind: balance.LeaderWord, Leads: before},
+		Command: lateReader{answered: answered}})
+	if o := wait(t, r.outcomes, "the first outcome"); o.Result != balance.TimedOut {
+		t.Fatalf("the first attempt ended with %+v", o.Outcome)
+	}
+	r.send("second", balance.Grounds{Kind: balance.LeaderWord, Leads: before})
+	if o := wait(t, r.outcomes, "the second outcome"); o.Result != balance.NotSent {
+		t.Errorf("an attempt that needs the primary ended with %v after the host's word that it follows had come", o.Result)
+	}
+}
+
+func TestReadingPastADeadlineIsBoundedAndEndsTheSendingFirst(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	host, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer host.Close()
+	_ = host.SetDeadline(time.Now().Add(soon))
+	go func() { _, _ = host.Write(make([]byte, 64<<20)) }()
+	i := &incoming{conn: n.(*net.TCPConn), drain: true}
+	for socket.Quiet(i.conn) {
+		time.Sleep(time.Millisecond)
+	}
+	_ = i.conn.SetReadDeadline(time.Now().Add(-time.Second))
+	got, err := io.Copy(io.Discard, i)
+	if got == 0 || got > lateBytes || !timedOut(err) {
+		t.Errorf("read %d bytes, %v", got, err)
+	}
+	if _, err := host.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the host reads %v", err)
+	}
+}
+
+// stalledReader holds up who tells what a host said of itself, once.
+type stalledReader struct {
+	*recorder
+	stalled, resume chan struct{}
+}
+
+func (s *stalledReader) Learned(balance.Heard, balance.Made, balance.Report) {
+	s.stalled <- struct{}{}
+	<-s.resume
+}
+
+func TestAFollowersWordThatCameBeforeACancelIsHeeded(t *testing.T) {
+	rest, ended := make(chan struct{}), make(chan error, 1)
+	r := newRig(t, func(c net.Conn, n int64) {
+		if n > 0 {
+			_, _ = c.Write(append(role("leader"), row()...))
+			return
+		}
+		_, _ = c.Write(role("follower"))
+		<-rest
+		_, _ = c.Write(append(role("follower"), row()...))
+		_ = c.SetDeadline(time.Now().Add(soon))
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	})
+	reader := &stalledReader{r.recorder, make(chan struct{}), make(chan struct{})}
+	r.b.to = reader
+	r.send("first", balance.Grounds{})
+	<-reader.stalled
+	later := r.clock.Now() // the first word speaks against nothing decided from here on
+	first := r.b.attempts[key{"first", 0}].conn
+	close(rest)
+	for socket.Quiet(first) {
+		time.Sleep(time.Millisecond)
+	}
+	r.b.Cancel("first", 0)
+	if err := wait(t, ended, "the end of the sending"); err != io.EOF {
+		t.Errorf("when Cancel has returned the host reads %v", err)
+	}
+	close(reader.resume)
+	if o := wait(t, r.outcomes, "the first outcome"); o.Result != balance.Cancelled || o.Role != balance.Unknown {
+		t.Errorf("the first attempt ended with %+v", o.Outcome)
+	}
+	if err := first.SetDeadline(time.Time{}); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the outcome was told before its connection was closed: %v", err)
+	}
+	r.send("second", balance.Grounds{Kind: balance.LeaderWord, Leads: later})
+	if o := wait(t, r.outcomes, "the second outcome"); o.Result != balance.NotSent {
+		t.Errorf("an attempt that needs the primary ended with %v after the host's word that it follows had come", o.Result)
+	}
+}
