--- a/internal/memory/exchange/events.go
+++ b/internal/memory/exchange/events.go
@@ -81,7 +81,7 @@
 	}
 	fields := []zap.Field{zap.Stringer("grounds", g.Kind), zap.Stringer("grounds_source", g.Source)}
 	if g.Position > 0 {
-		fields = append(fields, zap.Duration("position_age", (o.sentAt-g.Position).Round(time.Millisecond)))
+		fields = append(fields, zap.Duration("position_age", (o.sentAt+g.Ages-g.Position).Round(time.Millisecond)))
 	}
 	if g.Leads > 0 {
 		fields = append(fields, zap.Duration("led_ago", (o.sentAt-g.Leads).Round(time.Millisecond)))
--- a/internal/memory/exchange/trace.go
+++ b/internal/memory/exchange/trace.go
@@ -21,10 +21,10 @@
 
 // tracedRead is a read that was served on a replica's position.
 type tracedRead struct {
-	id       [16]byte // copied: the request's own is a part of its statement, which must not be held for it
-	server   string
-	sentAt   time.Duration
-	position time.Duration // on which the read was sent, by the fleet's clock
+	id     [16]byte // copied: the request's own is a part of its statement, which must not be held for it
+	server string
+	sentAt time.Duration
+	age    time.Duration // of the position that it was sent on, as it was held to be
 }
 
 // trace keeps the reads that were served lately on a replica's position, whose age only the clock tells. Where what is believed of
@@ -42,7 +42,7 @@
 	r := &t.reads[t.count%tracedReads]
 	r.id = [16]byte{}
 	copy(r.id[:], o.ID)
-	r.server, r.sentAt, r.position = server, o.sentAt, o.grounds.Position
+	r.server, r.sentAt, r.age = server, o.sentAt, o.sentAt+o.grounds.Ages-o.grounds.Position
 	t.count++
 }
 
@@ -64,7 +64,7 @@
 		r := &t.reads[i%tracedReads]
 		if now-r.sentAt <= traceBefore {
 			reads = append(reads, fmt.Sprintf("%s %s sent_ms %d age %s", strings.TrimRight(string(r.id[:]), "\x00"), r.server, r.sentAt.Milliseconds(),
-				(r.sentAt-r.position).Round(time.Millisecond)))
+				r.age.Round(time.Millisecond)))
 		}
 	}
 	t.count = 0
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -208,9 +208,9 @@
 			query = command.AppendQuery(nil, t.Until-now)
 		}
 	}
-	late := t.StartBy > 0 && now > t.StartBy || now >= t.Until || t.Grounds.Expired(now, t.b.cfg.Clock.ForModule()) || t.b.over(t.Server, now) || t.b.refuted(t.Server, t.Grounds)
+	due := t.due(now)
 	t.mu.Lock()
-	if t.ended || t.withdrawn || late {
+	if t.ended || t.withdrawn || !due {
 		t.mu.Unlock()
 		t.b.put(t.Server, c)
 		result(balance.NotSent)
@@ -248,6 +248,17 @@
 	t.end(o)
 }
 
+// due says whether the attempt may still begin: its time, its host's drain and the evidence that it was decided on allow it.
+func (t *attempt) due(now time.Duration) bool {
+	switch {
+	case now >= t.Until, t.StartBy > 0 && now > t.StartBy:
+		return false
+	case t.Grounds.Expired(now, t.b.cfg.Clock.ForModule()), t.b.refuted(t.Server, t.Grounds):
+		return false
+	}
+	return !t.b.over(t.Server, now)
+}
+
 // writeLarge writes a query that does not fit into memory.
 func (t *attempt) writeLarge(c *conn, query Large, now time.Duration) error {
 	if err := query.WriteQuery(c, t.Until-now); err != nil {
