Soak: processes begin with SIGHUP ignored, as the deploy file's run has it

Cause: the soak starts the program without run's trap, and both plans send SIGHUP every 0.2 s while a process starts, which on a busy machine takes long; the process had ended. It is the fault that mends in run. Change: the test ignores SIGHUP, which its children inherit. What the start of run itself does is TestReloadSignalsFromAProcesssFirstMomentDoNotEndIt's to check.

--- a/cmd/yokemast/soak_test.go
+++ b/cmd/yokemast/soak_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
@@ -53,6 +54,8 @@
 	if !ok || err != nil || err2 != nil {
 		t.Fatalf("%s=%q names no seeds", soakSeeds, wanted)
 	}
+	signal.Ignore(syscall.SIGHUP) // the processes begin with that, as by the deploy file's run
+	t.Cleanup(func() { signal.Reset(syscall.SIGHUP) })
 	places := make(chan struct{}, soakAtOnce)
 	t.Run("seeds", func(t *testing.T) {
 		for seed := first; seed <= last; seed++ {
