Failing test: a cold replica's budget grows with its group's load

Cause: admit passes a part of what comes for the group (slowstart.go:21), which is a part of what the group bears only while no more than about twice that comes.

--- /dev/null
+++ b/balance/cold_load_test.go
@@ -0,0 +1,23 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestAColdReplicasBudgetDoesNotGrowWithTheGroupsLoad(t *testing.T) {
+	for _, load := range []float64{2, 2.5, 3} {
+		t.Run(fmt.Sprintf("load %v", load), func(t *testing.T) {
+			for seed := range uint64(3) {
+				s := settings()
+				s.Routers, s.OverloadFactor, s.ColdShare, s.ColdTime = 300, 4, 0.25, 10*time.Second
+				f := uneven(t, s, seed)
+				f.play(load, "any", "r2", 0)
+				if worst := f.over(); worst > 1 {
+					t.Errorf("seed %d: %.2f of what the replica bears", seed, worst)
+				}
+			}
+		})
+	}
+}
