--- a/internal/control/listwatch/older_list_test.go
+++ b/internal/control/listwatch/older_list_test.go
@@ -6,31 +6,30 @@
 	"time"
 )
 
-func TestAnOlderListOfTheLastAddressIsNotUsedAfterANewerOne(t *testing.T) {
-	w := New("a", 41, 1)
+// movedBesideASilentCall is a watch whose call 1 at address a is silent, that has moved to b, and that has used what call 2 at a answered.
+func movedBesideASilentCall(t *testing.T, revision int64) (w *Watch, now time.Duration) {
+	t.Helper()
+	w = New("a", revision, 1)
 	step(w, 0)
-	step(w, crowdedSilentAfter) // call 1 is silent: call 2 begins beside it
-	now := crowdedSilentAfter + 10*ms
+	step(w, crowdedSilentAfter) // call 2 begins beside it
+	now = crowdedSilentAfter + 10*ms
 	w.Move(now, "b")
 	step(w, now)
 	if !w.Answered(now, 2, 43) {
 		t.Fatal("the newest list of the last address is not used")
 	}
+	return w, now
+}
+
+func TestAnOlderListOfTheLastAddressIsNotUsedAfterANewerOne(t *testing.T) {
+	w, now := movedBesideASilentCall(t, 41)
 	if w.Answered(now+ms, 1, 42) {
 		t.Error("a list of revision 42 is used after one of revision 43 of the same address")
 	}
 }
 
 func TestAnOlderListIsNotUsedAfterAMoveThereAndBack(t *testing.T) {
-	w := New("a", 41, 1)
-	step(w, 0)
-	step(w, crowdedSilentAfter) // call 1 is silent: call 2 begins beside it
-	now := crowdedSilentAfter + 10*ms
-	w.Move(now, "b")
-	step(w, now)
-	if !w.Answered(now, 2, 43) {
-		t.Fatal("the newest list of the last address is not used")
-	}
+	w, now := movedBesideASilentCall(t, 41)
 	w.Move(now, "a")
 	step(w, now)
 	if w.Answered(now+ms, 1, 42) {
@@ -39,15 +38,7 @@
 }
 
 func TestAnOlderWholeListThatWasAskedForBeforeIsNotTakenForANewCount(t *testing.T) {
-	w := New("a", Whole, 1)
-	step(w, 0)
-	step(w, crowdedSilentAfter) // call 2 asks for the whole list too
-	now := crowdedSilentAfter + 10*ms
-	w.Move(now, "b")
-	step(w, now)
-	if !w.Answered(now, 2, 43) {
-		t.Fatal("the newest list of the last address is not used")
-	}
+	w, now := movedBesideASilentCall(t, Whole) // call 2 asks for the whole list too
 	w.Move(now, "a")
 	begun, _, _ := w.Step(now)
 	if w.Answered(now+ms, begun[0].ID, 42) {
--- a/internal/wire/frontend/accept_end_test.go
+++ b/internal/wire/frontend/accept_end_test.go
@@ -6,9 +6,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
-	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
 )
@@ -19,8 +16,7 @@
 		t.Fatal(err)
 	}
 	f := &fake{make(chan *exchange.Request, 100), make(chan *exchange.Request, 100)}
-	s := New(Config{Clock: exchange.NewClock(), Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 100, KeepIdle: 50,
-		MaxBytes: 1 << 20, MaxLarge: 1 << 20, Yes: func() bool { return true }}, f)
+	s := newAcceptor(f)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Run(ctx) }()
@@ -76,8 +72,7 @@
 			t.Fatal(err)
 		}
 		defer tcp.Close()
-		s := New(Config{Clock: exchange.NewClock(), Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 100, KeepIdle: 50,
-			MaxBytes: 1 << 20, MaxLarge: 1 << 20, Yes: func() bool { return true }}, &fake{})
+		s := newAcceptor(&fake{})
 		s.Leave(leaves)
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
--- a/internal/wire/frontend/accept_test.go
+++ b/internal/wire/frontend/accept_test.go
@@ -28,6 +28,12 @@
 	return f.TCPListener.Accept()
 }
 
+// newAcceptor is a server that is ready for any client.
+func newAcceptor(x Exchange) *Server {
+	return New(Config{Clock: exchange.NewClock(), Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 100, KeepIdle: 50,
+		MaxBytes: 1 << 20, MaxLarge: 1 << 20, Yes: func() bool { return true }}, x)
+}
+
 // A series of calls of accept that fail costs no connection that waits, also where the listener's deadline passes meanwhile.
 func TestAcceptThatFailsForAMoment(t *testing.T) {
 	for name, deadline := range map[string]time.Duration{"in service": time.Hour, "at the end": 10 * time.Millisecond} {
@@ -39,8 +45,7 @@
 			l := &failing{TCPListener: tcp.(*net.TCPListener)}
 			l.left.Store(10)
 			f := &fake{make(chan *exchange.Request, 100), make(chan *exchange.Request, 100)}
-			s := New(Config{Clock: exchange.NewClock(), Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 100, KeepIdle: 50,
-				MaxBytes: 1 << 20, MaxLarge: 1 << 20, Yes: func() bool { return true }}, f)
+			s := newAcceptor(f)
 			ctx, stop := context.WithCancel(context.Background())
 			done := make(chan struct{})
 			go func() { defer close(done); _ = s.Run(ctx) }()
--- a/internal/wire/frontend/session_test.go
+++ b/internal/wire/frontend/session_test.go
@@ -13,10 +13,8 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
-	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
 )
@@ -36,8 +34,7 @@
 func serving(t *testing.T) (*Server, *fake, string) {
 	t.Helper()
 	f := &fake{make(chan *exchange.Request, 100), make(chan *exchange.Request, 100)}
-	s := New(Config{Clock: exchange.NewClock(), Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 100, KeepIdle: 50, MaxBytes: 1 << 20,
-		MaxLarge: 1 << 20, Yes: func() bool { return true }}, f)
+	s := newAcceptor(f)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
