--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -156,44 +156,6 @@
 // Probed ends a probe.
 func (x *Exchange) Probed(p balance.ProbeResult) { x.post(p) }
 
-type learning struct {
-	heard  balance.Heard
-	made   balance.Made
-	report balance.Report
-}
-
-// Learned takes what a host said of itself beside the outcomes: behind one, or in an answer that may yet break off.
-func (x *Exchange) Learned(h balance.Heard, made balance.Made, r balance.Report) {
-	x.post(learning{h, made, r})
-}
-
-// dropOutdated takes out what was dated by bounds of the fleet's clock that have turned out wrong since. That a host is no primary, and
-// its position, stand whatever the clock.
-func (x *Exchange) dropOutdated(made balance.Made, role *balance.Role, report *balance.Report) {
-	if made.Epoch == x.clockEpoch {
-		return
-	}
-	if *role == balance.Primary {
-		*role = balance.Unknown
-	}
-	if report.Role == balance.Primary {
-		report.Role = balance.Unknown
-	}
-	report.NotBefore = 0
-}
-
-func (x *Exchange) learned(e learning) {
-	x.dropOutdated(e.made, &e.heard.Role, &e.report)
-	if e.heard.Source != balance.FromPart { // the outcome of the same answer tells the others: a note is dear in a large fleet
-		x.note(e.heard, e.made, e.report)
-	}
-	if e.report.Has {
-		e.heard.Position = max(e.heard.Position, e.report.Position)
-	}
-	e.heard.At, e.heard.NotBefore, e.heard.NotAfter = e.made.NotAfter, e.made.NotBefore, e.made.NotAfter
-	x.decide(e.heard)
-}
-
 type datagram []byte
 
 // Heard takes a datagram of another gateway.
@@ -365,43 +327,6 @@
 	}
 }
 
-func (x *Exchange) outcome(e Outcome) {
-	x.dropOutdated(e.Made, &e.Role, &e.Report)
-	if x.stale(e.Outcome) {
-		e.Result, e.Value = balance.Stale, nil
-	}
-	x.cfg.Counters.Outcomes[e.Result].Add(1)
-	o := x.open[e.ID]
-	if o == nil || e.Attempt != o.attempts-1 || !o.out {
-		return // of a request that a panic cut off
-	}
-	o.out, o.last = false, e.Result
-	if o.ranAt == 0 && !e.Result.NeverRan() {
-		o.ranAt = o.sentAt
-	}
-	if e.Result == balance.OK {
-		x.served(o, e)
-	} else {
-		x.attemptEnded(o, e)
-	}
-	if e.Result == balance.OK && o.Write {
-		x.wrote(x.cfg.Clock.Now(), e.Position)
-	}
-	if e.Result == balance.OK {
-		x.answer(o, Answer{Kind: Served, Value: e.Value}, &x.cfg.Counters.Served)
-	}
-	e.Final = o.answered
-	x.note(balance.Heard{Server: e.Server, Class: o.Class, Result: e.Result, Took: e.Took, Role: e.Role, Position: e.Position}, e.Made, e.Report)
-	x.decide(e.Outcome)
-	x.forget(o)
-}
-
-// stale asks the module whether an answer proves that its read ran on data that is too old. A panic there says that it does not.
-func (x *Exchange) stale(e balance.Outcome) (stale bool) {
-	defer func() { _ = recover() }() // the same outcome is handed to the module next, which answers for the panic
-	return x.router.Stale(x.cfg.Clock.Now(), e)
-}
-
 // decide hands the module one event and carries out what it answers. A panic there must not end the process: what
 // is open is answered, and a new module starts from the list, as after a restart.
 func (x *Exchange) decide(ev balance.Event) {
