pooling, cells: tests in files by the job of what they test

Moved with their text unchanged: pooling's sql_test.go, pool_test.go, model_test.go (the model of a server and the test against it) and session_test.go (what is left); cells' move_test.go.

--- /dev/null
+++ b/internal/control/pooling/model_test.go
@@ -0,0 +1,307 @@
+package pooling
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// server is a host connection as PostgreSQL has one: settings with transactions and savepoints, and prepared statements. It is
+// written apart from the session's own bookkeeping, to check it.
+type server struct {
+	session, effective map[string]string
+	saved              []savedLevel
+	failed             bool
+	prepared           map[string]string
+}
+
+type savedLevel struct {
+	name               string
+	session, effective map[string]string
+}
+
+func newServer() *server {
+	return &server{session: map[string]string{}, effective: map[string]string{}, prepared: map[string]string{}}
+}
+
+func clone(m map[string]string) map[string]string {
+	out := map[string]string{}
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+func (s *server) status() byte {
+	switch {
+	case s.failed:
+		return 'E'
+	case len(s.saved) > 0:
+		return 'T'
+	}
+	return 'I'
+}
+
+// exec runs one statement; not ok: it fails.
+func (s *server) exec(c Command) (tag string, ok bool) {
+	if s.failed && c.Kind != Rollback && c.Kind != Commit && c.Kind != RollbackTo {
+		return "", false
+	}
+	fail := func() (string, bool) {
+		if s.failed = len(s.saved) > 0; !s.failed {
+			return "", false
+		}
+		return "", false
+	}
+	find := func() int {
+		for i := len(s.saved) - 1; i > 0; i-- {
+			if s.saved[i].name == c.Name {
+				return i
+			}
+		}
+		return 0
+	}
+	switch c.Kind {
+	case Begin:
+		if len(s.saved) == 0 {
+			s.saved = append(s.saved, savedLevel{"", clone(s.session), clone(s.effective)})
+		}
+		return "BEGIN", true
+	case Commit, Rollback:
+		tag := "COMMIT"
+		if c.Kind == Rollback || s.failed {
+			tag = "ROLLBACK"
+			if len(s.saved) > 0 {
+				s.session = s.saved[0].session
+			}
+		}
+		s.effective, s.saved, s.failed = clone(s.session), nil, false
+		return tag, true
+	case Savepoint:
+		if len(s.saved) == 0 {
+			return fail()
+		}
+		s.saved = append(s.saved, savedLevel{c.Name, clone(s.session), clone(s.effective)})
+	case RollbackTo:
+		i := find()
+		if i == 0 {
+			return fail()
+		}
+		s.session, s.effective = clone(s.saved[i].session), clone(s.saved[i].effective)
+		s.saved, s.failed = s.saved[:i+1], false
+	case Release:
+		i := find()
+		if i == 0 {
+			return fail()
+		}
+		s.saved = s.saved[:i]
+	case Set:
+		s.session[c.Name], s.effective[c.Name] = c.Value, c.Value
+	case SetLocal:
+		if len(s.saved) > 0 {
+			s.effective[c.Name] = c.Value
+		}
+	case Reset:
+		delete(s.session, c.Name)
+		delete(s.effective, c.Name)
+	case ResetAll:
+		clear(s.session)
+		clear(s.effective)
+	case DiscardAll:
+		if len(s.saved) > 0 {
+			return fail()
+		}
+		clear(s.session)
+		clear(s.effective)
+		clear(s.prepared)
+	case DeallocateAll:
+		clear(s.prepared)
+	case Write: // stands for any statement that fails
+		return fail()
+	}
+	return "OK", true
+}
+
+// batch runs a simple query of several statements: outside a transaction it is one.
+func (s *server) batch(commands []Command) (tags []string, ok bool) {
+	session, effective := clone(s.session), clone(s.effective)
+	for _, c := range commands {
+		if c.Kind == Rollback && len(s.saved) == 0 { // what stands before it in the query is undone too
+			s.session, s.effective = clone(session), clone(effective)
+		}
+		open := len(s.saved) > 0
+		tag, ok := s.exec(c)
+		if !ok {
+			if len(s.saved) == 0 {
+				s.session, s.effective = session, effective
+			}
+			return tags, false
+		}
+		if c.Kind == Commit || c.Kind == Rollback {
+			session, effective = clone(s.session), clone(s.effective)
+		} else if c.Kind == Begin && !open {
+			s.saved[0].session, s.saved[0].effective = clone(session), clone(effective)
+		}
+		tags = append(tags, tag)
+	}
+	return tags, true
+}
+
+// TestModel runs random sessions over few connections and, side by side, over one connection each: settings, statements and
+// answers must be the same at every step. A failure prints its seed; `go test -run TestModel -rapid.seed=SEED` replays it.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type client struct {
+			own    *server
+			s      *Session
+			link   int // -1: none
+			number int
+		}
+		type link struct {
+			*server
+			*Link
+			taken bool
+		}
+		var clients []*client
+		var links []*link
+		for i := range rapid.IntRange(2, 5).Draw(t, "clients") {
+			clients = append(clients, &client{own: newServer(), s: NewSession(nil), link: -1, number: i})
+		}
+		for range rapid.IntRange(1, 3).Draw(t, "links") {
+			links = append(links, &link{newServer(), NewLink(3), false})
+		}
+		names := []string{"a", "b", "c", "d"}
+		command := func(t *rapid.T) string {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			return rapid.SampledFrom([]string{"SET " + name + " = '" + rapid.StringMatching("[xyz]{1,2}").Draw(t, "value") + "'",
+				"SET LOCAL " + name + " = 'local'", "RESET " + name, "RESET ALL", "BEGIN", "COMMIT", "ROLLBACK",
+				"SAVEPOINT " + name, "ROLLBACK TO " + name, "RELEASE " + name, "FAIL", "DEALLOCATE ALL", "DISCARD ALL", "SHOW all",
+			}).Draw(t, "command")
+		}
+		take := func(t *rapid.T, c *client) *link {
+			if c.link < 0 {
+				var free []int
+				for i, l := range links {
+					if !l.taken {
+						free = append(free, i)
+					}
+				}
+				if len(free) == 0 {
+					return nil
+				}
+				c.link = rapid.SampledFrom(free).Draw(t, "link")
+				l := links[c.link]
+				l.taken = true
+				if sql := l.Carry(c.s); sql != "" {
+					if _, ok := l.batch(Scan(sql)); !ok {
+						t.Fatalf("carrying fails: %s", sql)
+					}
+				}
+				l.Carried(c.s)
+			}
+			return links[c.link]
+		}
+		give := func(c *client) {
+			if c.s.Status == 'I' && c.s.Pins() == 0 {
+				links[c.link].taken = false
+				c.link = -1
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"query": func(t *rapid.T) {
+				c := rapid.SampledFrom(clients).Draw(t, "client")
+				l := take(t, c)
+				if l == nil {
+					return
+				}
+				var sql []string
+				for range rapid.IntRange(1, 3).Draw(t, "statements") {
+					sql = append(sql, command(t))
+				}
+				commands := Scan(strings.Join(sql, "; "))
+				if slices.ContainsFunc(commands, func(x Command) bool { return x.Kind == DiscardAll }) {
+					commands = commands[:1] // it may not stand among others
+				}
+				wantTags, wantOK := c.own.batch(commands)
+				c.s.Start()
+				tags, ok := l.batch(commands)
+				for i, tag := range tags {
+					c.s.Completed(commands[i], tag)
+					l.Ran(commands[i], c.s)
+				}
+				if !ok {
+					c.s.Failed()
+				}
+				c.s.Ready(l.status())
+				l.Follow(c.s)
+				if !slices.Equal(tags, wantTags) || ok != wantOK || l.status() != c.own.status() {
+					t.Fatalf("%v is answered %v %v %c, on a connection of its own %v %v %c", sql, tags, ok, l.status(), wantTags, wantOK,
+						c.own.status())
+				}
+				if diff := cmp.Diff(c.own.effective, l.effective); diff != "" {
+					t.Fatalf("after %v client %d has other settings: %s", sql, c.number, diff)
+				}
+				give(c)
+			},
+			"prepare and execute": func(t *rapid.T) {
+				c := rapid.SampledFrom(clients).Draw(t, "client")
+				if c.s.Status == 'E' {
+					return
+				}
+				l := take(t, c)
+				if l == nil {
+					return
+				}
+				name := rapid.SampledFrom(names).Draw(t, "name")
+				if c.own.prepared[name] == "" {
+					text := rapid.SampledFrom([]string{"SELECT 1", "SELECT 2", "SELECT 3", "SELECT 4", "SELECT 5"}).Draw(t, "text")
+					c.own.prepared[name] = text
+					if !c.s.Prepare(name, NewStatement(text, nil)) {
+						t.Fatalf("%s is taken", name)
+					}
+				}
+				st := c.s.Prepared(name)
+				if st == nil {
+					t.Fatalf("client %d has lost %s", c.number, name)
+				}
+				host, parse := l.Use(st)
+				for _, gone := range l.Evicted() {
+					delete(l.server.prepared, gone)
+				}
+				if parse {
+					if l.server.prepared[host] != "" {
+						t.Fatalf("%s is prepared twice", host)
+					}
+					l.server.prepared[host] = st.Text
+				}
+				if got := l.server.prepared[host]; got != c.own.prepared[name] {
+					t.Fatalf("%s of client %d runs %q, it is %q", name, c.number, got, c.own.prepared[name])
+				}
+				if len(l.server.prepared) > 3 {
+					t.Fatalf("%d statements on a connection", len(l.server.prepared))
+				}
+				give(c)
+			},
+			"a connection dies": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(links)-1).Draw(t, "link")
+				for _, c := range clients {
+					if c.link == i {
+						carried := c.s.Lost()
+						if carried != (c.own.status() == 'I') {
+							t.Fatalf("carried %v with status %c", carried, c.own.status())
+						}
+						// What was open is rolled back; the rest of the session goes on elsewhere.
+						if c.own.status() != 'I' {
+							c.own.exec(Command{Kind: Rollback})
+						}
+						c.link = -1
+					}
+				}
+				links[i] = &link{newServer(), NewLink(3), false}
+			},
+		})
+	})
+}
