--- /dev/null
+++ b/cmd/yokemast/client_limits_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/wire/pg"
+)
+
+func TestTooManyClients(t *testing.T) {
+	h := newHost(t, "s-1", "leader", nil)
+	g := start(t, func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }, h)
+	var all []*clients.Client
+	over := 0
+	for range 20 {
+		c := g.dial()
+		c.Write(append(pg.AppendStartup(nil, "backend", "store"), pg.AppendQuery(nil, "")...))
+		if got := c.Answer(); got != "ready" {
+			t.Fatalf("the startup is answered %q", got)
+		}
+		switch got := c.Answer(); got {
+		case "empty":
+			all = append(all, c)
+		case "53300 come back, closed":
+			over++
+		default:
+			t.Fatalf("answered %q", got)
+		}
+	}
+	if over == 0 || len(all) == 0 {
+		t.Errorf("%d served, %d turned away", len(all), over)
+	}
+	if got := all[0].Ask(read("k", comment("view", ""))); got != "row k" {
+		t.Errorf("one that was there first is answered %q", got)
+	}
+}
+
+func TestClientsMakeRoom(t *testing.T) {
+	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
+	for name, hold := range map[string]func(*clients.Client){
+		"silent from the start":    func(*clients.Client) {},
+		"silent after the startup": func(c *clients.Client) { c.Write(pg.AppendStartup(nil, "backend", "store")) },
+		"asked once and held theirs": func(c *clients.Client) {
+			c.Write(append(pg.AppendStartup(nil, "backend", "store"), pg.AppendQuery(nil, "")...))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := start(t, few, newHost(t, "s-1", "leader", nil))
+			for range 100 {
+				hold(g.dial())
+			}
+			for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+				c := g.dial()
+				c.Write(append(pg.AppendStartup(nil, "backend", "store"),
+					pg.AppendQuery(nil, read("k", comment("view", "")))...))
+				if c.Answer() == "ready" && c.Answer() == "row k" {
+					break
+				}
+				if time.Now().After(end) {
+					t.Fatal("no room is made")
+				}
+			}
+		})
+	}
+}
+
+func TestIdleClientsAreEndedWhereTheyAreMany(t *testing.T) {
+	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
+	g := start(t, few, newHost(t, "s-1", "leader", nil))
+	var all []*clients.Client
+	for range 8 { // fewer than there is room for
+		all = append(all, g.client())
+		all[len(all)-1].Ask("")
+	}
+	if _, err := all[0].In.ReadByte(); err != io.EOF {
+		t.Errorf("the one that was idle for longest reads %v", err)
+	}
+	if got := all[7].Ask(""); got != "empty" {
+		t.Errorf("the one that was idle last is answered %q", got)
+	}
+}
+
+func TestIdleClientsAreEndedSoonerUnderPressure(t *testing.T) {
+	// Of 128 descriptors clients with requests can hold 42; three quarters of that is pressure.
+	some := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":128`, 1) }
+	for n, want := range map[int]string{36: `"clients_pressed":[1-9]`, 20: `"clients_pressed":0`} {
+		t.Run(fmt.Sprint(n, " clients"), func(t *testing.T) {
+			t.Parallel()
+			g := start(t, some, newHost(t, "s-1", "leader", nil))
+			var all []*clients.Client
+			for range n {
+				all = append(all, g.client())
+				all[len(all)-1].Ask("")
+			}
+			if _, err := all[0].In.ReadByte(); err != io.EOF {
+				t.Errorf("the one that was idle for longest reads %v", err)
+			}
+			if got := all[n-1].Ask(""); got != "empty" {
+				t.Errorf("the one that was idle last is answered %q", got)
+			}
+			_ = g.cmd.Process.Signal(syscall.SIGUSR1)
+			g.waitLog(`"clients_pressed":`)
+			if !regexp.MustCompile(want).MatchString(g.log.String()) {
+				t.Errorf("no %s in the log: %s", want, g.log)
+			}
+		})
+	}
+}
+
+func TestTheLogSaysWhyASilentClientIsEnded(t *testing.T) {
+	g := start(t, nil, newHost(t, "s-1", "leader", nil))
+	c := g.client()
+	if got := c.Answer(); got != "closed" {
+		t.Errorf("a client that begins no command is answered %q", got)
+	}
+	g.waitLog(`"why":"ended: it began no command in time","client":"` + c.LocalAddr().String() + `"`)
+}
--- /dev/null
+++ b/cmd/yokemast/pooling_failures_test.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/hosts"
+)
+
+func TestStatementOfADeadHostIsPreparedAnew(t *testing.T) {
+	p := startPooled(t, 3, fmt.Sprintf(onePool, 10), nil, nil)
+	ctx, k := t.Context(), p.must(t)
+	if _, err := k.Prepare(ctx, "mine", "SELECT 'mine'"); err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range p.c.Hosts()[1:] {
+		h.Crash()
+	}
+	for range 5 {
+		if got, err := one(ctx, k, "mine"); got != "mine" || err != nil {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+}
+
+func TestTransactionLeftOpenIsRolledBack(t *testing.T) {
+	for name, steps := range map[string][]string{
+		"after BEGIN":      {"BEGIN"},
+		"after a write":    {"BEGIN", "INSERT INTO kv (name, content) VALUES ('k', 'left')"},
+		"after a failure":  {"BEGIN", "INSERT INTO kv (name, content) VALUES ('k', 'left')", "FAIL"},
+		"in a savepoint":   {"BEGIN", "SAVEPOINT s", "INSERT INTO kv (name, content) VALUES ('k', 'left')"},
+		"after a SET":      {"BEGIN", "SET app.session = 'left'"},
+		"in one query all": {"BEGIN; SET app.session = 'left'; INSERT INTO kv (name, content) VALUES ('k', 'left')"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil) // one connection: the next session gets the same
+			c, err := clients.Start(p.address, "app", patience)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, s := range steps {
+				c.Ask(s)
+			}
+			c.Close()
+			next := p.must(t)
+			if got, err := one(t.Context(), next, "SHOW app.session"); got != "" || err != nil {
+				t.Errorf("the next session finds %q, %v", got, err)
+			}
+			if _, err := next.Exec(t.Context(), "INSERT INTO kv (name, content) VALUES ('k', 'next')"); err != nil {
+				t.Error(err)
+			}
+			if ids := p.c.IDs(); ids["left"] != 0 || ids["next"] != 1 || p.c.Peak() != 1 {
+				t.Errorf("committed: %v, over %d connections", ids, p.c.Peak())
+			}
+		})
+	}
+}
+
+func TestTransactionThatFallsSilentIsRolledBack(t *testing.T) {
+	p := startPooled(t, 1, strings.Replace(fmt.Sprintf(onePool, 1), "(idle 2s)", "(idle 100ms)", 1), nil, nil)
+	c, err := clients.Start(p.address, "app", patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []string{"BEGIN", "INSERT INTO kv (name, content) VALUES ('k', 'left')"} {
+		c.Ask(s)
+	}
+	if got := c.Answer(); got != "25P03, closed" {
+		t.Errorf("its client is told %q", got)
+	}
+	if _, err := p.must(t).Exec(t.Context(), "INSERT INTO kv (name, content) VALUES ('k', 'next')"); err != nil {
+		t.Error(err)
+	}
+	if ids := p.c.IDs(); ids["left"] != 0 || ids["next"] != 1 {
+		t.Errorf("committed: %v", ids)
+	}
+}
+
+func TestErrorInThePipeline(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+	k, ctx := p.must(t), t.Context()
+	pipe := k.PgConn().StartPipeline(ctx)
+	for i := range 10 {
+		sql := fmt.Sprintf("SELECT '%d'", i)
+		if i == 4 {
+			sql = "FAIL"
+		}
+		pipe.SendQueryParams(sql, nil, nil, nil, nil)
+	}
+	if err := pipe.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for {
+		r, err := pipe.GetResults()
+		if err != nil {
+			var bad *pgconn.PgError
+			if errors.As(err, &bad) {
+				got = append(got, bad.Code)
+				continue
+			}
+			got = append(got, err.Error())
+			break
+		}
+		if reader, ok := r.(*pgconn.ResultReader); ok {
+			read := reader.Read()
+			if read.Err != nil {
+				var bad *pgconn.PgError
+				errors.As(read.Err, &bad)
+				got = append(got, bad.Code)
+				continue
+			}
+			got = append(got, string(read.Rows[0][0]))
+			continue
+		}
+		break
+	}
+	if err := pipe.Close(); err != nil {
+		var bad *pgconn.PgError
+		if !errors.As(err, &bad) {
+			t.Error(err)
+		}
+	}
+	if diff := cmp.Diff([]string{"0", "1", "2", "3", "22012"}, got[:min(5, len(got))]); diff != "" || len(got) > 5 {
+		t.Errorf("%v: %s", got, diff)
+	}
+	if got, err := one(ctx, k, "SELECT 'after'"); got != "after" || err != nil {
+		t.Errorf("after it: %q, %v", got, err)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+	a, b := p.must(t), p.must(t)
+	ctx := t.Context()
+	if _, err := one(ctx, a, "SELECT 'done'"); err != nil {
+		t.Fatal(err)
+	}
+	sleeping := make(chan error, 1)
+	go func() {
+		_, err := b.Exec(ctx, "SELECT pg_sleep(0.3)")
+		sleeping <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	if err := a.PgConn().CancelRequest(ctx); err != nil { // a's statement has ended; its connection runs b's
+		t.Error(err)
+	}
+	if err := <-sleeping; err != nil {
+		t.Errorf("another session's statement is canceled: %v", err)
+	}
+	go func() {
+		_, err := b.Exec(ctx, "SELECT pg_sleep(20)")
+		sleeping <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	if err := b.PgConn().CancelRequest(ctx); err != nil {
+		t.Error(err)
+	}
+	var bad *pgconn.PgError
+	if err := <-sleeping; !errors.As(err, &bad) || bad.Code != "57014" {
+		t.Errorf("its own ends with %v", err)
+	}
+	if got, err := one(ctx, a, "SELECT 'next'"); got != "next" || err != nil {
+		t.Errorf("the next on that connection: %q, %v", got, err)
+	}
+}
+
+func TestCommitWhoseAnswerIsLost(t *testing.T) {
+	var close atomic.Bool
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 4), nil, func(h *hosts.Host) { h.AfterCommit = func() bool { return close.Swap(false) } })
+	k, ctx := p.must(t), t.Context()
+	for name, run := range map[string]func(id string) error{
+		"of a transaction": func(id string) error {
+			tx, err := k.Begin(ctx)
+			if err != nil {
+				return err
+			}
+			if _, err := tx.Exec(ctx, "INSERT INTO kv (name, content) VALUES ('k', '"+id+"')"); err != nil {
+				return err
+			}
+			close.Store(true)
+			return tx.Commit(ctx)
+		},
+		"of a statement": func(id string) error {
+			close.Store(true)
+			_, err := k.Exec(ctx, "INSERT INTO kv (name, content) VALUES ('k', '"+id+"')", pgx.QueryExecModeSimpleProtocol)
+			return err
+		},
+	} {
+		k = p.must(t)
+		if err := run(name); err == nil {
+			t.Errorf("%s: its client is told that it went well", name)
+		}
+		if n := p.c.IDs()[name]; n != 1 {
+			t.Errorf("%s: committed %d times", name, n)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/yokemast/pooling_limits_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/wire/control"
+	"yokemast/internal/wire/pg"
+)
+
+func TestPinnedSessionsKeepTheirConnection(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
+	a, b := p.must(t), p.must(t)
+	if _, err := a.Exec(t.Context(), "LISTEN orders"); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		for _, k := range []*pgx.Conn{a, b} {
+			if _, err := one(t.Context(), k, "SELECT 'x'"); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	if p.c.Peak() != 2 {
+		t.Errorf("%d connections", p.c.Peak())
+	}
+	out, err := command(t, "pools", "--socket", p.socket)
+	if err != nil || !strings.Contains(out, "listen:1") || !strings.HasPrefix(out, "POOL") || !strings.Contains(out, "s-0") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
+
+func TestPoolsBoundAndTenants(t *testing.T) {
+	p := startPooled(t, 1, `(cells (cell "c") (tenant "apollo") (tenant "medi") (user "app" (tenants "apollo")) (user "other" (tenants "medi")))
+		(pools (rest 0s) (pool "apollo" (tenant "apollo") (read view) (own own) (write order) (most 1)))`, nil, nil)
+	a, b := p.must(t), p.must(t)
+	tx, err := a.Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var bad *pgconn.PgError
+	if _, err := one(t.Context(), b, "SELECT 'x'"); !errors.As(err, &bad) || bad.Code != pg.CodeTooMany || bad.Detail == "" {
+		t.Errorf("beyond the pool's bound: %v", err)
+	}
+	if err := tx.Rollback(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if got, err := one(t.Context(), b, "SELECT 'x'"); got != "x" || err != nil {
+		t.Errorf("after it: %q, %v", got, err)
+	}
+	c, err := clients.Start(p.address, "other", patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := c.Ask("SELECT 'x'"); got != "42601" {
+		t.Errorf("another tenant's user gets %q", got)
+	}
+}
+
+func TestRefusedByName(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
+	c, err := clients.Start(p.address, "app", patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for sql, want := range map[string]string{"COPY kv FROM STDIN": "0A000", "SELECT nonsense": "42601", "": "empty", "SELECT 'a'; SELECT 'b'": "row b"} {
+		if got := c.Ask(sql); got != want {
+			t.Errorf("%s: %q, want %q", sql, got, want)
+		}
+	}
+	_, _ = c.Write(pg.Append(nil, pg.Function, []byte("xxxx")))
+	if got := c.Answer(); got != "0A000" {
+		t.Errorf("a function call: %q", got)
+	}
+	if strict := p.client(); strict.Ask("SELECT 'a'") != "42601" {
+		t.Error("a user of no pool may ask general SQL")
+	}
+}
+
+// peak is how many host connections the gateway had at most. A host counts a connection until it has noticed that the gateway has
+// closed it, so hosts may see a few more than there are.
+func (p *pooled) peak(t *testing.T) int {
+	t.Helper()
+	var r control.PoolsReport
+	if out, err := command(t, "pools", "--json", "--socket", p.socket); err != nil || json.Unmarshal([]byte(out), &r) != nil {
+		t.Errorf("%v: %s", err, out)
+	}
+	return r.Peak
+}
+
+func TestFewDescriptorsAndManyClients(t *testing.T) {
+	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
+	p := startPooled(t, 2, fmt.Sprintf(onePool, 8), few, nil)
+	var served, refused atomic.Int64
+	var work sync.WaitGroup
+	for range 400 {
+		work.Go(func() {
+			for range 200 {
+				c, err := clients.Start(p.address, "app", patience)
+				if err == nil {
+					got := c.Ask("SELECT 'x'")
+					c.Close()
+					if got == "row x" {
+						served.Add(1)
+						return
+					}
+				}
+				refused.Add(1)
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	work.Wait()
+	if served.Load() != 400 {
+		t.Errorf("%d of 400 were served, %d times there was no room", served.Load(), refused.Load())
+	}
+	if most := p.peak(t); most > 8 || p.c.Peak() > 2*8 { // each may be there twice, closing and open
+		t.Errorf("%d host connections, hosts saw %d", most, p.c.Peak())
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGUSR1)
+	p.waitLog(`"panics":0`)
+}
--- a/cmd/yokemast/proof_pooling_test.go
+++ b/cmd/yokemast/proof_pooling_test.go
@@ -2,24 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"yokemast/internal/testbed/clients"
 	"yokemast/internal/testbed/hosts"
-	"yokemast/internal/wire/control"
 	"yokemast/internal/wire/pg"
 )
 
@@ -218,76 +214,6 @@
 	}
 }
 
-func TestStatementOfADeadHostIsPreparedAnew(t *testing.T) {
-	p := startPooled(t, 3, fmt.Sprintf(onePool, 10), nil, nil)
-	ctx, k := t.Context(), p.must(t)
-	if _, err := k.Prepare(ctx, "mine", "SELECT 'mine'"); err != nil {
-		t.Fatal(err)
-	}
-	for _, h := range p.c.Hosts()[1:] {
-		h.Crash()
-	}
-	for range 5 {
-		if got, err := one(ctx, k, "mine"); got != "mine" || err != nil {
-			t.Fatalf("%q, %v", got, err)
-		}
-	}
-}
-
-func TestTransactionLeftOpenIsRolledBack(t *testing.T) {
-	for name, steps := range map[string][]string{
-		"after BEGIN":      {"BEGIN"},
-		"after a write":    {"BEGIN", "INSERT INTO kv (name, content) VALUES ('k', 'left')"},
-		"after a failure":  {"BEGIN", "INSERT INTO kv (name, content) VALUES ('k', 'left')", "FAIL"},
-		"in a savepoint":   {"BEGIN", "SAVEPOINT s", "INSERT INTO kv (name, content) VALUES ('k', 'left')"},
-		"after a SET":      {"BEGIN", "SET app.session = 'left'"},
-		"in one query all": {"BEGIN; SET app.session = 'left'; INSERT INTO kv (name, content) VALUES ('k', 'left')"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil) // one connection: the next session gets the same
-			c, err := clients.Start(p.address, "app", patience)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, s := range steps {
-				c.Ask(s)
-			}
-			c.Close()
-			next := p.must(t)
-			if got, err := one(t.Context(), next, "SHOW app.session"); got != "" || err != nil {
-				t.Errorf("the next session finds %q, %v", got, err)
-			}
-			if _, err := next.Exec(t.Context(), "INSERT INTO kv (name, content) VALUES ('k', 'next')"); err != nil {
-				t.Error(err)
-			}
-			if ids := p.c.IDs(); ids["left"] != 0 || ids["next"] != 1 || p.c.Peak() != 1 {
-				t.Errorf("committed: %v, over %d connections", ids, p.c.Peak())
-			}
-		})
-	}
-}
-
-func TestTransactionThatFallsSilentIsRolledBack(t *testing.T) {
-	p := startPooled(t, 1, strings.Replace(fmt.Sprintf(onePool, 1), "(idle 2s)", "(idle 100ms)", 1), nil, nil)
-	c, err := clients.Start(p.address, "app", patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, s := range []string{"BEGIN", "INSERT INTO kv (name, content) VALUES ('k', 'left')"} {
-		c.Ask(s)
-	}
-	if got := c.Answer(); got != "25P03, closed" {
-		t.Errorf("its client is told %q", got)
-	}
-	if _, err := p.must(t).Exec(t.Context(), "INSERT INTO kv (name, content) VALUES ('k', 'next')"); err != nil {
-		t.Error(err)
-	}
-	if ids := p.c.IDs(); ids["left"] != 0 || ids["next"] != 1 {
-		t.Errorf("committed: %v", ids)
-	}
-}
-
 func TestSessionsKeepTheirSettings(t *testing.T) {
 	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
 	a, b := p.must(t), p.must(t)
@@ -316,149 +242,6 @@
 	}
 }
 
-func TestErrorInThePipeline(t *testing.T) {
-	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
-	k, ctx := p.must(t), t.Context()
-	pipe := k.PgConn().StartPipeline(ctx)
-	for i := range 10 {
-		sql := fmt.Sprintf("SELECT '%d'", i)
-		if i == 4 {
-			sql = "FAIL"
-		}
-		pipe.SendQueryParams(sql, nil, nil, nil, nil)
-	}
-	if err := pipe.Sync(); err != nil {
-		t.Fatal(err)
-	}
-	var got []string
-	for {
-		r, err := pipe.GetResults()
-		if err != nil {
-			var bad *pgconn.PgError
-			if errors.As(err, &bad) {
-				got = append(got, bad.Code)
-				continue
-			}
-			got = append(got, err.Error())
-			break
-		}
-		if reader, ok := r.(*pgconn.ResultReader); ok {
-			read := reader.Read()
-			if read.Err != nil {
-				var bad *pgconn.PgError
-				errors.As(read.Err, &bad)
-				got = append(got, bad.Code)
-				continue
-			}
-			got = append(got, string(read.Rows[0][0]))
-			continue
-		}
-		break
-	}
-	if err := pipe.Close(); err != nil {
-		var bad *pgconn.PgError
-		if !errors.As(err, &bad) {
-			t.Error(err)
-		}
-	}
-	if diff := cmp.Diff([]string{"0", "1", "2", "3", "22012"}, got[:min(5, len(got))]); diff != "" || len(got) > 5 {
-		t.Errorf("%v: %s", got, diff)
-	}
-	if got, err := one(ctx, k, "SELECT 'after'"); got != "after" || err != nil {
-		t.Errorf("after it: %q, %v", got, err)
-	}
-}
-
-func TestCancel(t *testing.T) {
-	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
-	a, b := p.must(t), p.must(t)
-	ctx := t.Context()
-	if _, err := one(ctx, a, "SELECT 'done'"); err != nil {
-		t.Fatal(err)
-	}
-	sleeping := make(chan error, 1)
-	go func() {
-		_, err := b.Exec(ctx, "SELECT pg_sleep(0.3)")
-		sleeping <- err
-	}()
-	time.Sleep(100 * time.Millisecond)
-	if err := a.PgConn().CancelRequest(ctx); err != nil { // a's statement has ended; its connection runs b's
-		t.Error(err)
-	}
-	if err := <-sleeping; err != nil {
-		t.Errorf("another session's statement is canceled: %v", err)
-	}
-	go func() {
-		_, err := b.Exec(ctx, "SELECT pg_sleep(20)")
-		sleeping <- err
-	}()
-	time.Sleep(100 * time.Millisecond)
-	if err := b.PgConn().CancelRequest(ctx); err != nil {
-		t.Error(err)
-	}
-	var bad *pgconn.PgError
-	if err := <-sleeping; !errors.As(err, &bad) || bad.Code != "57014" {
-		t.Errorf("its own ends with %v", err)
-	}
-	if got, err := one(ctx, a, "SELECT 'next'"); got != "next" || err != nil {
-		t.Errorf("the next on that connection: %q, %v", got, err)
-	}
-}
-
-func TestCommitWhoseAnswerIsLost(t *testing.T) {
-	var close atomic.Bool
-	p := startPooled(t, 1, fmt.Sprintf(onePool, 4), nil, func(h *hosts.Host) { h.AfterCommit = func() bool { return close.Swap(false) } })
-	k, ctx := p.must(t), t.Context()
-	for name, run := range map[string]func(id string) error{
-		"of a transaction": func(id string) error {
-			tx, err := k.Begin(ctx)
-			if err != nil {
-				return err
-			}
-			if _, err := tx.Exec(ctx, "INSERT INTO kv (name, content) VALUES ('k', '"+id+"')"); err != nil {
-				return err
-			}
-			close.Store(true)
-			return tx.Commit(ctx)
-		},
-		"of a statement": func(id string) error {
-			close.Store(true)
-			_, err := k.Exec(ctx, "INSERT INTO kv (name, content) VALUES ('k', '"+id+"')", pgx.QueryExecModeSimpleProtocol)
-			return err
-		},
-	} {
-		k = p.must(t)
-		if err := run(name); err == nil {
-			t.Errorf("%s: its client is told that it went well", name)
-		}
-		if n := p.c.IDs()[name]; n != 1 {
-			t.Errorf("%s: committed %d times", name, n)
-		}
-	}
-}
-
-func TestPinnedSessionsKeepTheirConnection(t *testing.T) {
-	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
-	a, b := p.must(t), p.must(t)
-	if _, err := a.Exec(t.Context(), "LISTEN orders"); err != nil {
-		t.Fatal(err)
-	}
-	for range 3 {
-		for _, k := range []*pgx.Conn{a, b} {
-			if _, err := one(t.Context(), k, "SELECT 'x'"); err != nil {
-				t.Error(err)
-			}
-		}
-	}
-	if p.c.Peak() != 2 {
-		t.Errorf("%d connections", p.c.Peak())
-	}
-	out, err := command(t, "pools", "--socket", p.socket)
-	if err != nil || !strings.Contains(out, "listen:1") || !strings.HasPrefix(out, "POOL") || !strings.Contains(out, "s-0") {
-		t.Errorf("%v: %s", err, out)
-	}
-}
-
 func TestLongValuesAreStreamed(t *testing.T) {
 	small := func(c string) string { return strings.Replace(c, `"memory_mb":192`, `"memory_mb":32`, 1) }
 	p := startPooled(t, 1, fmt.Sprintf(onePool, 4), small, nil)
@@ -532,94 +315,3 @@
 		t.Errorf("after the Sync: %q", got)
 	}
 }
-
-func TestPoolsBoundAndTenants(t *testing.T) {
-	p := startPooled(t, 1, `(cells (cell "c") (tenant "apollo") (tenant "medi") (user "app" (tenants "apollo")) (user "other" (tenants "medi")))
-		(pools (rest 0s) (pool "apollo" (tenant "apollo") (read view) (own own) (write order) (most 1)))`, nil, nil)
-	a, b := p.must(t), p.must(t)
-	tx, err := a.Begin(t.Context())
-	if err != nil {
-		t.Fatal(err)
-	}
-	var bad *pgconn.PgError
-	if _, err := one(t.Context(), b, "SELECT 'x'"); !errors.As(err, &bad) || bad.Code != pg.CodeTooMany || bad.Detail == "" {
-		t.Errorf("beyond the pool's bound: %v", err)
-	}
-	if err := tx.Rollback(t.Context()); err != nil {
-		t.Error(err)
-	}
-	if got, err := one(t.Context(), b, "SELECT 'x'"); got != "x" || err != nil {
-		t.Errorf("after it: %q, %v", got, err)
-	}
-	c, err := clients.Start(p.address, "other", patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got := c.Ask("SELECT 'x'"); got != "42601" {
-		t.Errorf("another tenant's user gets %q", got)
-	}
-}
-
-func TestRefusedByName(t *testing.T) {
-	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
-	c, err := clients.Start(p.address, "app", patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for sql, want := range map[string]string{"COPY kv FROM STDIN": "0A000", "SELECT nonsense": "42601", "": "empty", "SELECT 'a'; SELECT 'b'": "row b"} {
-		if got := c.Ask(sql); got != want {
-			t.Errorf("%s: %q, want %q", sql, got, want)
-		}
-	}
-	_, _ = c.Write(pg.Append(nil, pg.Function, []byte("xxxx")))
-	if got := c.Answer(); got != "0A000" {
-		t.Errorf("a function call: %q", got)
-	}
-	if strict := p.client(); strict.Ask("SELECT 'a'") != "42601" {
-		t.Error("a user of no pool may ask general SQL")
-	}
-}
-
-// peak is how many host connections the gateway had at most. A host counts a connection until it has noticed that the gateway has
-// closed it, so hosts may see a few more than there are.
-func (p *pooled) peak(t *testing.T) int {
-	t.Helper()
-	var r control.PoolsReport
-	if out, err := command(t, "pools", "--json", "--socket", p.socket); err != nil || json.Unmarshal([]byte(out), &r) != nil {
-		t.Errorf("%v: %s", err, out)
-	}
-	return r.Peak
-}
-
-func TestFewDescriptorsAndManyClients(t *testing.T) {
-	few := func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":64`, 1) }
-	p := startPooled(t, 2, fmt.Sprintf(onePool, 8), few, nil)
-	var served, refused atomic.Int64
-	var work sync.WaitGroup
-	for range 400 {
-		work.Go(func() {
-			for range 200 {
-				c, err := clients.Start(p.address, "app", patience)
-				if err == nil {
-					got := c.Ask("SELECT 'x'")
-					c.Close()
-					if got == "row x" {
-						served.Add(1)
-						return
-					}
-				}
-				refused.Add(1)
-				time.Sleep(10 * time.Millisecond)
-			}
-		})
-	}
-	work.Wait()
-	if served.Load() != 400 {
-		t.Errorf("%d of 400 were served, %d times there was no room", served.Load(), refused.Load())
-	}
-	if most := p.peak(t); most > 8 || p.c.Peak() > 2*8 { // each may be there twice, closing and open
-		t.Errorf("%d host connections, hosts saw %d", most, p.c.Peak())
-	}
-	_ = p.cmd.Process.Signal(syscall.SIGUSR1)
-	p.waitLog(`"panics":0`)
-}
