A list of another agent that is behind ends no drain

Callers: after a SIGHUP that moves discovery, or an upgrade round one, requests may go to a host that was told to drain, past the grace.

Cause: draining.Tracker forgot a drain with any list that had the host serving. Revisions are compared for each agent only, so the whole list of a new agent counted whatever its age; an heir took its elder's states over what its file told the same way.

Change: a list names its agent, and the tracker keeps who told a drain last, and the host's start. That a host serves ends the drain only when the same agent says so, or with a later start, which all agents tell by one clock. A handover carries both agents; an elder of before carries none, and then only a start or a drain told anew ends it. What is kept out so is logged. Cost: a drain that is called off, with no start, just while the gateway moves holds until the host's next start.

Tests: calls of Members and take follow the new signature, what they check is unchanged.

--- a/internal/control/draining/draining.go
+++ b/internal/control/draining/draining.go
@@ -5,7 +5,9 @@
 // may be held up for HoldUp between the arrival of the list and the reading, and once more between its last look at the clock
 // and the first byte that it sends. Both are kept free at the end of the grace, so that a short grace ends at once.
 //
-// A host keeps the time of its first notification while it goes from draining to gone. It is forgotten when the host serves again.
+// A host keeps the time of its first notification while it goes from draining to gone. It is forgotten when the host serves again. The list
+// of another agent of discovery may be behind that of the agent which told the drain, so its word that the host serves ends nothing, unless
+// it tells a later start, or is the one that told the drain last.
 package draining
 
 import "time"
@@ -49,10 +51,31 @@
 	DroppedStayOpen bool
 }
 
+// Word is what a list tells of a host.
+type Word struct {
+	Server string
+	State  State
+	At     time.Duration // when the list arrived
+	// Since is when the gateway, or an earlier process of it, was notified, if that is known to be earlier; 0: it is not.
+	Since time.Duration
+	// Agent of discovery that told it; "": not known, and its word that a host serves ends no drain.
+	Agent string
+	// Unlisted says that the host is gone only in that a whole list lacks it. A list that is behind may not have it yet.
+	Unlisted bool
+	Started  time.Duration // the host's start as lists tell it, by the fleet's clock; 0: long ago, or not told
+}
+
 type host struct {
 	state      State
 	notifiedAt time.Duration
-	drained    bool // it was listed as draining
+	drained    bool   // it was listed as draining
+	agent      string // that told so last
+	started    time.Duration
+}
+
+// endedBy says that a host which serves by this word does so after the drain: the word is later than what told the drain.
+func (h host) endedBy(w Word) bool {
+	return w.Agent != "" && (w.Agent == h.agent || w.Started > h.started)
 }
 
 // Tracker is the state of all hosts that drain or are gone. It is not safe for concurrent use.
@@ -64,25 +87,35 @@
 // New makes a tracker that knows of no host.
 func New(rules Rules) *Tracker { return &Tracker{rules: rules, hosts: map[string]host{}} }
 
-// Set takes a host's state as a list that arrived at a time tells it, and gives its bound. since is when the gateway, or an
-// earlier process of it, was notified, if that is known to be earlier; 0: it is not.
-func (t *Tracker) Set(at, since time.Duration, server string, state State) Bound {
-	if state == Serving {
-		delete(t.hosts, server)
-		return Bound{Server: server, By: Open}
+// Set takes what a list tells of a host, and gives the host's bound.
+func (t *Tracker) Set(w Word) Bound {
+	h, known := t.hosts[w.Server]
+	if w.State == Serving {
+		if !known || h.endedBy(w) {
+			delete(t.hosts, w.Server)
+		}
+		return Bound{Server: w.Server, By: t.Until(w.Server)}
 	}
-	h, known := t.hosts[server]
 	if !known {
-		h.notifiedAt = at
+		h.notifiedAt = w.At
+	}
+	if w.Since > 0 {
+		h.notifiedAt = min(h.notifiedAt, w.Since)
 	}
-	if since > 0 {
-		h.notifiedAt = min(h.notifiedAt, since)
+	if !known || !w.Unlisted {
+		h.agent = w.Agent
 	}
-	h.state, h.drained = state, h.drained || state == Draining
-	t.hosts[server] = h
-	return Bound{Server: server, By: t.by(h)}
+	h.state, h.drained, h.started = w.State, h.drained || w.State == Draining, max(h.started, w.Started)
+	t.hosts[w.Server] = h
+	return Bound{Server: w.Server, By: t.by(h)}
 }
 
+// State gives the state that holds of a host.
+func (t *Tracker) State(server string) State { return t.hosts[server].state }
+
+// Agent gives the agent of discovery that told last that a host drains or is gone; "": it serves, or the agent is not known.
+func (t *Tracker) Agent(server string) string { return t.hosts[server].agent }
+
 // Retune puts other rules in force, also for hosts that were notified before, and gives the bounds that hold now.
 func (t *Tracker) Retune(rules Rules) []Bound {
 	if rules == t.rules {
--- a/internal/control/draining/draining_test.go
+++ b/internal/control/draining/draining_test.go
@@ -37,7 +37,7 @@
 			tracker := New(c.rules)
 			for i, s := range c.changes {
 				want := Bound{"s", s.want}
-				if diff := cmp.Diff(want, tracker.Set(s.at, s.since, "s", s.state)); diff != "" {
+				if diff := cmp.Diff(want, tracker.Set(Word{Server: "s", State: s.state, At: s.at, Since: s.since, Agent: "a"})); diff != "" {
 					t.Errorf("change %d: %s", i, diff)
 				}
 				if got := tracker.Until("s"); got != s.want {
@@ -52,7 +52,7 @@
 func TestRetuneMovesTheBoundsOfNotifiedHosts(t *testing.T) {
 	const start = 10 * time.Second
 	tracker := New(Rules{Grace: time.Second})
-	tracker.Set(start, 0, "s", Draining)
+	tracker.Set(Word{Server: "s", State: Draining, At: start, Agent: "a"})
 	for _, grace := range []time.Duration{400 * ms, 3 * time.Second} {
 		want := []Bound{{"s", start + grace - 2*HoldUp}}
 		if diff := cmp.Diff(want, tracker.Retune(Rules{Grace: grace})); diff != "" {
@@ -63,3 +63,35 @@
 		t.Errorf("the same rules move bounds: %v", got)
 	}
 }
+
+// Of two agents of discovery either may be behind the other.
+func TestOnlyALaterWordEndsADrain(t *testing.T) {
+	const start = 10 * time.Second
+	drain := Word{State: Draining, Agent: "a", Started: 7}
+	for name, c := range map[string]struct {
+		before []Word
+		serves Word
+		want   State
+	}{
+		"the agent that told it":             {[]Word{drain}, Word{Agent: "a", Started: 7}, Serving},
+		"another agent":                      {[]Word{drain}, Word{Agent: "b", Started: 7}, Draining},
+		"another agent, of an earlier start": {[]Word{drain}, Word{Agent: "b", Started: 3}, Draining},
+		"another agent, of a later start":    {[]Word{drain}, Word{Agent: "b", Started: 8}, Serving},
+		"an agent that told it too":          {[]Word{drain, {State: Draining, Agent: "b"}}, Word{Agent: "b"}, Serving},
+		"an agent that told it before":       {[]Word{drain, {State: Draining, Agent: "b"}}, Word{Agent: "a"}, Draining},
+		"an agent whose list lacked it":      {[]Word{drain, {State: Gone, Agent: "b", Unlisted: true}}, Word{Agent: "b", Started: 7}, Gone},
+		"a list that had lacked it only":     {[]Word{{State: Gone, Agent: "b", Unlisted: true}}, Word{Agent: "b"}, Serving},
+		"nobody that is known":               {[]Word{{State: Draining}}, Word{}, Draining},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := New(Rules{Grace: time.Second})
+			for _, w := range append(c.before, c.serves) {
+				w.Server, w.At = "s", start
+				tracker.Set(w)
+			}
+			if got := tracker.State("s"); got != c.want || (tracker.Until("s") == Open) != (got == Serving) {
+				t.Errorf("%s until %s, want %s", got, tracker.Until("s"), c.want)
+			}
+		})
+	}
+}
--- a/internal/disk/handover/handover.go
+++ b/internal/disk/handover/handover.go
@@ -47,12 +47,14 @@
 	Position        time.Duration // of its log; 0: not known
 	Alive           bool          // not set aside
 	NotifiedFor     time.Duration // since the gateway was notified that it drains, at the time of the handover; 0: it does not
+	ToldBy          string        // agent of discovery that told so last; "": not known
 }
 
 // Knowledge is all that is handed over.
 type Knowledge struct {
 	At       time.Duration // when it was put together; decoded, the earliest that this may have been
 	Revision int64         // of the list; below 0: none
+	Agent    string        // of discovery, that told the list; "": not known
 	Newest   time.Duration // of the writes of sessions that were remembered; 0: none were
 	Hosts    []Host
 
@@ -64,6 +66,7 @@
 type body struct {
 	At       int64  `json:"at"`
 	Revision int64  `json:"revision"`
+	Agent    string `json:"agent"`
 	Newest   int64  `json:"newest"`
 	Hosts    []host `json:"hosts"`
 	Clock    bool   `json:"clock"`
@@ -84,6 +87,7 @@
 	Position int64   `json:"position"`
 	Alive    bool    `json:"alive"`
 	Notified int64   `json:"notified_for"`
+	ToldBy   string  `json:"told_by"`
 }
 
 // down and up round to milliseconds, also what is below zero.
@@ -101,11 +105,11 @@
 func Encode(k Knowledge) ([]byte, error) {
 	at := down(k.At)
 	back := k.At - of(at) // by this much the clock is set back
-	b := body{At: at, Revision: k.Revision, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
+	b := body{At: at, Revision: k.Revision, Agent: k.Agent, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
 		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least + back), Most: up(k.Ahead.Most + back)}
 	for _, h := range k.Hosts {
 		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(moved(h.Started, -back)),
-			down(moved(h.Leads, -back)), up(moved(h.Follows, -back)), down(h.Position), h.Alive, up(h.NotifiedFor)})
+			down(moved(h.Leads, -back)), up(moved(h.Follows, -back)), down(h.Position), h.Alive, up(h.NotifiedFor), h.ToldBy})
 	}
 	text, err := json.Marshal(b)
 	if err != nil {
@@ -162,7 +166,7 @@
 		return Knowledge{}, fmt.Errorf("%w: length or checksum", ErrTorn)
 	}
 	root := gjson.ParseBytes(text)
-	k := Knowledge{At: of(root.Get("at").Int()), Revision: root.Get("revision").Int(), Newest: of(root.Get("newest").Int())}
+	k := Knowledge{At: of(root.Get("at").Int()), Revision: root.Get("revision").Int(), Agent: root.Get("agent").Str, Newest: of(root.Get("newest").Int())}
 	k.ClockKnown = root.Get("clock").Bool() && headVersion(b) == version // an earlier one took a clock for right that was nearly so
 	k.Ahead = fleetclock.Interval{Least: of(root.Get("ahead_least").Int()), Most: of(root.Get("ahead_most").Int())}
 	if headVersion(b) != version && k.Newest > 0 {
@@ -175,7 +179,7 @@
 			State: balance.State(e.Get("state").Int()), Listed: e.Get("listed").Bool(), Weight: e.Get("weight").Num,
 			Started: of(e.Get("started").Int()), Leads: of(e.Get("leads").Int()), Follows: of(e.Get("follows").Int()),
 			Position: of(e.Get("position").Int()), Alive: e.Get("alive").Bool(),
-			NotifiedFor: of(e.Get("notified_for").Int())}
+			NotifiedFor: of(e.Get("notified_for").Int()), ToldBy: e.Get("told_by").Str}
 		if headVersion(b) != version {
 			h.Position, h.Leads = 0, 0 // by a clock that may have been off
 			if headVersion(b) == earlier && balance.Role(e.Get("role").Int()) == balance.Replica {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -231,7 +231,7 @@
 func (g *gateway) run() {
 	revision := g.c.Known.Revision
 	if len(g.c.Known.Members) > 0 {
-		g.x.Members(g.begun, true, g.c.Known.Members)
+		g.x.Members(exchange.List{Agent: g.c.Discovery, At: g.begun, Whole: true, Hosts: g.c.Known.Members})
 	}
 	if known, ok := g.inherited(); ok { // newer than what the file says
 		g.x.Inherit(g.upgrade.asked, known)
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -67,8 +67,7 @@
 
 // take hands over a list that arrived at a time, and handles it.
 func take(x *Exchange, at time.Duration, e members) {
-	x.bounds.take(at, e)
-	x.handle(x.cfg.Clock.Now(), e)
+	x.handle(x.cfg.Clock.Now(), x.bounds.take(List{Agent: "a", At: at, Whole: e.whole, Hosts: e.list}))
 }
 
 func TestStartBy(t *testing.T) {
@@ -160,7 +159,7 @@
 func TestAListBindsBeforeItIsHandled(t *testing.T) {
 	x, h, _ := fresh(t)
 	at := x.cfg.Clock.Now()
-	x.Members(at, true, only(balance.Draining).list)
+	x.Members(List{Agent: "a", At: at, Whole: true, Hosts: only(balance.Draining).list})
 	if want := at + time.Second - 2*draining.HoldUp; h.until["s"] != want {
 		t.Errorf("the host side may send until %v, want %v", h.until["s"], want)
 	}
--- a/internal/memory/exchange/handover.go
+++ b/internal/memory/exchange/handover.go
@@ -37,9 +37,9 @@
 	if k.ClockKnown {
 		x.cfg.Clock.Inherit(k.At, k.Ahead)
 	}
-	e := inheriting{known: k, list: members{whole: true, list: make([]Member, 0, len(k.Hosts))}}
+	l := List{Agent: k.Agent, At: x.cfg.Clock.Now(), Whole: true, Hosts: make([]Member, 0, len(k.Hosts)), inherited: true}
 	for _, h := range k.Hosts {
-		m := Member{Address: h.Address, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
+		m := Member{Address: h.Address, ToldBy: h.ToldBy, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
 			Primary: h.Listed, Weight: h.Weight}}
 		if h.Started > 0 {
 			m.Started = x.cfg.Clock.fleetAtMost(h.Started)
@@ -47,16 +47,15 @@
 		if h.NotifiedFor > 0 {
 			m.NotifiedAt = askedAt - h.NotifiedFor
 		}
-		e.list.list = append(e.list.list, m)
+		l.Hosts = append(l.Hosts, m)
 	}
-	x.bounds.take(x.cfg.Clock.Now(), e.list)
-	x.post(e)
+	x.post(inheriting{known: k, list: x.bounds.take(l)})
 }
 
 func (x *Exchange) survey() handover.Knowledge {
 	now := x.cfg.Clock.Now()
 	b := x.cfg.Clock.Bounds()
-	k := handover.Knowledge{At: now, Revision: -1, Newest: max(x.newest, x.cfg.Settings.Floor), ClockKnown: b.Bounded && !b.Doubted}
+	k := handover.Knowledge{At: now, Revision: -1, Agent: x.bounds.lastAgent(), Newest: max(x.newest, x.cfg.Settings.Floor), ClockKnown: b.Bounded && !b.Doubted}
 	if k.ClockKnown {
 		k.Ahead = b.At(now)
 	}
@@ -68,7 +67,7 @@
 		h := handover.Host{Server: s.Server, Address: m.Address, Group: m.Group, State: m.State, Listed: m.Primary,
 			Weight: m.Weight, Started: s.Started, Leads: s.Leads, Follows: s.Follows, Position: s.Position, Alive: s.Usable || s.Primary}
 		if at, ok := x.bounds.notifiedAt(s.Server); ok {
-			h.NotifiedFor = now - at
+			h.NotifiedFor, h.ToldBy = now-at, x.bounds.toldBy(s.Server)
 		}
 		k.Hosts = append(k.Hosts, h)
 	})
--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -18,8 +18,20 @@
 	Address string
 	// NotifiedAt is when an earlier process of this gateway was notified that it drains or is gone; 0: not known.
 	NotifiedAt time.Duration
+	ToldBy     string // agent of discovery that told that earlier process so; "": not known
 }
 
+// List is what an agent of discovery told: all hosts, or entries that changed.
+type List struct {
+	Agent string        // its address
+	At    time.Duration // when it arrived, or earlier, where the gateway counts as notified since then
+	Whole bool
+	Hosts []Member
+
+	inherited bool // it is what an earlier process knew, with starts that were rounded up
+}
+
+// members is a list whose states are those that hold.
 type members struct {
 	whole bool
 	list  []Member
@@ -31,12 +43,13 @@
 	begunAt time.Duration // the process's first moment
 	mu      sync.Mutex
 	drains  *draining.Tracker
-	known   map[string]bool
-	hosts   Hosts // nil until Run
+	known   map[string]time.Duration // hosts, with the latest start that a list told of them
+	agent   string                   // of the last list
+	hosts   Hosts                    // nil until Run
 }
 
 func newBounds(s balance.Settings, begunAt time.Duration) *bounds {
-	return &bounds{begunAt: begunAt, drains: draining.New(drainRules(s)), known: map[string]bool{}}
+	return &bounds{begunAt: begunAt, drains: draining.New(drainRules(s)), known: map[string]time.Duration{}}
 }
 
 func drainRules(s balance.Settings) draining.Rules {
@@ -46,28 +59,47 @@
 var drainStates = map[balance.State]draining.State{balance.Active: draining.Serving, balance.Draining: draining.Draining,
 	balance.Left: draining.Gone}
 
-// take puts a list in force that arrived at a time. A host that drains when the process first hears of it may have done so since before
-// the process began: what discovery's agent has counts as notified from the process's first moment.
-func (b *bounds) take(at time.Duration, e members) {
+// states is drainStates the other way round.
+var states = map[draining.State]balance.State{draining.Serving: balance.Active, draining.Draining: balance.Draining, draining.Gone: balance.Left}
+
+// take puts a list in force, and gives it with the states that hold. A host that drains when the process first hears of it may have done so
+// since before the process began: what discovery's agent has counts as notified from the process's first moment.
+func (b *bounds) take(l List) members {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	named := map[string]bool{}
-	for _, m := range e.list {
-		at := at
-		if !b.known[m.Server] {
-			at = min(at, b.begunAt)
-		}
-		named[m.Server], b.known[m.Server] = true, true
-		b.tellLocked(b.drains.Set(at, m.NotifiedAt, m.Server, drainStates[m.State]))
+	e, named := members{l.Whole, slices.Clone(l.Hosts)}, map[string]bool{}
+	for i, m := range e.list {
+		named[m.Server] = true
+		b.tellLocked(b.drains.Set(b.wordLocked(l, m)))
+		e.list[i].State = states[b.drains.State(m.Server)]
 	}
-	if !e.whole {
-		return
+	if !l.Whole {
+		return e
 	}
-	for server := range b.known {
+	for server, started := range b.known {
 		if !named[server] {
-			b.tellLocked(b.drains.Set(at, 0, server, draining.Gone))
+			b.tellLocked(b.drains.Set(draining.Word{Server: server, State: draining.Gone, At: l.At, Agent: l.Agent, Unlisted: true, Started: started}))
 		}
 	}
+	return e
+}
+
+// wordLocked is what a list tells of a host. Of an earlier process's, that a host serves ends no drain: what another list told may be later.
+func (b *bounds) wordLocked(l List, m Member) draining.Word {
+	w := draining.Word{Server: m.Server, State: drainStates[m.State], At: l.At, Since: m.NotifiedAt, Agent: l.Agent, Started: m.Started}
+	latest, known := b.known[m.Server]
+	if !known {
+		w.At = min(l.At, b.begunAt)
+	}
+	if w.State != draining.Serving {
+		w.Started = max(latest, w.Started)
+	}
+	if l.inherited {
+		w.Agent, b.known[m.Server] = m.ToldBy, latest
+		return w
+	}
+	b.agent, b.known[m.Server] = l.Agent, max(latest, m.Started)
+	return w
 }
 
 func (b *bounds) tellLocked(bound draining.Bound) {
@@ -100,6 +132,20 @@
 	return b.drains.Until(server)
 }
 
+// toldBy is the agent of discovery that told last that a host drains or is gone.
+func (b *bounds) toldBy(server string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.drains.Agent(server)
+}
+
+// lastAgent is the agent of discovery whose list was taken last; "": none was.
+func (b *bounds) lastAgent() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.agent
+}
+
 func (b *bounds) notifiedAt(server string) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -119,11 +165,15 @@
 	b.hosts = hosts
 }
 
-// Members hands over the list of hosts, whole or changes only, that arrived at a time. What it says of hosts that drain or are
-// gone binds at once.
-func (x *Exchange) Members(at time.Duration, whole bool, list []Member) {
-	e := members{whole, list}
-	x.bounds.take(at, e)
+// Members hands over a list of hosts. What it says of hosts that drain or are gone binds at once.
+func (x *Exchange) Members(l List) {
+	e := x.bounds.take(l)
+	for i, m := range e.list {
+		if l.Hosts[i].State == balance.Active && m.State != balance.Active {
+			x.cfg.Log.Info("host kept out: the list may be behind the one that told its drain", zap.String("host", m.Server),
+				zap.String("agent", l.Agent), zap.String("told_by", x.bounds.toldBy(m.Server)))
+		}
+	}
 	x.post(e)
 }
 
--- a/internal/wire/backend/backend_test.go
+++ b/internal/wire/backend/backend_test.go
@@ -223,7 +223,7 @@
 				group.Go(func() error { return x.Run(ctx, b) })
 				defer func() { stop(); _ = group.Wait() }()
 				member := exchange.Member{Address: address, Member: balance.Member{Server: "s", Group: 1, Primary: true, Weight: 1}}
-				x.Members(clock.Now(), true, []exchange.Member{member})
+				x.Members(exchange.List{Agent: "a", At: clock.Now(), Whole: true, Hosts: []exchange.Member{member}})
 				ask := func(id string, wait time.Duration) chan exchange.Answer {
 					answer := make(chan exchange.Answer, 1)
 					x.Submit(&exchange.Request{ID: id, Class: "order", Group: 1, Write: true, Arrived: clock.Now(), Wait: wait, Command: outcomes(nil), Answer: answer})
@@ -235,7 +235,7 @@
 				member.State = balance.Draining
 				notified := time.Now()
 				time.Sleep(holdUp) // between the reading of the list and its handing over
-				x.Members(clock.Now(), false, []exchange.Member{member})
+				x.Members(exchange.List{Agent: "a", At: clock.Now(), Hosts: []exchange.Member{member}})
 				time.Sleep(time.Until(notified.Add(grace - before*time.Millisecond)))
 				armed.Store(true)
 				<-ask("second", 2*time.Second)
--- a/internal/wire/discovery/notified_test.go
+++ b/internal/wire/discovery/notified_test.go
@@ -26,7 +26,7 @@
 	p := &played{}
 	w := NewWatcher("a", 1)
 	w.Log, w.Counters, w.Clock, w.Answered = zap.NewNop(), &counters.Set{}, exchange.NewClock(), func() {}
-	w.Members = func(at time.Duration, _ bool, _ []exchange.Member) { p.notified = append(p.notified, at) }
+	w.Members = func(l exchange.List) { p.notified = append(p.notified, l.At) }
 	p.began = w.Clock.Now()
 	w.Begun = p.began - 400*ms
 	p.session = &session{Watcher: w, ctx: context.Background(), cancels: map[int]context.CancelFunc{}, decisions: listwatch.New("a", revision, 1)}
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -39,8 +39,7 @@
 	Counters *counters.Set
 	Clock    exchange.Clock
 	Begun    time.Duration // the process's first moment, by Clock
-	// Members takes a list, or the entries that changed, and when the gateway counts as notified of it: when it arrived, or earlier.
-	Members  func(at time.Duration, whole bool, list []exchange.Member)
+	Members  func(exchange.List)
 	Answered func() // called once, when the agent has answered for the first time
 
 	seed     uint64
@@ -190,7 +189,7 @@
 	if r.list.Complete || len(r.list.Members) > 0 {
 		s.Log.Info("hosts listed", zap.Bool("whole", r.list.Complete), zap.Int64("revision", r.list.Revision), zap.Int("entries", len(r.list.Members)),
 			zap.String("agent", r.call.Address), zap.Duration("handled_after", now-r.at), zap.Duration("notified_before", r.at-notified))
-		s.Members(notified, r.list.Complete, r.list.Members)
+		s.Members(exchange.List{Agent: r.call.Address, At: notified, Whole: r.list.Complete, Hosts: r.list.Members})
 	}
 	if !s.answered {
 		s.answered = true
--- a/internal/wire/discovery/watch_test.go
+++ b/internal/wire/discovery/watch_test.go
@@ -64,7 +64,7 @@
 	got := make(chan bool, 100)
 	w.Log, w.Counters, w.Answered = zap.NewNop(), &counters.Set{}, func() {}
 	w.Clock = exchange.NewClock()
-	w.Members = func(time.Duration, bool, []exchange.Member) { got <- true }
+	w.Members = func(exchange.List) { got <- true }
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = w.Run(ctx, 0) }()
