Fleet's clock: answers that tell one position again move no bound of a wide interval

Seen: none in service; a test of a clock known by one slow first answer (400 ms) had a primary tell one position again and again: the third answer set the upper end 104 ms too low, so that data seemed 104 ms fresher than it was.

Cause: side.add took any two answers whose round trips lie 10 ms apart for two witnesses. Those of a position that stands still contradict each other, but inside a wide interval nothing compared them with each other; only settling a doubt did.

Evidence: TestAPositionThatStandsStillMovesNoBoundOfAWideInterval fails without the change (Most -103.97 ms with an offset of 0).

Change: two answers of which the later one proves less than the earlier allows are no pair. A later one that proves more still is: the earlier was wrong.

--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -303,3 +303,17 @@
 		}
 	}
 }
+
+func TestAPositionThatStandsStillMovesNoBoundOfAWideInterval(t *testing.T) {
+	p := newPlay(0)
+	p.now += 400 * ms
+	p.Observe(Observation{Host: "a", Present: p.now - 400*ms, Sent: p.now - 400*ms, Received: p.now})
+	p.check(t, "a slow first answer", true)
+	old := p.now
+	p.now += 100 * ms
+	for range 3 {
+		p.now += apart + 10*ms
+		p.Observe(Observation{Host: "a", Present: old, Sent: p.now - 10*ms, Received: p.now})
+		p.check(t, "a position that stands still", true)
+	}
+}
--- a/internal/control/fleetclock/witness.go
+++ b/internal/control/fleetclock/witness.go
@@ -23,6 +23,18 @@
 	return a.received+apart <= b.sent || b.received+apart <= a.sent
 }
 
+// standStill says that two answers contradict each other as those of a position that is told again do: the later one proves less. Then
+// both may be wrong.
+func standStill(a, b witness) bool {
+	if a.assumed || b.assumed {
+		return false
+	}
+	if b.received < a.received {
+		a, b = b, a
+	}
+	return b.interval.Most < a.at(b.received).Least
+}
+
 // at is the witness's interval at a time.
 func (w witness) at(t time.Duration) Interval { return w.interval.after(t - w.received) }
 
@@ -55,7 +67,7 @@
 func (s *side) add(b bound) {
 	best := *s
 	for _, o := range s.bounds[:s.count] {
-		if pair := (side{[2]bound{o, b}, 2}); independent(o.by, b.by) && pair.tighter(&best) {
+		if pair := (side{[2]bound{o, b}, 2}); independent(o.by, b.by) && !standStill(o.by, b.by) && pair.tighter(&best) {
 			best = pair
 		}
 	}
