Write a repeat's last byte inside its window, as a host begins only then

Callers saw: a keyed write that went again could take effect twice. Its repeat began inside the window, but a host that took a long statement slowly got its last byte, with which it begins, after the window had ended.

Cause: Attempt.StartBy bounds the first byte only; the write itself had the attempt's whole time. The same held for reads that go on a position: their bound counts from the last byte.

Evidence: TestTheLastByteOfAQueryIsNotWrittenAfterItsWindow, a host that reads on only after the end of the window: before, it got the whole query (statement and conversation).

Change: Attempt.WriteBy, from the same bounds as StartBy but a drain's (which counts from the first byte), is the deadline of writes that may get stuck. A statement that is cut off ends as one that never ran, a conversation as one that may have. What lies in the gateway's own socket buffer still gets out.

--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -416,7 +416,7 @@
 	x.cfg.Counters.Grounds[a.Grounds.Kind].Add(1)
 	if a.Grounds.SendBy > 0 {
 		// The known position is inside the bound now; a slow connect must not carry the read past it.
-		t.startBy(a.Grounds.SendBy)
+		t.writeBy(a.Grounds.SendBy)
 	}
 	if by := x.bounds.until(a.Server); by != draining.Open {
 		// Nothing may go out after the grace, however long the connection takes to come up.
@@ -424,7 +424,7 @@
 	}
 	if o.class.Effect == balance.Keyed && o.ranAt > 0 {
 		// The module found its window open; it must not close while the connection comes up.
-		t.startBy(o.ranAt + o.class.KeyTTL - windowMargin)
+		t.writeBy(o.ranAt + o.class.KeyTTL - windowMargin)
 	}
 	x.hosts.Send(t)
 }
@@ -435,3 +435,11 @@
 		a.StartBy = t
 	}
 }
+
+// writeBy bounds when the attempt may go out to its last byte.
+func (a *Attempt) writeBy(t time.Duration) {
+	a.startBy(t)
+	if a.WriteBy == 0 || t < a.WriteBy {
+		a.WriteBy = t
+	}
+}
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -40,7 +40,8 @@
 		Settings: balance.Settings{Probes: true, RetryAfter: true, MaxRetryAfter: time.Second, DrainGrace: time.Second,
 			Classes: []balance.Class{
 				{Name: "view", Need: balance.Bounded, Bound: time.Second, Aim: time.Minute, Deadline: time.Minute},
-				{Name: "order", Need: balance.Write, Effect: balance.Unsafe, Aim: time.Minute, Deadline: time.Minute}}}})
+				{Name: "order", Need: balance.Write, Effect: balance.Unsafe, Aim: time.Minute, Deadline: time.Minute},
+				{Name: "pay", Need: balance.Write, Effect: balance.Keyed, KeyTTL: 10 * time.Second, Aim: time.Minute, Deadline: time.Minute}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,7 +53,7 @@
 	return x, h, func(class string) chan Answer {
 		n++
 		c := make(chan Answer, 1)
-		x.handle(x.cfg.Clock.Now(), &Request{ID: string(rune('a' + n)), Class: class, Group: 1, Write: class == "order",
+		x.handle(x.cfg.Clock.Now(), &Request{ID: string(rune('a' + n)), Class: class, Group: 1, Write: class != "view",
 			Arrived: x.cfg.Clock.Now(), Answer: c})
 		return c
 	}
@@ -88,6 +89,18 @@
 	}
 }
 
+func TestARepeatIsWrittenToItsLastByteInsideItsWindow(t *testing.T) {
+	x, h, ask := fresh(t)
+	ask("pay")
+	x.handle(x.cfg.Clock.Now(), Outcome{Outcome: balance.Outcome{ID: "b", Server: "s", Result: balance.Reset}})
+	if len(h.sent) != 2 || h.sent[0].WriteBy != 0 {
+		t.Fatalf("sent %+v", h.sent)
+	}
+	if again, end := h.sent[1], h.sent[0].Sent+10*time.Second-windowMargin; again.StartBy != end || again.WriteBy != end {
+		t.Errorf("it goes again from %v to %v, want by %v", again.StartBy, again.WriteBy, end)
+	}
+}
+
 func TestEndingBoundsTheWait(t *testing.T) {
 	x, h, ask := fresh(t)
 	by := x.cfg.Clock.Now() + 50*time.Second
--- a/internal/memory/exchange/types.go
+++ b/internal/memory/exchange/types.go
@@ -50,6 +50,7 @@
 	Sent    time.Duration // when it was decided on
 	Until   time.Duration // the gateway stops waiting then
 	StartBy time.Duration // it must not go out any later; 0: no such bound
+	WriteBy time.Duration // nor may its last byte: a host begins with it then; 0: no such bound
 	Grounds balance.Grounds
 	Keyed   bool // its answer may be that of an earlier write with the same key
 }
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -224,9 +224,9 @@
 	}
 	var r reply
 	if large != nil {
-		r = c.exchange(func() error { return t.writeLarge(c, large, now) }, true, command.Tag(), t.Until)
+		r = c.exchange(func() error { return t.writeLarge(c, large, now) }, true, command.Tag(), limits{t.Until, t.WriteBy})
 	} else {
-		r = c.roundTrip(query, command.Tag(), t.Until)
+		r = c.roundTrip(query, command.Tag(), limits{t.Until, t.WriteBy})
 	}
 	if r.stream != nil {
 		t.stream(r)
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -58,9 +58,10 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
-func (c *conn) until(t time.Duration) error {
-	return c.SetDeadline(time.Now().Add(t - c.clock.Now()))
-}
+func (c *conn) until(t time.Duration) error { return c.SetDeadline(c.deadline(t)) }
+
+// deadline is a time of the gateway's clock as connections take it.
+func (c *conn) deadline(t time.Duration) time.Time { return time.Now().Add(t - c.clock.Now()) }
 
 // start opens the session.
 func (c *conn) start(until time.Duration, user, database string) error {
@@ -143,24 +144,40 @@
 
 // roundTrip writes a query and reads all that comes back for it; of a large value, all up to its first byte. Only one row, whole and in its place, is an answer: a
 // host may send noise, an answer twice or one with parts missing, and a client must never be served with that.
-func (c *conn) roundTrip(query []byte, tag string, until time.Duration) (r reply) {
+func (c *conn) roundTrip(query []byte, tag string, l limits) (r reply) {
 	return c.exchange(func() error {
 		_, err := c.Write(query)
 		return err
-	}, len(query) > readBuffer, tag, until)
+	}, len(query) > readBuffer, tag, l)
 }
 
-// exchange is roundTrip with what writes the query; large says that it may get stuck on its way. Of an answer that is read past its
-// time only the word that the host is no primary counts.
-func (c *conn) exchange(write func() error, large bool, tag string, until time.Duration) reply {
-	c.clean = false
+// limits bound a query's way to a host and back.
+type limits struct {
+	until   time.Duration // its answer is waited for
+	writeBy time.Duration // its last byte may be written; 0: no other bound
+}
+
+// set puts them in force on a connection.
+func (l limits) set(c *conn, large bool) error {
 	// A small query goes into the empty buffer of an idle connection at once; only a large one can get stuck on its way.
-	limit := c.SetReadDeadline
 	if large || c.writeLimited {
-		limit, c.writeLimited = c.SetDeadline, true
+		c.writeLimited = true
+		by := l.until
+		if l.writeBy > 0 {
+			by = min(by, l.writeBy)
+		}
+		if err := c.SetWriteDeadline(c.deadline(by)); err != nil {
+			return err
+		}
 	}
-	sent := c.clock.Now()
-	if limit(time.Now().Add(until-sent)) != nil {
+	return c.SetReadDeadline(c.deadline(l.until))
+}
+
+// exchange is roundTrip with what writes the query; large says that it may get stuck on its way. Of an answer that is read past its
+// time only the word that the host is no primary counts.
+func (c *conn) exchange(write func() error, large bool, tag string, l limits) reply {
+	c.clean = false
+	if l.set(c, large) != nil {
 		return reply{result: balance.NoConnection}
 	}
 	if err := write(); err != nil {
--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -29,9 +29,10 @@
 
 // Host is one host connection in a conversation.
 type Host struct {
-	c     *conn
-	b     *Backend
-	notes reply
+	c       *conn
+	b       *Backend
+	notes   reply
+	writeBy time.Duration // of what is sent first; 0: no such bound
 }
 
 // Link is what the connection has been set up with.
@@ -44,6 +45,11 @@
 
 // Write sends to the host.
 func (h *Host) Write(b []byte) error {
+	if h.writeBy > 0 {
+		_ = h.c.SetWriteDeadline(h.c.deadline(h.writeBy))
+		defer h.c.SetWriteDeadline(time.Time{})
+		h.writeBy = 0
+	}
 	_, err := h.c.Write(b)
 	return err
 }
@@ -119,7 +125,7 @@
 
 // converse carries out an attempt that is a conversation.
 func (t *attempt) converse(c *conn, talk Conversation) {
-	h := &Host{c: c, b: t.b}
+	h := &Host{c: c, b: t.b, writeBy: t.WriteBy}
 	c.clean = false
 	_ = c.SetReadDeadline(time.Now().Add(t.Until - c.clock.Now()))
 	end := talk.Converse(h)
--- a/internal/wire/backend/probe.go
+++ b/internal/wire/backend/probe.go
@@ -52,7 +52,7 @@
 				return nil
 			}
 			sent := b.cfg.Clock.Now()
-			r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), "SHOW", until)
+			r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), "SHOW", limits{until: until})
 			b.put(server, c)
 			if p.Result = r.result; r.result == balance.OK {
 				answer := reply{report: report(string(r.value.Data))}
--- /dev/null
+++ b/internal/wire/backend/write_by_test.go
@@ -0,0 +1,81 @@
+package backend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"yokemast/balance"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/pg"
+)
+
+// bulky is a command whose query fills the buffers of any socket.
+type bulky struct{ outcomes }
+
+var bulkyQuery = sync.OnceValue(func() []byte { return pg.AppendQuery(nil, string(make([]byte, 32<<20))) })
+
+func (bulky) AppendQuery([]byte, time.Duration) []byte { return bulkyQuery() }
+
+func (bulky) Converse(h *Host) Ending {
+	if h.Write(bulkyQuery()) != nil {
+		return Ending{Result: balance.Reset}
+	}
+	return Ending{Result: balance.OK}
+}
+
+// plain is a bulky command that is no conversation.
+type plain struct{ Command }
+
+// A host begins with a query at its last byte. One that reads only after the end of a window must never get that byte.
+func TestTheLastByteOfAQueryIsNotWrittenAfterItsWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		command any
+		want    balance.Result
+	}{
+		"statement":    {plain{bulky{}}, balance.NoConnection},
+		"conversation": {bulky{}, balance.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			r.b.Members([]exchange.Member{{Member: balance.Member{Server: "slow"}, Address: l.Addr().String()}})
+			begun, over, whole := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+			go func() {
+				n, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer n.Close()
+				in := bufio.NewReader(n)
+				_, _, _ = pg.ReadStartup(in)
+				_, _ = n.Write(pg.AppendWelcome(nil, pg.StartSession))
+				_, _ = in.Peek(1)
+				close(begun)
+				<-over
+				_, length, _ := pg.Head(in)
+				_, err = io.CopyN(io.Discard, in, int64(length))
+				whole <- length > 0 && err == nil
+			}()
+			bulkyQuery()
+			now := r.clock.Now()
+			window := now + 500*time.Millisecond
+			r.b.Send(exchange.Attempt{ID: "a", Server: "slow", Command: c.command, Sent: now, Until: now + soon, StartBy: window, WriteBy: window})
+			wait(t, begun, "the beginning of the query")
+			time.AfterFunc(window-r.clock.Now()+50*time.Millisecond, func() { close(over) })
+			if wait(t, whole, "the end of the query") {
+				t.Error("a host that reads after the window gets the query whole")
+			}
+			if o := wait(t, r.outcomes, "the outcome"); o.Result != c.want {
+				t.Errorf("it ended with %v, want %v", o.Result, c.want)
+			}
+		})
+	}
+}
