--- a/internal/memory/exchange/types.go
+++ b/internal/memory/exchange/types.go
@@ -50,8 +50,10 @@
 	Sent    time.Duration // when it was decided on
 	Until   time.Duration // the gateway stops waiting then
 	StartBy time.Duration // it must not go out any later; 0: no such bound
+	WriteBy time.Duration // nor may its last byte: a host begins with it then; 0: no such bound
 	Grounds balance.Grounds
-	Keyed   bool // its answer may be that of an earlier write with the same key
+	Demand  balance.Demand // for an answer that is passed on before its outcome is told
+	Keyed   bool           // its answer may be that of an earlier write with the same key
 }
 
 // Outcome ends an attempt: the module's outcome, and the value if it was served.
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -23,6 +23,8 @@
 	out        []byte
 	sent       bool // something has gone to the host
 	relayed    bool // something has gone to the client
+	last       byte // kind of the last message from the host
+	read       bool // it has given a row
 	wrote      time.Duration
 }
 
@@ -42,6 +44,7 @@
 // run takes the batch to the host and its answer to the client.
 func (x *exchangeOf) run() error {
 	x.s.Start()
+	x.h.Begin()
 	if err := x.build(); err != nil {
 		return err
 	}
@@ -82,7 +85,10 @@
 		}
 		return x.flush()
 	}
-	if see := x.l.MustSee; see > 0 && !x.relayed && x.h.Behind(see) {
+	switch see := x.l.MustSee; {
+	case see > 0 && !x.relayed && x.h.Behind(see):
+		return errBehind
+	case x.read && x.h.TooOld():
 		return errStale
 	}
 	return x.flush()
@@ -131,8 +137,11 @@
 	return nil
 }
 
-// errStale says that a host which was taken for the primary is none any more, and lies behind what the session must see.
-var errStale = errors.New("the host lies behind what the session has written")
+// errBehind says that a host which was taken for the primary is none any more, and lies behind what the session must see.
+var errBehind = errors.New("the host lies behind what the session has written")
+
+// errStale says that the data behind an answer proves to be older than its class allows.
+var errStale = errors.New("the answer is older than its class allows")
 
 // rollback ends the open transaction and says whether the connection is clean after it.
 func (x *exchangeOf) rollback() bool {
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -26,7 +26,7 @@
 		if err := x.receive(e); err != nil {
 			return err
 		}
-		if len(x.out) >= flushAt {
+		if x.full() {
 			if err := x.flush(); err != nil {
 				return err
 			}
@@ -35,6 +35,15 @@
 	return nil
 }
 
+// full says that what has been gathered goes to the client. What may yet prove too old is held as long as there is room, and the
+// end of a statement in any case: an error in its place makes it one that failed.
+func (x *exchangeOf) full() bool {
+	if x.h.Untold() {
+		return len(x.out) >= holdMost && x.last == pg.DataRow
+	}
+	return len(x.out) >= flushAt
+}
+
 func (x *exchangeOf) pop() { x.expects = x.expects[1:] }
 
 // receive takes one message from the host.
@@ -43,7 +52,12 @@
 	if err != nil {
 		return err
 	}
-	if length > bodyMost {
+	x.last, x.read = kind, x.read || kind == pg.DataRow && !e.hidden
+	held := bodyMost
+	if x.h.Untold() && kind == pg.DataRow {
+		held = max(bodyMost, holdMost-len(x.out))
+	}
+	if length > held {
 		if kind != pg.DataRow || e.hidden {
 			return &badAnswer{fmt.Sprintf("%c of %d bytes", kind, length)}
 		}
@@ -53,7 +67,7 @@
 		}
 		return x.h.Copy(writer(x.l.write), length)
 	}
-	body, err := x.h.Body(length, bodyMost)
+	body, err := x.h.Body(length, held)
 	if err != nil {
 		return err
 	}
