Read a conversation's answer that came by its end for the host's word on its role

Callers saw: after a primary had been deposed, reads could still go to it on its older word although its word that it follows had reached this machine: in the answer to a conversation whose time was over or which was canceled, which was closed unread.

Cause: such connections were closed at once; only a plain query's answer was read to what had arrived.

Evidence: TestAFollowersWordThatCameBeforeAConversationEndsIsHeeded, both cases: the next attempt that needs the primary went out.

Change: a conversation reads past its time what has arrived (incoming.drain), and gives none of that to its client. A cancel ends its sending and its waits, and leaves the close to its goroutine.

--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -104,6 +104,7 @@
 	ended bool
 
 	awaits    bool // its goroutine waits for nothing but the host, and ends it
+	converses bool // its goroutine may wait for the client too, and gives the connection back
 	canceled  bool // while it awaits: it is to end so, once what has arrived is read
 	withdrawn bool
 }
@@ -158,7 +159,11 @@
 	if t.canceled {
 		o, busy, keep = canceled, -1, false
 	}
-	if t.conn != nil && !keep {
+	switch {
+	case t.conn == nil, keep:
+	case t.converses && o.Result == balance.Cancelled: // what has arrived may hold a word against the host
+		t.conn.stopWaiting()
+	default:
 		t.conn.close()
 	}
 	t.conn = nil
@@ -216,7 +221,7 @@
 		result(balance.NotSent)
 		return
 	}
-	t.conn, t.begun, t.awaits = c, true, large == nil && !converses
+	t.conn, t.begun, t.awaits, t.converses = c, true, large == nil && !converses, converses
 	t.mu.Unlock()
 	if converses {
 		t.converse(c, talk)
--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -77,6 +77,9 @@
 	return h.t.refuted(&reply{role: h.notes.role, position: h.position}, written)
 }
 
+// Late says that what is read from the host came past the conversation's time: it counts for what the host says of itself only.
+func (h *Host) Late() bool { return h.c.incoming.late }
+
 // Head reads the head of the next message. What the host notes of itself is taken out of the stream.
 func (h *Host) Head() (kind byte, length int, err error) { return pg.Head(h.c.in) }
 
@@ -153,11 +156,17 @@
 func (t *attempt) converse(c *conn, talk Conversation) {
 	h := &Host{c: c, t: t, writeBy: t.WriteBy}
 	c.clean = false
-	_ = c.SetReadDeadline(c.deadline(t.Until))
+	t.mu.Lock()
+	if !t.ended { // canceled, it is to wait for nothing
+		_ = c.SetReadDeadline(c.deadline(t.Until))
+	}
+	t.mu.Unlock()
+	c.incoming.drain = true
 	end := talk.Converse(h)
+	c.incoming.drain = false
 	t.mu.Lock()
 	t.conn = nil
-	c.clean = end.Clean && !t.ended && c.in.Buffered() == 0
+	c.clean = end.Clean && !t.ended && !h.Late() && c.in.Buffered() == 0
 	t.mu.Unlock()
 	t.b.put(t.Server, c)
 	h.notes.result = end.Result
--- a/internal/wire/backend/unread_word_test.go
+++ b/internal/wire/backend/unread_word_test.go
@@ -24,11 +24,16 @@
 func (l lateReader) WriteQuery(w io.Writer, _ time.Duration) error {
 	_, err := w.Write(pg.AppendQuery(nil, "x"))
 	<-l.answered
-	raw, _ := w.(*conn).SyscallConn()
-	for raw.Read(func(uintptr) bool { return true }) == nil { // the deadline is not in force yet
+	untilLate(w.(*conn))
+	return err
+}
+
+// untilLate waits until a connection's deadline for reading is in force.
+func untilLate(c *conn) {
+	raw, _ := c.SyscallConn()
+	for raw.Read(func(uintptr) bool { return true }) == nil {
 		time.Sleep(time.Millisecond)
 	}
-	return err
 }
 
 func TestAFollowersWordThatCameBeforeATimeOutIsHeeded(t *testing.T) {
@@ -136,3 +141,63 @@
 		t.Errorf("an attempt that needs the primary ended with %v after the host's word that it follows had come", o.Result)
 	}
 }
+
+// talk is a conversation that is held up, when the answer has arrived, until it is over.
+type talk struct {
+	asked, over, read chan struct{}
+	late              bool // what it read came past its time
+}
+
+func (k *talk) Converse(h *Host) Ending {
+	defer close(k.read)
+	_ = h.Write(pg.AppendQuery(nil, "x"))
+	close(k.asked)
+	<-k.over
+	for {
+		kind, length, err := h.Head()
+		if err != nil {
+			return Ending{Result: balance.Reset}
+		}
+		body, _ := h.Body(length, length)
+		if k.late = h.Late(); kind == pg.ParameterStatus {
+			h.Note(body)
+		}
+	}
+}
+
+func TestAFollowersWordThatCameBeforeAConversationEndsIsHeeded(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(r *rig, first *conn)
+		want balance.Result
+	}{
+		"its time is over": {func(_ *rig, first *conn) { untilLate(first) }, balance.Reset},
+		"it is canceled":   {func(r *rig, _ *conn) { r.b.Cancel("first", 0) }, balance.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := &talk{asked: make(chan struct{}), over: make(chan struct{}), read: make(chan struct{})}
+			r := newRig(t, func(c net.Conn, _ int64) { _, _ = c.Write(append(role("follower"), row()...)) })
+			before := r.clock.Now()
+			r.b.Send(exchange.Attempt{ID: "first", Server: "s", Sent: before, Until: before + 100*time.Millisecond, Command: k})
+			wait(t, k.asked, "the query")
+			first := r.b.attempts[key{"first", 0}].conn
+			for socket.Quiet(first) {
+				time.Sleep(time.Millisecond)
+			}
+			c.end(r, first)
+			close(k.over)
+			if o := wait(t, r.outcomes, "the first outcome"); o.Result != c.want {
+				t.Errorf("the first attempt ended with %+v", o.Outcome)
+			}
+			if wait(t, k.read, "the end of what came"); !k.late {
+				t.Error("what came past its time does not say so")
+			}
+			r.send("second", balance.Grounds{Kind: balance.LeaderWord, Leads: before})
+			if o := wait(t, r.outcomes, "the second outcome"); o.Result != balance.NotSent {
+				t.Errorf("an attempt that needs the primary ended with %v after the host's word that it follows had come", o.Result)
+			}
+			if n := inUse(r.b); n != 0 {
+				t.Errorf("%d connections are still in use", n)
+			}
+		})
+	}
+}
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -44,7 +45,11 @@
 }
 
 func (x *exchangeOf) flush() error {
-	if len(x.out) == 0 {
+	switch {
+	case len(x.out) == 0:
+		return nil
+	case x.h.Late():
+		x.out = x.out[:0]
 		return nil
 	}
 	x.relayed = true
@@ -229,6 +234,8 @@
 		return x.flush()
 	}
 	switch see := x.l.MustSee; {
+	case x.h.Late():
+		return os.ErrDeadlineExceeded
 	case see > 0 && !x.relayed && x.h.Behind(see):
 		return errBehind
 	case x.read && x.h.TooOld():
@@ -340,7 +347,7 @@
 		if err := x.flush(); err != nil {
 			return err
 		}
-		return x.h.Copy(writer(x.l.write), length)
+		return x.h.Copy(writer(x.pass), length)
 	}
 	body, err := x.h.Body(length, held)
 	if err != nil {
@@ -444,6 +451,14 @@
 	return nil
 }
 
+// pass gives a piece of a long row to the client, unless its time is over.
+func (x *exchangeOf) pass(piece []byte) error {
+	if x.h.Late() {
+		return nil
+	}
+	return x.l.write(piece)
+}
+
 type writer func([]byte) error
 
 func (w writer) Write(b []byte) (int, error) { return len(b), w(b) }
