Heed the report in an answer that breaks off as a word that its host follows

Callers saw: reads could go to a deposed primary on its older word although the beginning of an answer had brought its report that it is none (x1=0), and the rest of that answer was lost.

Cause: reply.broken kept a role only, and of an answer that came whole the report counts where no role stands beside it; of a broken one nobody looked at it.

Evidence: TestAReportInABrokenAnswerHoldsAnAttemptBack: the next attempt that needs the primary went out.

Change: of an answer that breaks off a report speaks against its host as it does in a whole one. It costs a look elsewhere where it is wrong. Beside a role it is older and says nothing, as before.

--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -191,8 +191,9 @@
 	r.written = written
 	if c.incoming.late {
 		c.clean = false
-		return r.broken(balance.TimedOut)
+		r = r.broken(balance.TimedOut)
 	}
+	c.heed(&r) // also what a report says that came with no role beside it
 	return r
 }
 
@@ -268,7 +269,7 @@
 // against it, and to take it for true costs no more than a look elsewhere.
 func (r *reply) broken(result balance.Result) reply {
 	out := reply{result: result}
-	if r.role == balance.Replica {
+	if r.role == balance.Replica || r.role == balance.Unknown && r.report.Role == balance.Replica {
 		out.role = balance.Replica
 	}
 	return out
--- a/internal/wire/backend/evidence_test.go
+++ b/internal/wire/backend/evidence_test.go
@@ -202,6 +202,38 @@
 	}
 }
 
+// The report in an answer that breaks off counts as the host's word that it follows, unless a role stands beside it.
+func TestAReportInABrokenAnswerHoldsAnAttemptBack(t *testing.T) {
+	report := pg.Append(nil, pg.ParameterStatus, []byte("server_load\x00x0=1767225600.000,x1=0\x00"))
+	for name, c := range map[string]struct {
+		notes []byte
+		want  balance.Result
+	}{
+		"alone":         {report, balance.NotSent},
+		"beside a role": {append(role("leader"), report...), balance.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, func(conn net.Conn, n int64) {
+				if n > 0 {
+					_, _ = conn.Write(append(role("leader"), row()...))
+					return
+				}
+				_, _ = conn.Write(c.notes)
+				conn.Close()
+			})
+			before := r.clock.Now()
+			r.send("first", balance.Grounds{})
+			if o := wait(t, r.outcomes, "the first outcome"); o.Result != balance.Reset {
+				t.Errorf("the first attempt ended with %v", o.Result)
+			}
+			r.send("second", balance.Grounds{Kind: balance.LeaderWord, Leads: before})
+			if o := wait(t, r.outcomes, "the second outcome"); o.Result != c.want {
+				t.Errorf("the second attempt ended with %v, want %v", o.Result, c.want)
+			}
+		})
+	}
+}
+
 // A large value is passed on as it comes. What its host says of itself counts once the value is whole.
 func TestALargeValuesHostIsBelievedOnceItIsWhole(t *testing.T) {
 	for _, whole := range []bool{true, false} {
