--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"time"
 
 	"yokemast/internal/control/pooling"
@@ -29,7 +30,11 @@
 }
 
 func (x *exchangeOf) flush() error {
-	if len(x.out) == 0 {
+	switch {
+	case len(x.out) == 0:
+		return nil
+	case x.h.Late():
+		x.out = x.out[:0]
 		return nil
 	}
 	x.relayed = true
@@ -86,6 +91,8 @@
 		return x.flush()
 	}
 	switch see := x.l.MustSee; {
+	case x.h.Late():
+		return os.ErrDeadlineExceeded
 	case see > 0 && !x.relayed && x.h.Behind(see):
 		return errBehind
 	case x.read && x.h.TooOld():
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -65,7 +65,7 @@
 		if err := x.flush(); err != nil {
 			return err
 		}
-		return x.h.Copy(writer(x.l.write), length)
+		return x.h.Copy(writer(x.pass), length)
 	}
 	body, err := x.h.Body(length, held)
 	if err != nil {
@@ -169,6 +169,14 @@
 	return nil
 }
 
+// pass gives a piece of a long row to the client, unless its time is over.
+func (x *exchangeOf) pass(piece []byte) error {
+	if x.h.Late() {
+		return nil
+	}
+	return x.l.write(piece)
+}
+
 type writer func([]byte) error
 
 func (w writer) Write(b []byte) (int, error) { return len(b), w(b) }
