Ledger: what goes over a link counts where the gateway stands

A host's coming of a query is later than the gateway's sending by what a proxy delays, and its answer reaches the gateway later than it was made. So for what goes over a link the ledger takes these times from the link, and the host's words on the same attempt do not count. rules.Read takes the bound's length in place of its time.

--- a/internal/testbed/hosts/cluster.go
+++ b/internal/testbed/hosts/cluster.go
@@ -375,7 +375,7 @@
 		case s.Class == c.Own && s.After > 0:
 			h.Ledger.ReadOwn(h.ID, s.ID, arrived, position, time.UnixMilli(s.After.Milliseconds()).Add(-h.Skew))
 		case s.Class != c.Own && c.Bound > 0:
-			h.Ledger.Read(h.ID, s.ID, arrived, position, arrived.Add(-c.Bound))
+			h.Ledger.Read(h.ID, s.ID, arrived, position, c.Bound)
 		}
 	}
 	var value []byte
--- a/internal/testbed/rules/freshness.go
+++ b/internal/testbed/rules/freshness.go
@@ -36,11 +36,19 @@
 func (l *Ledger) AnsweredAsFollower(host, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if r := l.of(id); r.sent[host].IsZero() {
+		l.followsLocked(notice{r.via, host}, time.Now())
+	}
+}
+
+// followerWord is an answer that names its host a follower.
+type followerWord struct{ made, told time.Time }
+
+func (l *Ledger) followsLocked(n notice, made time.Time) {
 	if l.follows == nil {
-		l.follows = map[notice][]time.Time{}
+		l.follows = map[notice][]followerWord{}
 	}
-	n := notice{l.of(id).via, host}
-	if l.follows[n] = append(l.follows[n], time.Now()); len(l.follows[n]) > followsKept {
+	if l.follows[n] = append(l.follows[n], followerWord{made, time.Now()}); len(l.follows[n]) > followsKept {
 		l.follows[n] = l.follows[n][1:]
 	}
 }
@@ -55,26 +63,28 @@
 	if led.now {
 		return true
 	}
-	for _, at := range l.follows[notice{gateway, host}] {
-		if at.After(led.until) && sent.Sub(at) > l.Limits.KnownAfter+l.slack() {
+	for _, word := range l.follows[notice{gateway, host}] {
+		if word.made.After(led.until) && sent.Sub(word.told) > l.Limits.KnownAfter+l.slack() {
 			return false
 		}
 	}
 	return true
 }
 
-// Read says how a bounded read that was sent at a time was served: from data of a position, where it must not see any older than bound.
-func (l *Ledger) Read(host, id string, sent, position, bound time.Time) {
+// Read says how a bounded read that came to a host at a time was served: from data of a position, where its bound allows none that was
+// older than bound when it was sent.
+func (l *Ledger) Read(host, id string, came, position time.Time, bound time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.readLocked(host, id, sent, position, bound, l.slack())
+	sent := l.sentAtLocked(host, id, came)
+	l.readLocked(host, id, sent, position, sent.Add(-bound), l.slack())
 }
 
 // ReadOwn is Read of a session's read, which must see a position that it was told exactly.
-func (l *Ledger) ReadOwn(host, id string, sent, position, after time.Time) {
+func (l *Ledger) ReadOwn(host, id string, came, position, after time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.readLocked(host, id, sent, position, after, 0)
+	l.readLocked(host, id, l.sentAtLocked(host, id, came), position, after, 0)
 }
 
 func (l *Ledger) readLocked(host, id string, sent, position, bound time.Time, slack time.Duration) {
--- a/internal/testbed/rules/rules.go
+++ b/internal/testbed/rules/rules.go
@@ -39,6 +39,7 @@
 	answers           int
 	ran               int                    // how often it was begun at a host
 	out               map[string]func() bool // hosts where an attempt is out, and whether its connection is open; nil: it is
+	sent              map[string]time.Time   // by host, when the last attempt was written to a link; see SentTo
 }
 
 // Ledger is safe for concurrent use. Its zero value checks nothing but what needs no figures.
@@ -52,7 +53,7 @@
 	notified map[notice]time.Time // the same, by gateway
 	cold     map[string]*cold
 	led      map[string]leadership
-	follows  map[notice][]time.Time // when a host answered a gateway as a follower, oldest first
+	follows  map[notice][]followerWord // of a host to a gateway, oldest first
 	broken   []string
 	counts   Counts
 }
@@ -94,7 +95,7 @@
 	}
 	r := l.requests[id]
 	if r == nil {
-		r = &request{out: map[string]func() bool{}, began: map[string]time.Time{}}
+		r = &request{out: map[string]func() bool{}, began: map[string]time.Time{}, sent: map[string]time.Time{}}
 		l.requests[id] = r
 	}
 	return r
@@ -154,7 +155,16 @@
 func (l *Ledger) ArrivedOn(host, id string, work time.Duration, open func() bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, r := time.Now(), l.of(id)
+	now := time.Now()
+	l.loadLocked(host, work, now)
+	if _, linked := l.of(id).sent[host]; !linked { // else it was checked when it was written
+		l.sentLocked(host, id, now, now, open)
+	}
+}
+
+// sentLocked checks an attempt of which the first and the last byte came at these times.
+func (l *Ledger) sentLocked(host, id string, first, last time.Time, open func() bool) {
+	r := l.of(id)
 	l.counts.Attempts++
 	for other, open := range r.out {
 		if open != nil && !open() {
@@ -164,47 +174,54 @@
 		l.breaks("%s is out at %s and at %s", id, other, host)
 	}
 	r.out[host] = open
-	l.checkAttempt(host, id, now, r)
-	if told, ok := l.told[host]; ok && l.Limits.Grace > 0 && now.Sub(told) > l.Limits.Grace+l.slack() {
+	l.checkAttempt(host, id, first, last, r)
+	if told, ok := l.told[host]; ok && l.Limits.Grace > 0 && first.Sub(told) > l.Limits.Grace+l.slack() {
 		l.counts.AfterDrain++
-		l.breaks("%s comes to %s %v after it was told gone", id, host, now.Sub(told))
+		l.breaks("%s comes to %s %v after it was told gone", id, host, first.Sub(told))
 	}
-	if c := l.cold[host]; c != nil && l.Limits.Overload > 0 {
-		c.sent = append(c.sent, sent{now, work})
-		var total time.Duration
-		for len(c.sent) > 0 && now.Sub(c.sent[0].at) > l.Limits.OverloadIn {
-			c.sent = c.sent[1:]
-		}
-		for _, s := range c.sent {
-			total += s.work
-		}
-		if most := l.Limits.Overload * c.capacity(now) * float64(l.Limits.OverloadIn); float64(total) > most {
-			l.counts.Overloaded++
-			l.breaks("%s was sent %v of work within %v", host, total, l.Limits.OverloadIn)
-		}
+}
+
+// loadLocked checks the work that a cold host is sent.
+func (l *Ledger) loadLocked(host string, work time.Duration, now time.Time) {
+	c := l.cold[host]
+	if c == nil || l.Limits.Overload == 0 {
+		return
+	}
+	c.sent = append(c.sent, sent{now, work})
+	var total time.Duration
+	for len(c.sent) > 0 && now.Sub(c.sent[0].at) > l.Limits.OverloadIn {
+		c.sent = c.sent[1:]
+	}
+	for _, s := range c.sent {
+		total += s.work
+	}
+	if most := l.Limits.Overload * c.capacity(now) * float64(l.Limits.OverloadIn); float64(total) > most {
+		l.counts.Overloaded++
+		l.breaks("%s was sent %v of work within %v", host, total, l.Limits.OverloadIn)
 	}
 }
 
-// checkAttempt checks what an attempt that comes to a host must keep to, by who asked for it and when.
-func (l *Ledger) checkAttempt(host, id string, now time.Time, r *request) {
+// checkAttempt checks what an attempt that comes to a host must keep to, by who asked for it and when. A drain and a client's leaving
+// bound its first byte, the window of repeats its last.
+func (l *Ledger) checkAttempt(host, id string, first, last time.Time, r *request) {
 	told, notified := l.notified[notice{r.via, host}]
-	if notified && l.Limits.Grace > 0 && now.Sub(told) > l.Limits.Grace+l.slack() {
+	if notified && l.Limits.Grace > 0 && first.Sub(told) > l.Limits.Grace+l.slack() {
 		l.counts.AfterDrain++
-		l.breaks("%s comes from %s to %s %v after that was notified that it drains", id, r.via, host, now.Sub(told))
+		l.breaks("%s comes from %s to %s %v after that was notified that it drains", id, r.via, host, first.Sub(told))
 	}
-	if !r.left.IsZero() && l.Limits.Leave > 0 && now.Sub(r.left) > l.Limits.Leave+l.slack() {
+	if !r.left.IsZero() && l.Limits.Leave > 0 && first.Sub(r.left) > l.Limits.Leave+l.slack() {
 		l.counts.AfterLeaving++
-		l.breaks("%s comes to %s %v after its client left", id, host, now.Sub(r.left))
+		l.breaks("%s comes to %s %v after its client left", id, host, first.Sub(r.left))
 	}
 	r.came = true
-	for first, at := range r.began {
-		if l.Limits.Window > 0 && r.write && now.Sub(at) > l.Limits.Window+l.slack() {
+	for before, at := range r.began {
+		if l.Limits.Window > 0 && r.write && last.Sub(at) > l.Limits.Window+l.slack() {
 			l.counts.AfterWindow++
-			l.breaks("%s comes again to %s %v after it came to %s, where it may have run", id, host, now.Sub(at), first)
+			l.breaks("%s comes again to %s %v after it came to %s, where it may have run", id, host, last.Sub(at), before)
 		}
 	}
 	if _, again := r.began[host]; !again {
-		r.began[host] = now
+		r.began[host] = last
 	}
 }
 
@@ -288,7 +305,9 @@
 func (l *Ledger) Over(host, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.of(id).out, host)
+	if r := l.of(id); r.sent[host].IsZero() { // else it is over when the gateway has the answer
+		delete(r.out, host)
+	}
 }
 
 // Ran says that a host has begun to run a request.
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -17,7 +17,7 @@
 		"runs again":          func(l *Ledger) { l.Ran("h", "a", true); l.Ran("i", "a", true) },
 		"refused and has run": func(l *Ledger) { l.Ran("h", "a", true); l.Answered("a", Refused) },
 		"is out at":           func(l *Ledger) { l.Arrived("h", "a", 0); l.Arrived("i", "a", 0) },
-		"data 100ms too old":  func(l *Ledger) { l.Read("h", "a", time.Now(), time.Now().Add(-100*time.Millisecond), time.Now()) },
+		"data 100ms too old":  func(l *Ledger) { l.Read("h", "a", time.Now(), time.Now().Add(-100*time.Millisecond), 0) },
 		"data 1ms too old":    func(l *Ledger) { l.ReadOwn("h", "a", time.Now(), time.Now().Add(-time.Millisecond), time.Now()) },
 		"data 1s too old": func(l *Ledger) { // the gateway has been told, for longer than it may take to know, that the host follows
 			l.Leadership("h", Leads)
@@ -25,7 +25,7 @@
 			time.Sleep(time.Millisecond)
 			l.AnsweredAsFollower("h", "b")
 			time.Sleep(151 * time.Millisecond)
-			l.Read("h", "a", time.Now(), time.Now().Add(-time.Second), time.Now())
+			l.Read("h", "a", time.Now(), time.Now().Add(-time.Second), 0)
 		},
 		"after it was told": func(l *Ledger) { l.Told("h", false); time.Sleep(1100 * time.Millisecond); l.Arrived("h", "a", 0) },
 		"client stopped waiting": func(l *Ledger) {
@@ -53,7 +53,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		l := &Ledger{Limits: Limits{Slack: 50 * time.Millisecond, KnownAfter: 100 * time.Millisecond}}
-		old := func(id string) { l.Read("h", id, time.Now(), time.Now().Add(-time.Second), time.Now()) }
+		old := func(id string) { l.Read("h", id, time.Now(), time.Now().Add(-time.Second), 0) }
 		l.Leadership("h", Leads)
 		old("a") // it leads
 		l.Leadership("h", Deposed)
