Soak: half of the plans put faults on the links between gateways and hosts

Each gateway's list may have its own host_port. The plan draws the gateways that have links and their faults by a generator of its own; all other draws of a seed stay.

--- a/cmd/yokemast/soak_group_test.go
+++ b/cmd/yokemast/soak_group_test.go
@@ -13,13 +13,16 @@
 
 // What happens to the groups of hosts in a soak run: who leads, how far replicas are behind, and what the list tells of it, late.
 
-// entry is a host as the list tells of it by now.
-func (r *soakRun) entry(h *hosts.Host) discovery.Entry {
+// entry is a host as a gateway's list tells of it by now.
+func (r *soakRun) entry(n *soakNode, h *hosts.Host) discovery.Entry {
 	phase := r.phases[h.ID]
 	if phase == "" {
 		phase = "SERVING"
 	}
 	e := h.Entry(phase)
+	if l := n.links[h.ID]; l != nil {
+		e["host_port"] = l.Address()
+	}
 	if e["role"] = r.roles[h.ID]; r.plan.Roles == soak.RolesNever {
 		delete(e, "role")
 	}
@@ -35,7 +38,7 @@
 	defer r.listing.Unlock()
 	change()
 	for _, n := range r.nodes {
-		n.agent.Set(r.entry(h))
+		n.agent.Set(r.entry(n, h))
 	}
 }
 
--- /dev/null
+++ b/cmd/yokemast/soak_link_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"time"
+
+	"yokemast/internal/testbed/hosts"
+	"yokemast/internal/testbed/linkfault"
+	"yokemast/internal/testbed/soak"
+	"yokemast/internal/wire/pg"
+)
+
+// startLinks has a gateway of a soak run reach each host over a link.
+func (r *soakRun) startLinks(n *soakNode, number uint64) {
+	n.links = map[string]*linkfault.Link{}
+	for i, h := range r.hosts() {
+		l, err := linkfault.New(h.Address, r.plan.Seed<<16|number<<8|uint64(i), r.watchLink(n, h))
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		n.links[h.ID] = l
+	}
+}
+
+// watchLink tells the ledger what passes the link between a gateway and a host.
+func (r *soakRun) watchLink(n *soakNode, h *hosts.Host) linkfault.Watcher {
+	return linkfault.Watcher{
+		Sent: func(q linkfault.Sent) {
+			if s, bad := pg.ParseStatement([]byte(q.Text)); bad == nil {
+				r.ledger.SentTo(h.ID, s.ID, q.First, q.Last, q.Open)
+			}
+		},
+		Delivering: func(a linkfault.Answer) {
+			if s, bad := pg.ParseStatement([]byte(a.Text)); bad == nil {
+				r.ledger.Delivering(h.ID, s.ID)
+			}
+		},
+		Delivered: func(a linkfault.Answer) {
+			if a.Follower {
+				r.ledger.Follows(n.name, h.ID, a.Made)
+			}
+		},
+	}
+}
+
+// playLink has one link of a gateway, or all of them, play a fault for a while.
+func (r *soakRun) playLink(e soak.Event) {
+	for i, h := range r.hosts() {
+		if l := r.nodes[e.Target].links[h.ID]; e.Host == soak.EveryHost || e.Host == i {
+			over := l.Begin(e.Fault)
+			time.AfterFunc(e.For, over)
+		}
+	}
+}
--- a/cmd/yokemast/soak_test.go
+++ b/cmd/yokemast/soak_test.go
@@ -24,6 +24,7 @@
 	"yokemast/internal/testbed/datagrams"
 	"yokemast/internal/testbed/discovery"
 	"yokemast/internal/testbed/hosts"
+	"yokemast/internal/testbed/linkfault"
 	"yokemast/internal/testbed/rules"
 	"yokemast/internal/testbed/soak"
 	"yokemast/internal/testbed/stall"
@@ -76,6 +77,7 @@
 	second              *httptest.Server // the agent's other address
 	log                 *logged
 	config              string
+	links               map[string]*linkfault.Link // by host; nil: it reaches the hosts themselves
 
 	restarts sync.Mutex // held from a planned restart's beginning to its end
 
@@ -184,9 +186,12 @@
 
 func (r *soakRun) startNode(i int) {
 	n := &soakNode{name: fmt.Sprint("n", i), log: &logged{}}
+	if r.plan.Linked != nil && r.plan.Linked[i] {
+		r.startLinks(n, uint64(i))
+	}
 	var entries []discovery.Entry
 	for _, h := range r.hosts() {
-		entries = append(entries, r.entry(h))
+		entries = append(entries, r.entry(n, h))
 	}
 	n.agent = discovery.New(entries...)
 	n.agent.Before = n.before
@@ -286,6 +291,9 @@
 	n.second.Close()
 	n.agent.CloseClientConnections()
 	n.agent.Close()
+	for _, l := range n.links {
+		l.Close()
+	}
 }
 
 // before is what the agent does with a call before it answers.
@@ -361,7 +369,7 @@
 	defer r.listing.Unlock()
 	r.phases[h.ID] = phase
 	for _, n := range r.nodes {
-		n.agent.Set(r.entry(h))
+		n.agent.Set(r.entry(n, h))
 		if phase != "SERVING" {
 			n.mu.Lock()
 			reached := n.unheard
@@ -407,6 +415,8 @@
 		r.playGroup(e)
 	case soak.HangButProbes, soak.ReportsStop, soak.OldRole, soak.HeldAnswers, soak.LogStalls:
 		r.playAge(e)
+	case soak.Link:
+		r.playLink(e)
 	case soak.Resets:
 		all[e.Target].Reset()
 	default:
--- a/internal/testbed/soak/plan.go
+++ b/internal/testbed/soak/plan.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"yokemast/internal/testbed/linkfault"
 )
 
 // FirstInCI and LastInCI are the seeds that are played where none are named.
@@ -46,6 +48,7 @@
 	OldRole        Kind = "old role"        // the group's primary hands over, and its load report goes on to say that it leads
 	HeldAnswers    Kind = "held answers"    // the group's primary makes its answers, holds them, and gives them all together
 	LogStalls      Kind = "log stalls"      // the group's replicas, which kept up, apply nothing
+	Link           Kind = "link"            // the gateway's links have a fault
 )
 
 // ageTroubles are the events that make what hosts tell older than it seems.
@@ -65,8 +68,13 @@
 	After   time.Duration
 	Next    bool // another host leads before the one that hangs is awake again
 	Stalled bool // the logs of the group's replicas stand still for as long
+	Fault   linkfault.Fault
+	Host    int // the link to it has the fault; EveryHost: all links of the gateway have
 }
 
+// EveryHost stands for all hosts.
+const EveryHost = -1
+
 // Age is how old a field is that hosts, discovery or other gateways send.
 type Age string
 
@@ -118,6 +126,9 @@
 	if e.Next {
 		out += ", another leads"
 	}
+	if e.Kind == Link {
+		out += fmt.Sprintf(" to host %d %s (%s)", e.Host, e.Fault.Kind, e.Fault.Most.Round(time.Millisecond))
+	}
 	if e.Stalled {
 		out += ", logs stand still"
 	}
@@ -144,6 +155,7 @@
 	SecondGroup       int              // hosts of a second group; 0: there is one group
 	Reports           [2]time.Duration // bounds of the time from one load report to the next
 	Ages              Ages
+	Linked            []bool // of each gateway, whether it reaches the hosts over links; nil: none does
 	Events            []Event
 }
 
@@ -187,6 +199,7 @@
 	}
 	p.drains(rng, last)
 	p.ages(rand.New(rand.NewPCG(seed, 0x61676573)), last)
+	p.links(rand.New(rand.NewPCG(seed, 0x6c696e6b73)), last)
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
@@ -261,3 +274,41 @@
 		p.Events = append(p.Events, e)
 	}
 }
+
+// lateUpMost is by how much connections come up late at most, by the page on short days.
+const lateUpMost = 1500 * time.Millisecond
+
+// links draws which gateways reach the hosts over links, and the faults of those, in half of the plans. As ages, it has a generator of
+// its own.
+func (p *Plan) links(rng *rand.Rand, last time.Duration) {
+	if rng.IntN(2) == 0 {
+		return
+	}
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(rng.Int64N(int64(most-least)))
+	}
+	var linked []int
+	p.Linked = make([]bool, p.Gateways)
+	for _, i := range rng.Perm(p.Gateways)[:1+rng.IntN(p.Gateways)] {
+		p.Linked[i], linked = true, append(linked, i)
+	}
+	for range 4 + rng.IntN(5) {
+		e := Event{At: between(500*time.Millisecond, last), For: between(200*time.Millisecond, 4*time.Second), Kind: Link,
+			Target: linked[rng.IntN(len(linked))], Host: EveryHost}
+		if rng.IntN(3) > 0 {
+			e.Host = rng.IntN(p.Hosts + p.SecondGroup)
+		}
+		e.Fault.Kind = linkfault.Kinds[rng.IntN(len(linkfault.Kinds))]
+		switch e.Fault.Kind {
+		case linkfault.ComesUpLate:
+			e.Fault.Most = lateUpMost
+		case linkfault.ClosesIdle:
+			e.Fault.Most = between(10*time.Millisecond, 300*time.Millisecond)
+		case linkfault.ResetsLater:
+			e.Fault.Most = between(100*time.Millisecond, 3*time.Second)
+		default:
+			e.Fault.Most = between(10*time.Millisecond, time.Second)
+		}
+		p.Events = append(p.Events, e)
+	}
+}
--- a/internal/testbed/soak/plan_test.go
+++ b/internal/testbed/soak/plan_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"yokemast/internal/testbed/linkfault"
 )
 
 func TestAPlanComesFromItsSeed(t *testing.T) {
@@ -94,3 +96,27 @@
 		t.Errorf("events strike %d groups", len(groups))
 	}
 }
+
+func TestCIPlaysEachFaultOfLinks(t *testing.T) {
+	seen := map[linkfault.Kind]bool{}
+	plans := 0
+	for seed := uint64(FirstInCI); seed <= LastInCI; seed++ {
+		p := New(seed)
+		if p.Linked != nil {
+			plans++
+		}
+		for _, e := range p.Events {
+			if seen[e.Fault.Kind] = true; e.Kind == Link && !p.Linked[e.Target] {
+				t.Errorf("seed %d: %s, and gateway %d has no links", seed, e, e.Target)
+			}
+		}
+	}
+	for _, k := range linkfault.Kinds {
+		if !seen[k] {
+			t.Errorf("no seed of CI has a link that %s", k)
+		}
+	}
+	if plans < 3 {
+		t.Errorf("%d plans of CI have links", plans)
+	}
+}
