Ledger: an attempt seen only after its connection's end is not out

The gateway's log has the attempt at t-1 canceled at .6291 and the one at t-0 sent then; the link to t-1 read its query only after the link to t-0 had read the later one. Cause: sentLocked charged the attempt that it saw last without a look at that one's own connection, which the gateway had ended. Hosts never charged it: they drop what comes on a connection that has ended. Change: it is not out; its drain, leave and window are checked as before. Two rows of link_test.go; the first fails without the change.

--- a/internal/testbed/rules/link_test.go
+++ b/internal/testbed/rules/link_test.go
@@ -43,6 +43,12 @@
 			l.Over("h", "a")
 			send(l, "i", open)
 		}},
+		"is seen late, given up before it went again": {"", func(l *Ledger) { send(l, "h", open); send(l, "i", closed) }},
+		"is out once more after one that was seen late": {"is out at h and at j", func(l *Ledger) {
+			send(l, "h", open)
+			send(l, "i", closed)
+			send(l, "j", open)
+		}},
 		"has been answered": {"", func(l *Ledger) { send(l, "h", open); l.Delivering("h", "a"); send(l, "i", open) }},
 		"reads data as old as when it was sent": {"", func(l *Ledger) {
 			position := time.Now()
--- a/internal/testbed/rules/rules.go
+++ b/internal/testbed/rules/rules.go
@@ -166,6 +166,20 @@
 func (l *Ledger) sentLocked(host, id string, first, last time.Time, open func() bool) {
 	r := l.of(id)
 	l.counts.Attempts++
+	l.checkOut(host, id, r, open)
+	l.checkAttempt(host, id, first, last, r)
+	if told, ok := l.told[host]; ok && l.Limits.Grace > 0 && first.Sub(told) > l.Limits.Grace+l.slack() {
+		l.counts.AfterDrain++
+		l.breaks("%s comes to %s %v after it was told gone", id, host, first.Sub(told))
+	}
+}
+
+// checkOut checks that no other attempt is out. One that is seen only once its connection has ended has been given up, maybe before an
+// attempt that was seen already began.
+func (l *Ledger) checkOut(host, id string, r *request, open func() bool) {
+	if open != nil && !open() {
+		return
+	}
 	for other, open := range r.out {
 		if open != nil && !open() {
 			continue
@@ -174,11 +188,6 @@
 		l.breaks("%s is out at %s and at %s", id, other, host)
 	}
 	r.out[host] = open
-	l.checkAttempt(host, id, first, last, r)
-	if told, ok := l.told[host]; ok && l.Limits.Grace > 0 && first.Sub(told) > l.Limits.Grace+l.slack() {
-		l.counts.AfterDrain++
-		l.breaks("%s comes to %s %v after it was told gone", id, host, first.Sub(told))
-	}
 }
 
 // loadLocked checks the work that a cold host is sent.
