balance: the end of an attempt in four steps of one job each

It now calls detach (the attempt leaves its member), noteResult (what its end shows) and goOn (the request is sent again, waits or ends); the order of all that is done is as before.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -128,6 +128,23 @@
 	if q == nil || q.at != m || e.Attempt != q.attempts-1 {
 		return // late or doubled
 	}
+	r.detach(q, m)
+	r.noteResult(q, m, e)
+	part, _ := r.part(q.cell, m, m.limit)
+	// A cell with less than its part out is not what overloads a member.
+	blamed := len(r.cells) == 1 || float64(m.of[q.cell]) >= part*q.cell.Weight
+	r.judge(m, q.cell, q.cls, e.Result, e.Took, blamed)
+	if e.Final || e.Result == OK {
+		r.end(q)
+	}
+	r.goOn(q, m, e.Result)
+	if e.Result == OK || e.Result == Miss {
+		r.release(q.group)
+	}
+}
+
+// detach takes an attempt that has ended off its member.
+func (r *Router) detach(q *request, m *member) {
 	m.out = slices.DeleteFunc(m.out, func(o *request) bool { return o == q })
 	if m.of[q.cell]--; m.of[q.cell] == 0 {
 		delete(m.of, q.cell)
@@ -135,11 +152,15 @@
 	if q.at = nil; r.clockScout == q {
 		r.clockScout = nil
 	}
-	g := q.group
+}
+
+// noteResult takes what the end of q's attempt shows of m, of the members that q failed at before, and of q.
+func (r *Router) noteResult(q *request, m *member, e Outcome) {
+	primary := r.believed(q.group)
 	switch e.Result {
 	case OK:
 		for _, f := range q.failed {
-			if f != m && f != r.believed(g) && r.spare(f) {
+			if f != m && f != primary && r.spare(f) {
 				r.down(f, f.fails >= failsMost) // what failed there runs here: that member's error
 			}
 		}
@@ -156,7 +177,7 @@
 		m.fails++
 	case TimedOut:
 		// A time-out is this member's fault only if it has answered nothing at all meanwhile.
-		if q.limit > 0 && m.quietFrom <= q.sentAt && m != r.believed(g) && r.spare(m) {
+		if q.limit > 0 && m.quietFrom <= q.sentAt && m != primary && r.spare(m) {
 			r.down(m, true)
 		}
 	}
@@ -167,30 +188,25 @@
 	if q.ranAt == 0 && !e.Result.NeverRan() {
 		q.ranAt = q.sentAt
 	}
-	part, _ := r.part(q.cell, m, m.limit)
-	// A cell with less than its part out is not what overloads a member.
-	blamed := len(r.cells) == 1 || float64(m.of[q.cell]) >= part*q.cell.Weight
-	r.judge(m, q.cell, q.cls, e.Result, e.Took, blamed)
-	if e.Final || e.Result == OK {
-		r.end(q)
-	}
-	if (e.Result == Full || e.Result == NoConnection || e.Result == NotSent) && m == r.believed(g) {
+}
+
+// goOn sends q again, lets it wait or ends it, after its attempt at m ended so.
+func (r *Router) goOn(q *request, m *member, result Result) {
+	g := q.group
+	if (result == Full || result == NoConnection || result == NotSent) && m == r.believed(g) {
 		// Sent back at once by hundreds of routers, rejects are all that a full primary gets to do.
-		q.notBefore = r.now + r.about(r.refusedPause(q, m, e.Result))
+		q.notBefore = r.now + r.about(r.refusedPause(q, m, result))
 	}
-	if g.scout == q && (q.done || e.Result != Miss) {
+	if g.scout == q && (q.done || result != Miss) {
 		g.scout = nil
 	}
 	switch {
 	case q.done:
-	case q.notBefore > r.now || q.cls.Need == Write && e.Result == Miss && g.primary == nil:
+	case q.notBefore > r.now || q.cls.Need == Write && result == Miss && g.primary == nil:
 		r.park(q) // waits for the next beat or answer
 	case len(q.failed) >= 2:
 		r.giveUp(q, Failing) // it fails wherever it goes: no member's fault
 	default:
 		r.route(q)
 	}
-	if e.Result == OK || e.Result == Miss {
-		r.release(g)
-	}
 }
