balance: what stood twice stands once, and the part of bad attempts is typed

Joined: who may serve a class (primaryOnly), which reads need no known position (anyMember), what ends a blacklisting (reinstate). The two numbers by index, [0] and [1], of what ended badly are badAttempts with fields replicas and primary; cells_test.go says the same by those names.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -39,7 +39,7 @@
 			q.wrote = max(q.wrote, e.Since)
 		}
 	}
-	if e.Over > 0 || c.Need != Write && c.Need != Latest && !passes(q, cell.ends(g)[0]) {
+	if e.Over > 0 || !c.primaryOnly() && !passes(q, cell.badAttempts(g).replicas) {
 		r.giveUp(q, Thinned)
 		return
 	}
@@ -156,9 +156,10 @@
 		m.limit, m.cutAt = max(leastLimit, min(m.limit, float64(len(m.out)+1))*cut), r.now
 	}
 	if answered || result == Full {
-		b := &c.ends(m.group)[0]
+		bad := c.badAttempts(m.group)
+		b := &bad.replicas
 		if m == m.group.primary {
-			b = &c.ends(m.group)[1]
+			b = &bad.primary
 		}
 		*b *= 1 - 1/badMemory
 		if (result != OK || took > cls.Aim) && blamed {
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -69,11 +69,11 @@
 
 // giveUp ends a request at once: refused where that is true, failed otherwise.
 func (r *Router) giveUp(q *request, why Why) {
-	c := q.cls
+	c, bad := q.cls, q.cell.badAttempts(q.group).replicas
 	if q.at == nil && q.ranAt == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
-		r.do(Refuse{q.ID, min(cmp.Or(q.Over, comeBack), r.s.MaxRetryAfter), why, q.cell.ends(q.group)[0]})
+		r.do(Refuse{q.ID, min(cmp.Or(q.Over, comeBack), r.s.MaxRetryAfter), why, bad})
 	} else {
-		r.do(Fail{q.ID, why, q.cell.ends(q.group)[0]})
+		r.do(Fail{q.ID, why, bad})
 	}
 	r.end(q)
 }
--- a/balance/cells.go
+++ b/balance/cells.go
@@ -6,13 +6,16 @@
 type cell struct {
 	Cell
 	classes map[string]*class
-	bad     map[int]*[2]float64 // part of attempts that ended badly, by group: at replicas, at the primary
+	bad     map[int]*badAttempts // by group
 }
 
-// ends gives what ended badly in a group: elsewhere hosts may stand idle.
-func (c *cell) ends(g *group) *[2]float64 {
+// badAttempts is the part of the last attempts in a group that ended badly, 0 to 1.
+type badAttempts struct{ replicas, primary float64 }
+
+// badAttempts gives that of one group: elsewhere hosts may stand idle.
+func (c *cell) badAttempts(g *group) *badAttempts {
 	if c.bad[g.id] == nil {
-		c.bad[g.id] = &[2]float64{}
+		c.bad[g.id] = &badAttempts{}
 	}
 	return c.bad[g.id]
 }
@@ -28,7 +31,7 @@
 	for _, c := range append([]Cell{{}}, e.List...) {
 		n := old[c.ID]
 		if n == nil {
-			n = &cell{bad: map[int]*[2]float64{}}
+			n = &cell{bad: map[int]*badAttempts{}}
 		}
 		known := n.classes
 		n.Cell, n.classes, r.cells[c.ID] = c, map[string]*class{}, n
--- a/balance/cells_test.go
+++ b/balance/cells_test.go
@@ -152,7 +152,7 @@
 
 func TestBadEndsOfOneCellThinNoOther(t *testing.T) {
 	g := celled(t, nil)
-	*g.r.cells[1].ends(g.r.groups[0]) = [2]float64{1, 1}
+	*g.r.cells[1].badAttempts(g.r.groups[0]) = badAttempts{1, 1}
 	refused := map[int]int{}
 	for range 100 {
 		for _, cell := range []int{1, 2} {
@@ -176,7 +176,7 @@
 		want2 := sends(acts)[0]
 		m.of[g.r.cells[1]] = 5 // the flood's
 		g.answer(id, want2, 0, Full, Primary)
-		if got := g.r.cells[cell].ends(g.r.groups[0])[1] > 0; got != want {
+		if got := g.r.cells[cell].badAttempts(g.r.groups[0]).primary > 0; got != want {
 			t.Errorf("cell %d is blamed: %v", cell, got)
 		}
 	}
@@ -186,9 +186,9 @@
 	g := celled(t, nil)
 	id, acts := g.of(1, "browse", nil)
 	to := sends(acts)[0]
-	g.r.cells[1].ends(g.r.groups[0])[0] = 0.3
+	g.r.cells[1].badAttempts(g.r.groups[0]).replicas = 0.3
 	g.do(Cells{List: []Cell{{ID: 1, Weight: 3, Servers: map[string]bool{"d": true}}}})
-	if g.r.cells[1].ends(g.r.groups[0])[0] != 0.3 || g.r.cells[1].Weight != 3 || len(g.r.cells) != 2 {
+	if g.r.cells[1].badAttempts(g.r.groups[0]).replicas != 0.3 || g.r.cells[1].Weight != 3 || len(g.r.cells) != 2 {
 		t.Errorf("the cell is now %+v", g.r.cells[1])
 	}
 	g.answer(id, to, 0, OK, Replica)
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -11,14 +11,14 @@
 // choose is the ordinary path: the primary for what needs it, the draw among replicas for other reads.
 func (r *Router) choose(q *request) *member {
 	c := q.cls
-	if c.Need == Write || c.Need == Latest || c.Need == Session && q.wrote > 0 && r.now+r.clock.Ages-q.wrote < pinWindow {
+	if c.primaryOnly() || c.Need == Session && q.wrote > 0 && r.now+r.clock.Ages-q.wrote < pinWindow {
 		return r.primaryFor(q, 1, 1)
 	}
 	if m := r.draw(q); m != nil {
 		return m
 	}
 	// What replicas cannot serve drowns the primary when they all lag.
-	if r.asking(q) || r.boundingClock(q) || !passes(q, q.cell.ends(q.group)[1]) {
+	if r.asking(q) || r.boundingClock(q) || !passes(q, q.cell.badAttempts(q.group).primary) {
 		return nil
 	}
 	return r.primaryFor(q, fallbackPart, fallbackPart)
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -230,7 +230,7 @@
 // grounds says on what evidence q may be sent to m now.
 func (r *Router) grounds(q *request, m *member) Grounds {
 	e := &m.evidence
-	if r.s.Checks != ChecksNone || q.cls.Need == Write || q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 {
+	if q.cls.Need == Write || r.anyMember(q) {
 		return Grounds{Kind: NotNeeded, Position: e.position}
 	}
 	switch {
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -10,7 +10,7 @@
 // fresh says whether m may be sent q by its known position; members that check reads need no proof.
 func (r *Router) fresh(q *request, m *member) bool {
 	switch {
-	case q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 || r.s.Checks != ChecksNone:
+	case r.anyMember(q):
 		return true
 	case m.evidence.position == 0:
 		return false
@@ -20,6 +20,11 @@
 	return r.clock.Known && r.now <= r.sendBy(q, m)
 }
 
+// anyMember says that no member is too far behind for q, or one that is turns q away itself.
+func (r *Router) anyMember(q *request) bool {
+	return r.s.Checks != ChecksNone || q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0
+}
+
 // sendBy is until when a bounded read may go to m on its known position. Where m may be falling behind it leaves time for a process
 // that is held up between the last look and the write, as far as the bound has room for that. Where m keeps up and stands still just then,
 // the answer tells: see Stale.
--- a/balance/health.go
+++ b/balance/health.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// reinstate ends a blacklisting, but for one after a time-out.
+func (m *member) reinstate() {
+	if m.timeouts == 0 {
+		m.downUntil = 0
+	}
+}
+
 // spare says that half of the replicas are left without m: what shows on most is not one member's fault.
 func (r *Router) spare(m *member) bool {
 	n, left, primary := 0, 0, r.believed(m.group)
@@ -56,9 +63,7 @@
 		r.lives(m)
 		r.learnReport(m, e.Made, e.Report)
 		m.suspect = false
-		if m.timeouts == 0 {
-			m.downUntil = 0
-		}
+		m.reinstate()
 	} else if e.Result != NotSent { // that is this router's own lack of a connection
 		m.dead = true
 		r.down(m, false)
@@ -78,8 +83,8 @@
 		m.suspect = m.suspect || e.At > m.quietFrom // a probe comes before what is sent
 	case e.Result != TimedOut && e.Result != Reset && e.At > m.quietFrom && !m.dead:
 		m.quietFrom, m.aliveAt, m.suspect = e.At, max(m.aliveAt, e.At), false
-		if e.Result == OK && m.timeouts == 0 {
-			m.downUntil = 0
+		if e.Result == OK {
+			m.reinstate()
 		}
 	}
 	if cls := r.cells[0].classes[e.Class]; cls != nil {
--- a/balance/router.go
+++ b/balance/router.go
@@ -60,6 +60,9 @@
 	answers int           // that it was smoothed over, up to guessFades
 }
 
+// primaryOnly says that only a primary may serve it.
+func (c *class) primaryOnly() bool { return c.Need == Write || c.Need == Latest }
+
 type tenant struct {
 	share, used float64 // requests a second; of this router's lately, as a part
 }
