Of bounded and session needs both hold until new settings are in force

Cause: reload.stricter took the new need where neither includes the other, and so after a series of versions.

Evidence: TestNoVersionIsBroken draws session needs now, and TestOfTwoNeedsBothHold; both fail on the stricter of before.

Change: a class of session reads may have a bound too, which fresh, sendBy, Stale and the grounds keep. Versions gives the need that keeps both; where the bound is nothing it is the latest.

Tests: the row {session, bounded: bounded} of TestOfTwoNeedsTheOneThatIncludesTheOtherHolds asked for the fault; it wants both now, with its bound.

--- a/balance/api.go
+++ b/balance/api.go
@@ -52,7 +52,7 @@
 type Class struct {
 	Name             string
 	Need             Need
-	Bound            time.Duration // of Bounded reads
+	Bound            time.Duration // of Bounded reads; of Session ones too, where it is above 0
 	Effect           Effect
 	Scope            Scope         // of Keyed requests
 	KeyTTL           time.Duration // of Keyed requests
@@ -60,6 +60,9 @@
 	Worth, LateWorth float64       // LateWorth is a share of Worth
 }
 
+// bounded says that its reads may see data of some age only.
+func (c *Class) bounded() bool { return c.Need == Bounded || c.Need == Session && c.Bound > 0 }
+
 // Tenant is one customer and its share of the service.
 type Tenant struct {
 	Name   string
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -27,7 +27,7 @@
 // boundingClock says that q, which needs no more than that the clock is bounded, waits for an answer that may do so: the first reads of
 // all routers that have just started would crowd the primaries.
 func (r *Router) boundingClock(q *request) bool {
-	return q.cls.Need == Bounded && !r.clock.Known && r.s.Checks == ChecksNone && r.clockScout != nil && r.now-r.clockScout.sentAt < scoutFor
+	return q.cls.bounded() && !r.clock.Known && r.s.Checks == ChecksNone && r.clockScout != nil && r.now-r.clockScout.sentAt < scoutFor
 }
 
 // draw picks a replica for q at random by weight, nil if none may take it.
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -230,7 +230,7 @@
 // grounds says on what evidence q may be sent to m now.
 func (r *Router) grounds(q *request, m *member) Grounds {
 	e := &m.evidence
-	if r.s.Checks != ChecksNone || q.cls.Need == Write || q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 {
+	if q.cls.Need == Write || r.anywhere(q) {
 		return Grounds{Kind: NotNeeded, Position: e.position}
 	}
 	switch {
@@ -238,7 +238,7 @@
 		return Grounds{Kind: LeaderWord, Source: e.leadsFrom, Position: e.position, Leads: e.leads}
 	case r.fresh(q, m):
 		g := Grounds{Kind: ByPosition, Source: e.positionFrom, Position: e.position}
-		if q.cls.Need == Bounded {
+		if q.cls.bounded() {
 			g.SendBy, g.Ages = r.sendBy(q, m), r.clock.Ages
 		}
 		return g
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -10,14 +10,17 @@
 // fresh says whether m may be sent q by its known position; members that check reads need no proof.
 func (r *Router) fresh(q *request, m *member) bool {
 	switch {
-	case q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 || r.s.Checks != ChecksNone:
+	case r.anywhere(q):
 		return true
-	case m.evidence.position == 0:
+	case m.evidence.position == 0 || q.cls.Need == Session && m.evidence.position < q.wrote:
 		return false
-	case q.cls.Need == Session:
-		return m.evidence.position >= q.wrote
 	}
-	return r.clock.Known && r.now <= r.sendBy(q, m)
+	return !q.cls.bounded() || r.clock.Known && r.now <= r.sendBy(q, m)
+}
+
+// anywhere says that q may be read from any member, whatever is known of it.
+func (r *Router) anywhere(q *request) bool {
+	return r.s.Checks != ChecksNone || q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 && !q.cls.bounded()
 }
 
 // sendBy is until when a bounded read may go to m on its known position. Where m may be falling behind it leaves time for a process
@@ -49,14 +52,11 @@
 	if q == nil || e.Result != OK || e.Role == Primary || e.Position == 0 || r.s.Checks != ChecksNone {
 		return false
 	}
-	switch q.cls.Need {
-	case Session:
-		return e.Position+slack < q.wrote
-	case Bounded:
-		written := min(cmp.Or(e.Written, q.sentAt), now)
-		return r.clock.Known && written+r.clock.Ages-e.Position > q.cls.Bound
+	if q.cls.Need == Session && e.Position+slack < q.wrote {
+		return true
 	}
-	return false
+	written := min(cmp.Or(e.Written, q.sentAt), now)
+	return q.cls.bounded() && r.clock.Known && written+r.clock.Ages-e.Position > q.cls.Bound
 }
 
 // age is how old a position is, less the slack that the protocol has for what is not known of the clock; without bounds, any age.
--- a/balance/router.go
+++ b/balance/router.go
@@ -145,7 +145,7 @@
 func (r *Router) take(s Settings) {
 	r.s, r.bound, r.tenants, r.quota = s, 0, map[string]*tenant{}, 0
 	for _, c := range s.Classes {
-		if c.Need == Bounded && (r.bound == 0 || c.Bound < r.bound) {
+		if c.bounded() && (r.bound == 0 || c.Bound < r.bound) {
 			r.bound = c.Bound
 		}
 	}
--- a/internal/control/reload/need_test.go
+++ b/internal/control/reload/need_test.go
@@ -18,7 +18,9 @@
 	}
 }
 
-func TestOfTwoNeedsTheOneThatIncludesTheOtherHolds(t *testing.T) {
+const bound = 200 * time.Millisecond
+
+func TestOfTwoNeedsBothHold(t *testing.T) {
 	for _, c := range []struct{ old, new, want balance.Need }{
 		{balance.Session, balance.AnyData, balance.Session},
 		{balance.AnyData, balance.Session, balance.Session},
@@ -27,14 +29,23 @@
 		{balance.Latest, balance.Session, balance.Latest},
 		{balance.Session, balance.Latest, balance.Latest},
 		{balance.Bounded, balance.Session, balance.Session},
-		{balance.Session, balance.Bounded, balance.Bounded},
+		{balance.Session, balance.Bounded, balance.Session},
 		{balance.Write, balance.AnyData, balance.AnyData},
 		{balance.Latest, balance.Write, balance.Write},
 	} {
-		v := New(balance.Settings{Classes: []balance.Class{{Name: "a", Need: c.old}}}, time.Second)
-		v.Take(0, balance.Settings{Classes: []balance.Class{{Name: "a", Need: c.new}}})
-		if got := v.InForce().Classes[0].Need; got != c.want {
-			t.Errorf("from need %d to %d: %d, want %d", c.old, c.new, got, c.want)
+		class := func(need balance.Need) balance.Settings {
+			a := balance.Class{Name: "a", Need: need}
+			if need == balance.Bounded {
+				a.Bound = bound
+			}
+			return balance.Settings{Classes: []balance.Class{a}}
+		}
+		v := New(class(c.old), time.Second)
+		v.Take(0, class(c.new))
+		if got := v.InForce().Classes[0]; got.Need != c.want {
+			t.Errorf("from need %d to %d: %d, want %d", c.old, c.new, got.Need, c.want)
+		} else if got.Need == balance.Session && got.Bound != class(c.old).Classes[0].Bound+class(c.new).Classes[0].Bound {
+			t.Errorf("from need %d to %d: a bound of %s", c.old, c.new, got.Bound)
 		}
 		if v.Settle(time.Second); v.InForce().Classes[0].Need != c.new {
 			t.Errorf("from need %d to %d: after the grace %d", c.old, c.new, v.InForce().Classes[0].Need)
--- a/internal/control/reload/reload.go
+++ b/internal/control/reload/reload.go
@@ -9,6 +9,7 @@
 package reload
 
 import (
+	"math"
 	"reflect"
 	"slices"
 	"time"
@@ -79,26 +80,45 @@
 	return s
 }
 
-// stricter gives the class under which no promise of either is broken, but for what a class needs where neither need includes the other:
-// that is the new one's.
+// stricter gives the class under which no promise of either is broken.
 func stricter(old, c balance.Class) balance.Class {
 	c.Effect = max(old.Effect, c.Effect) // safe, keyed, unsafe
 	c.Scope = max(old.Scope, c.Scope)    // all, zone, group
 	c.KeyTTL = min(old.KeyTTL, c.KeyTTL)
 	c.Deadline = min(old.Deadline, c.Deadline)
+	c.Need, c.Bound = needs(old, c)
+	return c
+}
+
+// needs gives how current data has to be to be so for both classes. A write's need goes with no read's: the new one holds.
+func needs(old, c balance.Class) (balance.Need, time.Duration) {
+	switch {
+	case old.Need == balance.Write || c.Need == balance.Write || old.Need == balance.AnyData:
+		return c.Need, c.Bound
+	case c.Need == balance.AnyData:
+		return old.Need, old.Bound
+	case old.Need == balance.Latest || c.Need == balance.Latest:
+		return balance.Latest, 0
+	}
+	bound := min(boundOf(old), boundOf(c))
 	switch {
 	case old.Need == balance.Bounded && c.Need == balance.Bounded:
-		c.Bound = min(old.Bound, c.Bound)
-	case includes(old.Need, c.Need):
-		c.Need, c.Bound = old.Need, old.Bound
+		return balance.Bounded, bound
+	case bound == 0: // the present, of which a bound of a session's reads can't tell
+		return balance.Latest, 0
+	case bound == unbounded:
+		return balance.Session, 0
 	}
-	return c
+	return balance.Session, bound
 }
 
-// includes says that data which is current enough for one need is so for another. A write's need includes no read's.
-func includes(need, other balance.Need) bool {
-	if need == balance.Write || other == balance.Write {
-		return need == other
+// unbounded is longer than any bound.
+const unbounded = time.Duration(math.MaxInt64)
+
+// boundOf is how old data may be for a class of bounded or session reads.
+func boundOf(c balance.Class) time.Duration {
+	if c.Need == balance.Session && c.Bound == 0 {
+		return unbounded
 	}
-	return need == other || need == balance.Latest || other == balance.AnyData
+	return c.Bound
 }
--- a/internal/control/reload/reload_test.go
+++ b/internal/control/reload/reload_test.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// older is how old the data of a class's reads may be, but for what their session wrote.
+func older(c balance.Class) time.Duration {
+	switch {
+	case c.Need == balance.Latest:
+		return 0
+	case c.Need == balance.AnyData || c.Need == balance.Session && c.Bound == 0:
+		return time.Hour
+	}
+	return c.Bound
+}
+
 // Whatever versions come at whatever times, what is in force breaks none that a request may have been sent under: those
 // that held within the last grace, and the newest.
 func TestNoVersionIsBroken(t *testing.T) {
@@ -70,7 +81,7 @@
 			for i := range rapid.IntRange(1, 4).Draw(t, label+" classes") {
 				c := class(fmt.Sprint("k", i), balance.Effect(rapid.IntRange(0, 2).Draw(t, "effect")),
 					time.Duration(rapid.IntRange(1, 9).Draw(t, "bound"))*100*ms)
-				if c.Need = rapid.SampledFrom([]balance.Need{balance.AnyData, balance.Bounded, balance.Latest}).Draw(t, "need"); c.Need != balance.Bounded {
+				if c.Need = rapid.SampledFrom([]balance.Need{balance.AnyData, balance.Bounded, balance.Session, balance.Latest}).Draw(t, "need"); c.Need != balance.Bounded {
 					c.Bound = 0
 				}
 				s.Classes = append(s.Classes, c)
@@ -102,8 +113,8 @@
 					if j < 0 {
 						t.Fatalf("class %s of a version told at %s is not taken at %s", c.Name, h.at, now)
 					}
-					if o := v.InForce().Classes[j]; o.Effect < c.Effect || o.Need < c.Need || // in this order each includes those before
-						o.Need == balance.Bounded && c.Need == balance.Bounded && o.Bound > c.Bound || o.Deadline > c.Deadline {
+					if o := v.InForce().Classes[j]; o.Effect < c.Effect || older(o) > older(c) || o.Deadline > c.Deadline ||
+						c.Need == balance.Session && o.Need != balance.Session && o.Need != balance.Latest {
 						t.Fatalf("%+v is laxer than %+v, told at %s, now %s", o, c, h.at, now)
 					}
 				}
--- a/internal/wire/settings/settings.go
+++ b/internal/wire/settings/settings.go
@@ -80,7 +80,7 @@
 	}
 	for i, p := range profiles {
 		d.at = fmt.Sprintf("profiles.%d.", i)
-		c := balance.Class{Name: d.text(p, "name"), Bound: time.Duration(oldest[i].Int()),
+		c := balance.Class{Name: d.text(p, "name"),
 			Effect: word(d, p, "effect", effects), Scope: word(d, p, "group", scopes),
 			KeyTTL: d.span(p, "keyTtl"), Aim: d.span(p, "onTime"), Deadline: d.span(p, "giveUp"),
 			Worth: d.number(p, "credit"), LateWorth: d.number(p, "lateWorth")}
@@ -88,6 +88,9 @@
 		if c.Need, known = needs[need[i].String()]; !known {
 			d.fail(fmt.Sprintf("domain.consistency.%d", i), "unknown word "+need[i].Raw)
 		}
+		if c.Need == balance.Bounded {
+			c.Bound = time.Duration(oldest[i].Int())
+		}
 		out.Balance.Classes = append(out.Balance.Classes, c)
 	}
 	for i, t := range d.list(top, "tenants", -1) {
