--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -238,7 +238,7 @@
 		return Grounds{Kind: LeaderWord, Source: e.leadsFrom, Position: e.position, Leads: e.leads}
 	case r.fresh(q, m):
 		g := Grounds{Kind: ByPosition, Source: e.positionFrom, Position: e.position}
-		if q.cls.Need == Bounded {
+		if q.cls.bounded() {
 			g.SendBy, g.Ages = r.sendBy(q, m), r.clock.Ages
 		}
 		return g
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -12,17 +12,15 @@
 	switch {
 	case r.anyMember(q):
 		return true
-	case m.evidence.position == 0:
+	case m.evidence.position == 0 || q.cls.Need == Session && m.evidence.position < q.wrote:
 		return false
-	case q.cls.Need == Session:
-		return m.evidence.position >= q.wrote
 	}
-	return r.clock.Known && r.now <= r.sendBy(q, m)
+	return !q.cls.bounded() || r.clock.Known && r.now <= r.sendBy(q, m)
 }
 
 // anyMember says that no member is too far behind for q, or one that is turns q away itself.
 func (r *Router) anyMember(q *request) bool {
-	return r.s.Checks != ChecksNone || q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0
+	return r.s.Checks != ChecksNone || q.cls.Need == AnyData || q.cls.Need == Session && q.wrote == 0 && !q.cls.bounded()
 }
 
 // sendBy is until when a bounded read may go to m on its known position. Where m may be falling behind it leaves time for a process
@@ -67,14 +65,17 @@
 
 // demand is what q's class demands. Members that check reads need no second look.
 func (r *Router) demand(q *request) Demand {
-	switch {
-	case r.s.Checks != ChecksNone:
-	case q.cls.Need == Session:
-		return Demand{Reach: q.wrote}
-	case q.cls.Need == Bounded:
-		return Demand{Bound: max(q.cls.Bound, 1)}
+	var d Demand
+	if r.s.Checks != ChecksNone {
+		return d
+	}
+	if q.cls.Need == Session {
+		d.Reach = q.wrote
+	}
+	if q.cls.bounded() {
+		d.Bound = max(q.cls.Bound, 1)
 	}
-	return Demand{}
+	return d
 }
 
 // Stale says that an answer proves that its read ran on data older than its class allows.
