What an agent answers promptly counts as told since its last answer

Callers: a gateway that is held up between two watches, and again before it reads the second's answer, sends to a host that drains up to 0.15 s past the grace and the slack.

Cause: a list that a watch brought counted from its reading, less one hold-up.

Evidence: TestADrainThatIsAnsweredPromptlyCountsFromTheLastAnswer: with the condition taken out a drain that was told up to 0.15 s into a pause counts as told 0.155 s, and with two hold-ups 0.45 s, after the last answer.

Change: an answer within two hold-ups of its watch's beginning, and what answers took lately, counts from the last answer of the same agent: it may have been there when the watch was opened. One that comes later was pushed and counts from its reading as before. Cost: of a drain that follows another change within 0.3 s, as much of the grace.

--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -64,6 +64,7 @@
 	Address  string        // of the agent
 	Revision int64         // entries that changed after it are asked for; Whole: the whole list
 	Wait     time.Duration // for a change; 0: the answer is to come at once
+	Began    time.Duration
 }
 
 // Failure says why a call brought no list.
@@ -126,6 +127,9 @@
 // Broken says that a call to the present address has failed or fallen silent since the last answer.
 func (w *Watch) Broken() bool { return w.broken }
 
+// Latency is how long answers took lately beyond their wait.
+func (w *Watch) Latency() time.Duration { return w.latency }
+
 // Move goes on at another address. The present one changes nothing: calls that are out go on. Those to another address go on,
 // and their answers are used, until the new one has answered: a series of moves must not keep the list from coming.
 func (w *Watch) Move(now time.Duration, address string) {
@@ -308,7 +312,7 @@
 // and so does the first call, as a gateway is ready once it knows what discovery knows.
 func (w *Watch) begin(now time.Duration) Call {
 	w.last++
-	c := Call{ID: w.last, Address: w.address, Revision: w.revision}
+	c := Call{ID: w.last, Address: w.address, Revision: w.revision, Began: now}
 	switch {
 	case w.used[w.address].rewound > 0:
 		c.Revision = Whole
--- a/internal/wire/discovery/notified_test.go
+++ b/internal/wire/discovery/notified_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,6 +63,47 @@
 	}
 }
 
+// What comes while the gateway has no watch open, or before a watch has reached the agent, is answered at once.
+func TestADrainThatIsAnsweredPromptlyCountsFromTheLastAnswer(t *testing.T) {
+	for name, c := range map[string]struct{ latency, pause, took, want time.Duration }{
+		"a watch without a pause":          {0, 0, 5 * ms, 0},
+		"after a pause":                    {0, 150 * ms, 5 * ms, 0},
+		"after a pause, with two hold-ups": {0, 150 * ms, 300 * ms, 0},
+		"pushed to a watch":                {0, 150 * ms, 301 * ms, 451 * ms},
+		"of a slow agent":                  {200 * ms, 150 * ms, 500 * ms, 0},
+		"pushed to a watch of a slow one":  {200 * ms, 150 * ms, 501 * ms, 651 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, after := play(41), time.Duration(0)
+				pass := func(d time.Duration) time.Duration {
+					time.Sleep(d)
+					after += d
+					return after
+				}
+				first := p.begin(0)[0]
+				p.answer(first, pass(c.latency), 42)
+				watch := p.begin(pass(c.pause))[0]
+				p.answer(watch, pass(c.took), 43)
+				if got := p.last() - c.latency; got != c.want {
+					t.Errorf("it counts as notified %s after the last answer, want %s", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+func TestTheListOfAnotherAgentCountsFromItsArrival(t *testing.T) {
+	p := play(41)
+	p.answer(p.begin(0)[0], 0, 42)
+	p.begin(0)
+	p.decisions.Move(p.began+500*ms, "b")
+	p.answer(p.begin(500 * ms)[0], 510*ms, 7)
+	if got := p.last(); got != 510*ms {
+		t.Errorf("it counts as notified %s after the last answer of the agent before", got)
+	}
+}
+
 func TestADrainAfterACallThatBroughtNoListCountsFromTheLastAnswer(t *testing.T) {
 	for name, trouble := range map[string]func(p *played, watch listwatch.Call){
 		"failed":   func(p *played, watch listwatch.Call) { p.ended(result{call: watch, err: errors.New("reset")}) },
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"yokemast/internal/control/draining"
 	"yokemast/internal/control/listwatch"
 	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
@@ -28,6 +29,9 @@
 	// longestAgo is how long before its arrival a list counts as notified at most. By then any drain's grace is over, and a host that is gone
 	// is still remembered while attempts may be on their way to it.
 	longestAgo = 30 * time.Second
+	// promptly is how long the answer to a watch may take at most, beside what answers took lately, that was there when the watch was opened:
+	// the process may be held up behind the reading of its clock at the beginning, and before the one at the end.
+	promptly = 2 * draining.HoldUp
 )
 
 // errBusy says that discovery has too many calls.
@@ -102,8 +106,9 @@
 	cancels   map[int]context.CancelFunc
 	calls     sync.WaitGroup
 	answered  bool
-	missed    bool  // a call has brought no list that was used since the last that did, or has fallen silent
-	failed    int64 // calls since the last answer
+	missed    bool   // a call has brought no list that was used since the last that did, or has fallen silent
+	heardFrom string // the agent whose list was used last
+	failed    int64  // calls since the last answer
 }
 
 // Run watches from the revision on until the context ends.
@@ -181,8 +186,8 @@
 		s.Log.Info("discovery answers again", zap.Int64("failed", s.failed))
 		s.failed = 0
 	}
-	notified := s.notifiedAt(r.at)
-	s.missed = false
+	notified := s.notifiedAt(r)
+	s.missed, s.heardFrom = false, r.call.Address
 	s.Counters.Lists.Add(1)
 	s.heardAt.Store(int64(r.at))
 	s.revision.Store(s.decisions.Revision())
@@ -197,18 +202,18 @@
 	}
 }
 
-// notifiedAt is when the gateway counts as notified of what a list tells that arrived at a time. The agent may have had it since before, and
-// what the agent has counts as told: from the process's first moment for the first list, and from the last answer on where a call has brought
-// none since.
-func (s *session) notifiedAt(arrived time.Duration) time.Duration {
-	since := arrived
+// notifiedAt is when the gateway counts as notified of what a list tells. The agent may have had it since before, and what the agent has
+// counts as told: from the process's first moment for the first list, and from the last answer on where a call has brought none since, or
+// where the agent may have had it before the watch was opened.
+func (s *session) notifiedAt(r result) time.Duration {
+	since := r.at
 	switch {
 	case !s.answered:
 		since = s.Begun
-	case s.missed:
+	case s.missed, r.call.Address == s.heardFrom && r.at-r.call.Began <= promptly+s.decisions.Latency():
 		since = time.Duration(s.heardAt.Load())
 	}
-	return max(since, arrived-longestAgo)
+	return max(since, r.at-longestAgo)
 }
 
 // fail takes a call that brought no list.
