Stall monitor: a stall that goes on counts too

The clients' goroutines were given a processor before the monitor's, which notes a stall once it is over for itself, so the check allowed nothing yet. Change: Lately counts the stall that still holds the monitor up, by the same measure; on a quiet machine it allows nothing, as before.

--- a/internal/testbed/stall/stall.go
+++ b/internal/testbed/stall/stall.go
@@ -26,11 +26,12 @@
 	mu   sync.Mutex
 	seen []stall
 	most stall
+	last time.Time // when it looked last
 }
 
 // Start begins to watch.
 func Start() *Monitor {
-	m := &Monitor{stop: make(chan struct{})}
+	m := &Monitor{stop: make(chan struct{}), last: time.Now()}
 	go m.watch()
 	return m
 }
@@ -39,24 +40,28 @@
 func (m *Monitor) Stop() { close(m.stop) }
 
 func (m *Monitor) watch() {
-	for last := time.Now(); ; {
+	for {
 		select {
 		case <-m.stop:
 			return
 		case <-time.After(every):
+			m.look(time.Now())
 		}
-		now := time.Now()
-		m.note(now, now.Sub(last)-every)
-		last = now
 	}
 }
 
-func (m *Monitor) note(now time.Time, long time.Duration) {
+// look notes the stall that ends now, if there was one.
+func (m *Monitor) look(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteLocked(now, now.Sub(m.last)-every)
+	m.last = now
+}
+
+func (m *Monitor) noteLocked(now time.Time, long time.Duration) {
 	if long < least {
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.seen = append(m.seen, stall{now, long})
 	if long > m.most.long {
 		m.most = stall{now, long}
@@ -73,10 +78,14 @@
 	return m.most.long, m.most.at
 }
 
-// Lately is the sum of the stalls of the last two seconds.
+// Lately is the sum of the stalls of the last two seconds. One that still holds the monitor itself up counts: who asks may have got a
+// processor before it.
 func (m *Monitor) Lately() (sum time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if long := time.Since(m.last) - every; long >= least {
+		sum = long
+	}
 	for _, s := range m.seen {
 		if time.Since(s.at) <= window {
 			sum += s.long
