An heir asks for the whole list, not for changes after a revision that may not be its own

Callers: after an upgrade a host that drains may get requests for as long as the new process runs, as it never hears of the drain.

Cause: an heir took its elder's states and asked for changes after the higher of its elder's revision and the file's. So it missed what lies between where the file's list was newer than what the elder knew, where the elder's watcher told a revision whose list was not in the survey yet (it was stored before the list was handed over, and read behind the survey), and where the elder's revision was another agent's (behind a SIGHUP). A file without a list had changes after revision 0 asked for.

TestTheRevisionIsToldBehindItsList fails with the order of before (the revision of a list is told while it is handed over); TestChangesAreAskedForOnlyAfterAListOfTheSameAgent has the rule of the first call.

Change: an heir, and a process whose file has no list, asks for the whole list first. The revision is stored behind its list, read before the survey, and forgotten at a move, for heirs of earlier versions. Cost: one whole list for each upgrade.

--- /dev/null
+++ b/internal/lifecycle/first_revision_test.go
@@ -0,0 +1,25 @@
+package lifecycle
+
+import (
+	"testing"
+
+	"yokemast/internal/control/listwatch"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/discovery"
+)
+
+func TestChangesAreAskedForOnlyAfterAListOfTheSameAgent(t *testing.T) {
+	for name, c := range map[string]struct {
+		members   int
+		inherited bool
+		want      int64
+	}{
+		"the file's list":                         {1, false, 41},
+		"no list in the file":                     {0, false, listwatch.Whole},
+		"what the process before knew beside one": {1, true, listwatch.Whole},
+	} {
+		if got := firstRevision(discovery.List{Revision: 41, Members: make([]exchange.Member, c.members)}, c.inherited); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yokemast/internal/control/gossip"
+	"yokemast/internal/control/listwatch"
 	"yokemast/internal/control/pooling"
 	"yokemast/internal/control/service"
 	"yokemast/internal/memory/counters"
@@ -229,14 +230,14 @@
 
 // run starts the parts.
 func (g *gateway) run() {
-	revision := g.c.Known.Revision
 	if len(g.c.Known.Members) > 0 {
 		g.x.Members(exchange.List{Agent: g.c.Discovery, At: g.begun, Whole: true, Hosts: g.c.Known.Members})
 	}
-	if known, ok := g.inherited(); ok { // newer than what the file says
+	known, inherited := g.inherited()
+	if inherited {
 		g.x.Inherit(g.upgrade.asked, known)
-		revision = max(revision, known.Revision)
 	}
+	revision := firstRevision(g.c.Known, inherited)
 	if g.others != nil {
 		g.group.Go(func() error { return g.others.Run(g.ctx, g.x.Heard) })
 	}
@@ -254,6 +255,15 @@
 	g.follow()
 }
 
+// firstRevision is that after which discovery is asked first for changes. Without a list in the file there is none; and what the process
+// before knew may be older than what the file says, or come from another agent, which counts otherwise.
+func firstRevision(file discovery.List, inherited bool) int64 {
+	if inherited || len(file.Members) == 0 {
+		return listwatch.Whole
+	}
+	return file.Revision
+}
+
 // listen opens the clients' address, or takes it over.
 func (g *gateway) listen() (*net.TCPListener, error) {
 	if l := g.upgrade.clients(); l != nil {
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -160,11 +160,12 @@
 	if g.others != nil {
 		e.Peers = g.others.Conn()
 	}
+	revision := g.watcher.Revision() // before the survey, which may know more than that
 	k, err := g.x.Survey(ctx)
 	if err != nil {
 		return e, err
 	}
-	k.Revision = g.watcher.Revision()
+	k.Revision = revision
 	e.Knowledge, err = handover.Encode(k)
 	return e, err
 }
--- a/internal/wire/discovery/notified_test.go
+++ b/internal/wire/discovery/notified_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
 	"yokemast/internal/control/listwatch"
@@ -21,13 +22,17 @@
 	*session
 	began    time.Duration
 	notified []time.Duration
+	// revisions are what the watcher said of its lists while one was handed over.
+	revisions []int64
 }
 
 func play(revision int64) *played {
 	p := &played{}
 	w := NewWatcher("a", 1)
 	w.Log, w.Counters, w.Clock, w.Answered = zap.NewNop(), &counters.Set{}, exchange.NewClock(), func() {}
-	w.Members = func(l exchange.List) { p.notified = append(p.notified, l.At) }
+	w.Members = func(l exchange.List) {
+		p.notified, p.revisions = append(p.notified, l.At), append(p.revisions, w.Revision())
+	}
 	p.began = w.Clock.Now()
 	w.Begun = p.began - 400*ms
 	p.session = &session{Watcher: w, ctx: context.Background(), cancels: map[int]context.CancelFunc{}, decisions: listwatch.New("a", revision, 1)}
@@ -93,6 +98,16 @@
 	}
 }
 
+// Who reads the revision and then what is known of the hosts, as a handover does, must find what the list of that revision told.
+func TestTheRevisionIsToldBehindItsList(t *testing.T) {
+	p := play(41)
+	p.answer(p.begin(0)[0], 0, 42)
+	p.answer(p.begin(time.Second)[0], time.Second, 43)
+	if diff := cmp.Diff([]int64{listwatch.Whole, 42}, p.revisions); diff != "" || p.Revision() != 43 {
+		t.Errorf("while a list is handed over: %s, after it: %d", diff, p.Revision())
+	}
+}
+
 func TestTheListOfAnotherAgentCountsFromItsArrival(t *testing.T) {
 	p := play(41)
 	p.answer(p.begin(0)[0], 0, 42)
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -62,7 +62,7 @@
 	return w
 }
 
-// Revision is that of the last answer; below 0: there was none.
+// Revision is that of the last answer whose list was handed over; below 0: there was none from the present agent.
 func (w *Watcher) Revision() int64 { return w.revision.Load() }
 
 // HeardAgo is how long ago discovery was last heard; not ok: it never was.
@@ -128,6 +128,7 @@
 		case <-timer.C:
 		case <-w.wake:
 			s.decisions.Move(w.Clock.Now(), w.current())
+			w.revision.Store(s.decisions.Revision())
 		case r := <-s.results:
 			s.ended(r)
 		}
@@ -190,12 +191,12 @@
 	s.missed, s.heardFrom = false, r.call.Address
 	s.Counters.Lists.Add(1)
 	s.heardAt.Store(int64(r.at))
-	s.revision.Store(s.decisions.Revision())
 	if r.list.Complete || len(r.list.Members) > 0 {
 		s.Log.Info("hosts listed", zap.Bool("whole", r.list.Complete), zap.Int64("revision", r.list.Revision), zap.Int("entries", len(r.list.Members)),
 			zap.String("agent", r.call.Address), zap.Duration("handled_after", now-r.at), zap.Duration("notified_before", r.at-notified))
 		s.Members(exchange.List{Agent: r.call.Address, At: notified, Whole: r.list.Complete, Hosts: r.list.Members})
 	}
+	s.revision.Store(s.decisions.Revision())
 	if !s.answered {
 		s.answered = true
 		s.Watcher.Answered()
