Tests of the fleet's clock: a doubt is settled by later answers only, and widened by later ones

Two guards of docs/freshness.md could be taken out with every package's test green (trial on a scratch copy): that answers to queries from before a contradiction settle nothing, where they do not overlap those since, and that a second contradiction widens the hull.

Change: one more step in TestAnswersToQueriesFromBeforeAContradictionDoNotSettleIt, and TestALaterContradictionWidensTheDoubt. Each fails with its guard out.

--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -142,6 +142,26 @@
 	if !p.Bounds().Doubted {
 		t.Error("settled")
 	}
+	p.present("b") // agrees with a's, and is independent of it
+	if !p.Bounds().Doubted {
+		t.Error("settled by one answer since and one from before")
+	}
+}
+
+func TestALaterContradictionWidensTheDoubt(t *testing.T) {
+	p := newPlay(0)
+	p.present("a")
+	p.present("b")
+	p.offset = 300 * ms
+	p.present("a")
+	p.offset = 900 * ms
+	if got := p.present("b"); got != Contradicted {
+		t.Errorf("change %d", got)
+	}
+	p.check(t, "contradicted twice", true)
+	if least := p.Bounds().At(p.now).Least; least > 0 {
+		t.Errorf("what was known first is given up: at least %s", least)
+	}
 }
 
 func TestAClockThatIsSteppedIsKnownAgain(t *testing.T) {
