testbed/faults: a frame's reading and its fate apart from its carrying

The generator is asked in the same order, so one link's faults replay as before. The longest frame has a name.

--- a/internal/testbed/faults/faults.go
+++ b/internal/testbed/faults/faults.go
@@ -148,70 +148,85 @@
 		wmu.Unlock()
 	}
 	for {
-		var h [4]byte
-		if _, err := io.ReadFull(src, h[:]); err != nil {
-			dst.Close()
-			return
-		}
-		size := binary.BigEndian.Uint32(h[:])
-		if size > 1<<21 {
-			dst.Close() // not a frame: the layer does not make up what it cannot read
-			return
-		}
-		frame := make([]byte, 4+size)
-		copy(frame, h[:])
-		if _, err := io.ReadFull(src, frame[4:]); err != nil {
+		frame, err := readFrame(src)
+		if err != nil {
 			dst.Close()
 			return
 		}
-		l.mu.Lock()
-		plan, cut := l.plan, l.cut[[2]uint16{from, to}]
-		drop, dup := rng.Float64() < plan.Drop, rng.Float64() < plan.Dup
-		wait := plan.Delay
-		held := l.held[[2]uint16{from, to}]
-		if plan.Jitter > 0 {
-			wait += time.Duration(rng.Int64N(int64(plan.Jitter)))
-		}
-		switch {
-		case cut:
-			l.n.Cut++
-		case drop:
-			l.n.Dropped++
-		default:
-			l.n.Passed++
-			if held != nil {
-				l.n.Held++
-			}
-			if dup {
-				l.n.Duplicated++
-			}
-		}
-		l.mu.Unlock()
-		if cut || drop {
-			continue
-		}
-		copies := 1
-		if dup {
-			copies = 2
-		}
-		for i := 0; i < copies; i++ {
-			if held != nil {
+		f := l.draw(rng, [2]uint16{from, to})
+		for range f.copies {
+			switch {
+			case f.held != nil:
 				wg.Go(func() {
-					<-held
+					<-f.held
 					write(frame)
 				})
-				continue
-			}
-			if wait == 0 {
+			case f.wait == 0:
 				write(frame)
-				continue
+			default:
+				wg.Add(1)
+				time.AfterFunc(f.wait, func() { defer wg.Done(); write(frame) })
 			}
-			wg.Add(1)
-			time.AfterFunc(wait, func() { defer wg.Done(); write(frame) })
 		}
 	}
 }
 
+// maxFrame is the longest frame that is carried, in bytes.
+const maxFrame = 1 << 21
+
+// errNoFrame says that what came is no frame: the layer does not make up what it cannot read.
+var errNoFrame = errors.New("no frame")
+
+func readFrame(src io.Reader) ([]byte, error) {
+	var h [4]byte
+	if _, err := io.ReadFull(src, h[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(h[:])
+	if size > maxFrame {
+		return nil, errNoFrame
+	}
+	frame := make([]byte, 4+size)
+	copy(frame, h[:])
+	_, err := io.ReadFull(src, frame[4:])
+	return frame, err
+}
+
+// fate is what becomes of one frame.
+type fate struct {
+	copies int // 0: it is lost
+	wait   time.Duration
+	held   chan struct{} // it arrives when this is closed; nil: it is not held
+}
+
+// draw draws what becomes of the next frame on a link, and counts it.
+func (l *Layer) draw(rng *rand.Rand, link [2]uint16) fate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	drop, dup := rng.Float64() < l.plan.Drop, rng.Float64() < l.plan.Dup
+	f := fate{copies: 1, wait: l.plan.Delay, held: l.held[link]}
+	if l.plan.Jitter > 0 {
+		f.wait += time.Duration(rng.Int64N(int64(l.plan.Jitter)))
+	}
+	switch {
+	case l.cut[link]:
+		l.n.Cut++
+		return fate{}
+	case drop:
+		l.n.Dropped++
+		return fate{}
+	}
+	l.n.Passed++
+	if f.held != nil {
+		l.n.Held++
+	}
+	if dup {
+		l.n.Duplicated++
+		f.copies = 2
+	}
+	return f
+}
+
 // ErrNoFreePort is what Listen says when loopback has no port to give.
 var ErrNoFreePort = errors.New("no free port on loopback")
 
