testbed/hosts: one function for each statement and message of a host

sql.go's run had 137 lines, general.go's extended 80 and serveGeneral 76, host.go's serve 76. Now each statement and each message of the extended protocol has a function; cancel, begin and end of a session, the answer to a probe and to a query are on their own. What stood twice stands once: the rows with their CommandComplete, the errors of names and of framing.

--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -55,42 +55,13 @@
 func (h *Host) serveGeneral(c net.Conn, in *bufio.Reader, parameters pg.Parameters, kind pg.Startup) {
 	if kind == pg.StartCancel {
 		if key, ok := parameters.CancelKey(); ok {
-			h.mu.Lock()
-			s := h.seats()[key]
-			h.mu.Unlock()
-			if s != nil {
-				s.mu.Lock()
-				if s.running {
-					close(s.canceled)
-					s.canceled, s.running = make(chan struct{}), false
-				}
-				s.mu.Unlock()
-			}
+			h.cancel(key)
 		}
 		return
 	}
-	seats.Lock()
-	seats.next++
-	key := pg.Key{Process: seats.next, Secret: seats.next * 2654435761}
-	seats.Unlock()
-	s := &seat{h: h, c: c, key: key, own: map[string]string{}, now: map[string]string{}, prepared: map[string]string{},
-		portals: map[string]portal{}, canceled: make(chan struct{})}
-	h.mu.Lock()
-	h.seats()[key] = s
-	h.mu.Unlock()
-	h.cluster.mu.Lock()
-	h.cluster.open++
-	h.cluster.peak = max(h.cluster.peak, h.cluster.open)
-	h.cluster.mu.Unlock()
-	defer func() {
-		h.cluster.mu.Lock()
-		h.cluster.open--
-		h.cluster.mu.Unlock()
-		h.mu.Lock()
-		delete(h.seated, key)
-		h.mu.Unlock()
-	}()
-	if _, err := c.Write(pg.AppendWelcomeAs(nil, pg.StartSession, pg.DefaultParameters(), key)); err != nil {
+	s := h.take(c)
+	defer h.leave(s)
+	if _, err := c.Write(pg.AppendWelcomeAs(nil, pg.StartSession, pg.DefaultParameters(), s.key)); err != nil {
 		return
 	}
 	var out []byte
@@ -129,6 +100,50 @@
 	}
 }
 
+// cancel ends what the session of a key runs, if it runs anything.
+func (h *Host) cancel(key pg.Key) {
+	h.mu.Lock()
+	s := h.seats()[key]
+	h.mu.Unlock()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running {
+		close(s.canceled)
+		s.canceled, s.running = make(chan struct{}), false
+	}
+}
+
+// take begins a session on a connection.
+func (h *Host) take(c net.Conn) *seat {
+	seats.Lock()
+	seats.next++
+	key := pg.Key{Process: seats.next, Secret: seats.next * 2654435761}
+	seats.Unlock()
+	s := &seat{h: h, c: c, key: key, own: map[string]string{}, now: map[string]string{}, prepared: map[string]string{},
+		portals: map[string]portal{}, canceled: make(chan struct{})}
+	h.mu.Lock()
+	h.seats()[key] = s
+	h.mu.Unlock()
+	h.cluster.mu.Lock()
+	h.cluster.open++
+	h.cluster.peak = max(h.cluster.peak, h.cluster.open)
+	h.cluster.mu.Unlock()
+	return s
+}
+
+// leave ends a session.
+func (h *Host) leave(s *seat) {
+	h.cluster.mu.Lock()
+	h.cluster.open--
+	h.cluster.mu.Unlock()
+	h.mu.Lock()
+	delete(h.seated, s.key)
+	h.mu.Unlock()
+}
+
 func (s *seat) status() byte {
 	switch {
 	case s.failed:
@@ -162,20 +177,17 @@
 			continue
 		}
 		ran = true
-		rows, tag, bad := s.run(part, nil)
-		if bad != nil {
+		got := s.run(part, nil)
+		if got.bad != nil {
 			if s.fail(); !s.failed {
 				s.own, s.now = own, now
 			}
-			return pg.AppendError(out, bad)
+			return pg.AppendError(out, got.bad)
 		}
-		if rows != nil {
+		if got.rows != nil {
 			out = describe(out)
-			for _, r := range rows {
-				out = row(out, r)
-			}
 		}
-		out = pg.Append(out, pg.CommandComplete, []byte(tag+"\x00"))
+		out = got.append(out)
 	}
 	if !ran {
 		out = pg.Append(out, pg.EmptyQueryResponse)
@@ -183,83 +195,41 @@
 	return out
 }
 
+// textType is PostgreSQL's number of the type text.
+const textType = 25
+
 func describe(out []byte) []byte {
 	d := append([]byte{0, 1}, "content\x00"...)
-	return pg.Append(out, pg.RowDescription, append(d, 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0))
+	return pg.Append(out, pg.RowDescription, append(d, 0, 0, 0, 0, 0, 0, 0, 0, 0, textType, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0))
+}
+
+// append writes the rows, and that the statement is complete.
+func (r result) append(out []byte) []byte {
+	for _, value := range r.rows {
+		out = row(out, value)
+	}
+	return pg.Append(out, pg.CommandComplete, []byte(r.tag+"\x00"))
 }
 
 func row(out []byte, value string) []byte {
 	return pg.Append(out, pg.DataRow, binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(value))), []byte(value))
 }
 
+// extended answers one message of the extended query protocol.
 func (s *seat) extended(out []byte, kind byte, body []byte) ([]byte, *pg.Error) {
-	bad := func(code, what string) ([]byte, *pg.Error) { return out, &pg.Error{Code: code, Message: what} }
 	switch kind {
 	case pg.Parse:
-		p, err := pg.ReadParse(body)
-		if err != nil {
-			return bad("08P01", err.Error())
-		}
-		if _, taken := s.prepared[p.Name]; taken && p.Name != "" {
-			return bad("42P05", "prepared statement \""+p.Name+"\" already exists")
-		}
-		s.prepared[p.Name] = strings.TrimSpace(comments.ReplaceAllString(p.Text, ""))
-		return pg.Append(out, pg.ParseComplete), nil
+		return s.parse(out, body)
 	case pg.Bind:
-		name, statement, rest, err := pg.ReadBind(body)
-		text, ok := s.prepared[statement]
-		if err != nil || !ok {
-			return bad("26000", "prepared statement \""+statement+"\" does not exist")
-		}
-		values, ok := bound(rest)
-		if !ok {
-			return bad("08P01", "a Bind that can't be read")
-		}
-		s.portals[name] = portal{text, values}
-		return pg.Append(out, pg.BindComplete), nil
+		return s.bind(out, body)
 	case pg.Describe:
-		what, name, err := pg.ReadTarget(body)
-		if err != nil {
-			return bad("08P01", err.Error())
-		}
-		text := s.portals[name].text
-		if what == 'S' {
-			var ok bool
-			if text, ok = s.prepared[name]; !ok {
-				return bad("26000", "prepared statement \""+name+"\" does not exist")
-			}
-			n := len(parameter.FindAllString(text, -1))
-			types := binary.BigEndian.AppendUint16(nil, uint16(n))
-			for range n {
-				types = binary.BigEndian.AppendUint32(types, 25)
-			}
-			out = pg.Append(out, pg.ParameterDescription, types)
-		}
-		if !returns(text) {
-			return pg.Append(out, pg.NoData), nil
-		}
-		return describe(out), nil
+		return s.describe(out, body)
 	case pg.Execute:
-		name, err := pg.ReadExecute(body)
-		p, ok := s.portals[name]
-		if err != nil || !ok {
-			return bad("34000", "portal does not exist")
-		}
-		if p.text == "" {
-			return pg.Append(out, pg.EmptyQueryResponse), nil
-		}
-		rows, tag, fault := s.run(p.text, p.values)
-		if fault != nil {
-			return out, fault
-		}
-		for _, r := range rows {
-			out = row(out, r)
-		}
-		return pg.Append(out, pg.CommandComplete, []byte(tag+"\x00")), nil
+		return s.execute(out, body)
 	case pg.Close:
 		what, name, err := pg.ReadTarget(body)
 		if err != nil {
-			return bad("08P01", err.Error())
+			return out, protocolError(err)
 		}
 		if what == 'S' {
 			delete(s.prepared, name)
@@ -270,5 +240,77 @@
 	case pg.Flush:
 		return out, nil
 	}
-	return bad("0A000", "not spoken here")
+	return out, &pg.Error{Code: "0A000", Message: "not spoken here"}
+}
+
+func protocolError(err error) *pg.Error { return &pg.Error{Code: "08P01", Message: err.Error()} }
+
+func notPrepared(name string) *pg.Error {
+	return &pg.Error{Code: "26000", Message: "prepared statement \"" + name + "\" does not exist"}
+}
+
+func (s *seat) parse(out, body []byte) ([]byte, *pg.Error) {
+	p, err := pg.ReadParse(body)
+	if err != nil {
+		return out, protocolError(err)
+	}
+	if _, taken := s.prepared[p.Name]; taken && p.Name != "" {
+		return out, &pg.Error{Code: "42P05", Message: "prepared statement \"" + p.Name + "\" already exists"}
+	}
+	s.prepared[p.Name] = strings.TrimSpace(comments.ReplaceAllString(p.Text, ""))
+	return pg.Append(out, pg.ParseComplete), nil
+}
+
+func (s *seat) bind(out, body []byte) ([]byte, *pg.Error) {
+	name, statement, rest, err := pg.ReadBind(body)
+	text, ok := s.prepared[statement]
+	if err != nil || !ok {
+		return out, notPrepared(statement)
+	}
+	values, ok := bound(rest)
+	if !ok {
+		return out, &pg.Error{Code: "08P01", Message: "a Bind that can't be read"}
+	}
+	s.portals[name] = portal{text, values}
+	return pg.Append(out, pg.BindComplete), nil
+}
+
+func (s *seat) describe(out, body []byte) ([]byte, *pg.Error) {
+	what, name, err := pg.ReadTarget(body)
+	if err != nil {
+		return out, protocolError(err)
+	}
+	text := s.portals[name].text
+	if what == 'S' {
+		var ok bool
+		if text, ok = s.prepared[name]; !ok {
+			return out, notPrepared(name)
+		}
+		n := len(parameter.FindAllString(text, -1))
+		types := binary.BigEndian.AppendUint16(nil, uint16(n))
+		for range n {
+			types = binary.BigEndian.AppendUint32(types, textType)
+		}
+		out = pg.Append(out, pg.ParameterDescription, types)
+	}
+	if !returns(text) {
+		return pg.Append(out, pg.NoData), nil
+	}
+	return describe(out), nil
+}
+
+func (s *seat) execute(out, body []byte) ([]byte, *pg.Error) {
+	name, err := pg.ReadExecute(body)
+	p, ok := s.portals[name]
+	if err != nil || !ok {
+		return out, &pg.Error{Code: "34000", Message: "portal does not exist"}
+	}
+	if p.text == "" {
+		return pg.Append(out, pg.EmptyQueryResponse), nil
+	}
+	got := s.run(p.text, p.values)
+	if got.bad != nil {
+		return out, got.bad
+	}
+	return got.append(out), nil
 }
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -162,58 +162,61 @@
 		if err != nil {
 			return
 		}
-		query := strings.TrimSuffix(string(body), "\x00")
-		if query == "SHOW server_load" {
+		if query := strings.TrimSuffix(string(body), "\x00"); query == "SHOW server_load" {
 			if h.probeHangs() {
 				return
 			}
-			load := h.toldLoad()
-			h.delay()
-			_, err := c.Write(pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte(load)}, "SHOW")))
-			if err == nil && strings.HasSuffix(load, "x1=0") && load != unmadeReport {
-				h.tellFollower(c, asked)
-			}
-			continue
-		}
-		h.mu.Lock()
-		n, script := len(h.queries), h.Script
-		h.queries = append(h.queries, query)
-		h.mu.Unlock()
-		if h.Raw != nil {
-			if !h.Raw(c, query) {
-				return
-			}
-			continue
-		}
-		var answer []byte
-		switch {
-		case script != nil:
-			answer = script(n, query)
-		case h.cluster != nil:
-			answer = h.run(c, in, query)
-		default:
-			answer = h.Row(query)
-		}
-		if answer == nil {
-			return
-		}
-		if s, bad := pg.ParseStatement([]byte(query)); bad == nil {
-			asked = s.ID
-		}
-		_, err = c.Write(answer)
-		if err == nil && bytes.Contains(answer, []byte("node_role\x00"+Follower)) {
-			h.tellFollower(c, asked)
-		}
-		if h.Trail != nil {
-			time.AfterFunc(2*time.Millisecond, func() { _, _ = c.Write(h.Trail(query)) })
-			time.Sleep(4 * time.Millisecond) // what was written behind the query waits as long
-		}
-		if h.Brief {
+			h.answerProbe(c, asked)
+		} else if !h.answerQuery(c, in, query, &asked) {
 			return
 		}
 	}
 }
 
+// answerProbe answers the question for the load report.
+func (h *Host) answerProbe(c net.Conn, asked string) {
+	load := h.toldLoad()
+	h.delay()
+	_, err := c.Write(pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte(load)}, "SHOW")))
+	if err == nil && strings.HasSuffix(load, "x1=0") && load != unmadeReport {
+		h.tellFollower(c, asked)
+	}
+}
+
+// answerQuery answers anything else, and notes its id as the last one asked; false: the connection ends.
+func (h *Host) answerQuery(c net.Conn, in *bufio.Reader, query string, asked *string) bool {
+	h.mu.Lock()
+	n, script := len(h.queries), h.Script
+	h.queries = append(h.queries, query)
+	h.mu.Unlock()
+	if h.Raw != nil {
+		return h.Raw(c, query)
+	}
+	var answer []byte
+	switch {
+	case script != nil:
+		answer = script(n, query)
+	case h.cluster != nil:
+		answer = h.run(c, in, query)
+	default:
+		answer = h.Row(query)
+	}
+	if answer == nil {
+		return false
+	}
+	if s, bad := pg.ParseStatement([]byte(query)); bad == nil {
+		*asked = s.ID
+	}
+	if _, err := c.Write(answer); err == nil && bytes.Contains(answer, []byte("node_role\x00"+Follower)) {
+		h.tellFollower(c, *asked)
+	}
+	if h.Trail != nil {
+		time.AfterFunc(2*time.Millisecond, func() { _, _ = c.Write(h.Trail(query)) })
+		time.Sleep(4 * time.Millisecond) // what was written behind the query waits as long
+	}
+	return !h.Brief
+}
+
 // tellFollower tells the ledger that the gateway which asked for a request has been answered, just now, by a follower.
 func (h *Host) tellFollower(c net.Conn, id string) {
 	if h.Ledger != nil && isOpen(c) {
--- a/internal/testbed/hosts/sql.go
+++ b/internal/testbed/hosts/sql.go
@@ -21,7 +21,7 @@
 
 type portal struct {
 	text   string
-	values []string
+	values arguments
 }
 
 var (
@@ -40,7 +40,7 @@
 }
 
 // bound reads the values of a Bind, all of which are text.
-func bound(rest []byte) (out []string, ok bool) {
+func bound(rest []byte) (out arguments, ok bool) {
 	n := int(binary.BigEndian.Uint16(rest))
 	if len(rest) < 4+2*n {
 		return nil, false
@@ -65,143 +65,191 @@
 	return out, true
 }
 
-// run runs one statement.
-func (s *seat) run(text string, values []string) (rows []string, tag string, bad *pg.Error) {
-	value := func(x string) string {
-		if strings.HasPrefix(x, "$") {
-			var i int
-			_, _ = fmt.Sscanf(x, "$%d", &i)
-			if i > 0 && i <= len(values) {
-				return values[i-1]
-			}
-			return ""
-		}
+// result is what one statement gives: rows (nil: none are described), and its tag or an error.
+type result struct {
+	rows []string
+	tag  string
+	bad  *pg.Error
+}
+
+func done(tag string) result { return result{tag: tag} }
+
+func fault(code, what string) result { return result{bad: &pg.Error{Code: code, Message: what}} }
+
+func selected(rows ...string) result {
+	return result{rows: rows, tag: fmt.Sprintf("SELECT %d", len(rows))}
+}
+
+// arguments are the values of a statement's parameters.
+type arguments []string
+
+// value is what a constant or a parameter stands for.
+func (a arguments) value(x string) string {
+	if !strings.HasPrefix(x, "$") {
 		return strings.Trim(x, "'")
 	}
-	fault := func(code, what string) ([]string, string, *pg.Error) {
-		return nil, "", &pg.Error{Code: code, Message: what}
+	var i int
+	_, _ = fmt.Sscanf(x, "$%d", &i)
+	if i > 0 && i <= len(a) {
+		return a[i-1]
 	}
+	return ""
+}
+
+// run runs one statement.
+func (s *seat) run(text string, values arguments) result {
 	words := strings.Fields(strings.ToLower(text))
-	first := words[0]
-	if s.failed && first != "rollback" && first != "commit" {
+	if s.failed && words[0] != "rollback" && words[0] != "commit" {
 		return fault("25P02", "current transaction is aborted")
 	}
 	if s.h.Work > 0 {
 		time.Sleep(s.h.Work)
 	}
-	switch {
+	if out, ok := s.control(text, words); ok {
+		return out
+	}
+	if m := set.FindStringSubmatch(text); m != nil {
+		return s.set(strings.ToLower(m[2]), strings.Trim(m[3], "'"), strings.EqualFold(strings.TrimSpace(m[1]), "local"))
+	}
+	if m := sleep.FindStringSubmatch(text); m != nil {
+		return s.sleep(values.value(m[1]))
+	}
+	if m := selectOne.FindStringSubmatch(text); m != nil {
+		return selected(values.value(m[1]))
+	}
+	if m := selectKV.FindStringSubmatch(text); m != nil {
+		return s.read(values.value(m[1]))
+	}
+	if m := insertKV.FindStringSubmatch(text); m != nil {
+		return s.insert(values.value(m[1]), values.value(m[2]), m[3] != "")
+	}
+	return fault("42601", "syntax error at "+text)
+}
+
+// control runs the statements on transactions and on the session that their first words tell; not ok: it is none of them.
+func (s *seat) control(text string, words []string) (out result, ok bool) {
+	switch first := words[0]; {
 	case first == "begin" || first == "start":
 		if len(s.saved) == 0 {
 			s.saved = append(s.saved, saved{"", maps.Clone(s.own), maps.Clone(s.now), 0})
 		}
-		return nil, "BEGIN", nil
+		return done("BEGIN"), true
 	case first == "commit" || first == "rollback" && (len(words) == 1 || words[1] != "to"):
-		tag = "COMMIT"
-		if first == "rollback" || s.failed {
-			tag = "ROLLBACK"
-			if len(s.saved) > 0 {
-				s.own = s.saved[0].own
-			}
-			s.writes = nil
-		}
-		s.now, s.saved, s.failed = maps.Clone(s.own), nil, false
-		if bad := s.commit(); bad != nil {
-			return nil, "", bad
-		}
-		return nil, tag, nil
+		return s.endTransaction(first == "rollback" || s.failed), true
 	case first == "savepoint":
 		if len(s.saved) == 0 {
-			return fault("25P01", "SAVEPOINT can only be used in transaction blocks")
+			return fault("25P01", "SAVEPOINT can only be used in transaction blocks"), true
 		}
 		s.saved = append(s.saved, saved{words[1], maps.Clone(s.own), maps.Clone(s.now), len(s.writes)})
-		return nil, "SAVEPOINT", nil
+		return done("SAVEPOINT"), true
 	case first == "rollback":
-		name := words[len(words)-1]
-		for i := len(s.saved) - 1; i > 0; i-- {
-			if x := s.saved[i]; x.name == name {
-				s.own, s.now, s.writes = maps.Clone(x.own), maps.Clone(x.now), s.writes[:x.writes]
-				s.saved, s.failed = s.saved[:i+1], false
-				return nil, "ROLLBACK", nil
-			}
-		}
-		return fault("3B001", "savepoint does not exist")
+		return s.rollbackTo(words[len(words)-1]), true
 	case first == "reset" && words[1] == "all", first == "discard":
 		s.own, s.now = map[string]string{}, map[string]string{}
 		if first == "discard" {
 			s.prepared = map[string]string{}
 		}
-		return nil, strings.ToUpper(text), nil
+		return done(strings.ToUpper(text)), true
 	case first == "reset":
 		delete(s.own, words[1])
 		delete(s.now, words[1])
-		return nil, "RESET", nil
+		return done("RESET"), true
 	case first == "deallocate":
 		s.prepared = map[string]string{}
-		return nil, "DEALLOCATE ALL", nil
+		return done("DEALLOCATE ALL"), true
 	case first == "show":
-		return []string{s.now[words[1]]}, "SHOW", nil
+		return result{rows: []string{s.now[words[1]]}, tag: "SHOW"}, true
 	case first == "listen":
-		return nil, "LISTEN", nil
+		return done("LISTEN"), true
 	case first == "fail":
-		return fault("22012", "division by zero")
+		return fault("22012", "division by zero"), true
 	}
-	if m := set.FindStringSubmatch(text); m != nil {
-		name := strings.ToLower(m[2])
-		s.now[name] = strings.Trim(m[3], "'")
-		if !strings.EqualFold(strings.TrimSpace(m[1]), "local") {
-			s.own[name] = s.now[name]
-		} else if len(s.saved) == 0 {
-			s.now[name] = s.own[name]
+	return result{}, false
+}
+
+func (s *seat) endTransaction(rollback bool) result {
+	tag := "COMMIT"
+	if rollback {
+		tag = "ROLLBACK"
+		if len(s.saved) > 0 {
+			s.own = s.saved[0].own
 		}
-		return nil, "SET", nil
+		s.writes = nil
 	}
-	if m := sleep.FindStringSubmatch(text); m != nil {
-		d, _ := time.ParseDuration(value(m[1]) + "s")
-		s.mu.Lock()
-		s.running = true
-		canceled := s.canceled
-		s.mu.Unlock()
-		select {
-		case <-canceled:
-			return fault("57014", "canceling statement due to user request")
-		case <-time.After(d):
+	s.now, s.saved, s.failed = maps.Clone(s.own), nil, false
+	if bad := s.commit(); bad != nil {
+		return result{bad: bad}
+	}
+	return done(tag)
+}
+
+func (s *seat) rollbackTo(savepoint string) result {
+	for i := len(s.saved) - 1; i > 0; i-- {
+		if x := s.saved[i]; x.name == savepoint {
+			s.own, s.now, s.writes = maps.Clone(x.own), maps.Clone(x.now), s.writes[:x.writes]
+			s.saved, s.failed = s.saved[:i+1], false
+			return done("ROLLBACK")
 		}
-		s.mu.Lock()
-		s.running = false
-		s.mu.Unlock()
-		return []string{""}, "SELECT 1", nil
 	}
-	if m := selectOne.FindStringSubmatch(text); m != nil {
-		return []string{value(m[1])}, "SELECT 1", nil
+	return fault("3B001", "savepoint does not exist")
+}
+
+func (s *seat) set(name, value string, local bool) result {
+	s.now[name] = value
+	if !local {
+		s.own[name] = value
+	} else if len(s.saved) == 0 {
+		s.now[name] = s.own[name]
 	}
-	if m := selectKV.FindStringSubmatch(text); m != nil {
-		for i := len(s.writes) - 1; i >= 0; i-- {
-			if s.writes[i].key == value(m[1]) {
-				return []string{s.writes[i].value}, "SELECT 1", nil
-			}
-		}
-		v, ok := s.h.cluster.read(s.h, value(m[1]))
-		if !ok {
-			return []string{}, "SELECT 0", nil
-		}
-		return []string{v}, "SELECT 1", nil
+	return done("SET")
+}
+
+func (s *seat) sleep(seconds string) result {
+	d, _ := time.ParseDuration(seconds + "s")
+	s.mu.Lock()
+	s.running = true
+	canceled := s.canceled
+	s.mu.Unlock()
+	select {
+	case <-canceled:
+		return fault("57014", "canceling statement due to user request")
+	case <-time.After(d):
 	}
-	if m := insertKV.FindStringSubmatch(text); m != nil {
-		if s.h.Role() != Leader {
-			return fault(pg.CodeReadOnly, "cannot execute INSERT in a read-only transaction")
-		}
-		s.writes = append(s.writes, write{value(m[1]), value(m[2])})
-		if len(s.saved) == 0 {
-			if bad := s.commit(); bad != nil {
-				return nil, "", bad
-			}
+	s.mu.Lock()
+	s.running = false
+	s.mu.Unlock()
+	return selected("")
+}
+
+// read gives a key's value as the open transaction has written it, or as the host has it.
+func (s *seat) read(key string) result {
+	for i := len(s.writes) - 1; i >= 0; i-- {
+		if s.writes[i].key == key {
+			return selected(s.writes[i].value)
 		}
-		if m[3] != "" {
-			rows = []string{value(m[2])}
+	}
+	value, ok := s.h.cluster.read(s.h, key)
+	if !ok {
+		return result{rows: []string{}, tag: "SELECT 0"}
+	}
+	return selected(value)
+}
+
+func (s *seat) insert(key, value string, returning bool) result {
+	if s.h.Role() != Leader {
+		return fault(pg.CodeReadOnly, "cannot execute INSERT in a read-only transaction")
+	}
+	s.writes = append(s.writes, write{key, value})
+	if len(s.saved) == 0 {
+		if bad := s.commit(); bad != nil {
+			return result{bad: bad}
 		}
-		return rows, "INSERT 0 1", nil
 	}
-	return fault("42601", "syntax error at "+text)
+	out := done("INSERT 0 1")
+	if returning {
+		out.rows = []string{value}
+	}
+	return out
 }
 
 // commit commits what the transaction wrote. A host that hangs after a commit answers nothing.
