--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -192,25 +192,7 @@
 		if len(batch) > 0 {
 			continue
 		}
-		wait := time.Hour
-		if len(x.timers) > 0 {
-			wait = max(x.timers[0].due-x.cfg.Clock.Now(), 0)
-		}
-		if x.cfg.Gossip != nil {
-			if at, ok := x.cfg.Gossip.Due(); ok {
-				wait = min(wait, max(at-x.cfg.Clock.Now(), 0))
-			}
-		}
-		if at, ok := x.versions.Due(); ok {
-			wait = min(wait, max(at-x.cfg.Clock.Now(), 0))
-		}
-		if x.cells != nil {
-			wait = min(wait, max(x.lookAt-x.cfg.Clock.Now(), 0))
-		}
-		if x.trace.lineAt > 0 {
-			wait = min(wait, max(x.trace.lineAt-x.cfg.Clock.Now(), 0))
-		}
-		timer.Reset(wait)
+		timer.Reset(x.untilDue(x.cfg.Clock.Now()))
 		select {
 		case <-ctx.Done():
 			x.endTrace(x.cfg.Clock.Now())
@@ -221,6 +203,32 @@
 	}
 }
 
+// longestIdle is for how long Run waits at most where nothing is due.
+const longestIdle = time.Hour
+
+// untilDue is how long it is until something is due without an event, 0 where it is due already.
+func (x *Exchange) untilDue(now time.Duration) time.Duration {
+	next := now + longestIdle
+	if len(x.timers) > 0 {
+		next = min(next, x.timers[0].due)
+	}
+	if x.cfg.Gossip != nil {
+		if at, ok := x.cfg.Gossip.Due(); ok {
+			next = min(next, at)
+		}
+	}
+	if at, ok := x.versions.Due(); ok {
+		next = min(next, at)
+	}
+	if x.cells != nil {
+		next = min(next, x.lookAt)
+	}
+	if x.trace.lineAt > 0 {
+		next = min(next, x.trace.lineAt)
+	}
+	return max(next-now, 0)
+}
+
 // due hands over the timers that were due by then.
 func (x *Exchange) due(by time.Duration) {
 	for len(x.timers) > 0 && x.timers[0].due <= by {
