--- a/balance/admission.go
+++ b/balance/admission.go
@@ -14,11 +14,11 @@
 	if r.reqs[e.ID] != nil {
 		return // doubled
 	} else if c == nil {
-		r.do(Refuse{ID: e.ID, Why: Strange})
+		r.do(Refuse{ID: e.ID, Why: UnknownClass})
 		return
 	}
 	q := &request{Request: e, seq: r.seq, cls: c, cell: cell, group: g, arrived: r.now, worth: c.Worth,
-		luck: r.rng.Float64()}
+		shedDraw: r.rng.Float64()}
 	if t := r.tenants[e.Tenant]; t != nil {
 		// What the fleet uses shows at no router; who asks for more of its share than others shows at each.
 		if !e.Retry {
@@ -39,49 +39,49 @@
 			q.wrote = max(q.wrote, e.Since)
 		}
 	}
-	if e.Over > 0 || !c.primaryOnly() && !passes(q, cell.badAttempts(g).replicas) {
-		r.giveUp(q, Thinned)
+	if e.Over > 0 || !c.primaryOnly() && shed(q, cell.badAttempts(g).replicas) {
+		r.giveUp(q, Shed)
 		return
 	}
 	r.do(After{max(e.Deadline-r.now, 1), q.seq})
 	r.route(q)
 }
 
-func (r *Router) room(q *request, m *member, part float64) bool {
+func (r *Router) hasRoom(q *request, m *member, part float64) bool {
 	limit := max(1, m.limit*part)
 	if len(r.cells) > 1 {
-		return r.fair(q, m, limit)
+		return r.cellHasRoom(q, m, limit)
 	}
-	return float64(len(m.out)) < limit && r.fleet(m)
+	return float64(len(m.out)) < limit && r.fleetHasRoom(m)
 }
 
-// fleet bounds what this router has out at m and its like: one each of many routers is a long queue there.
-func (r *Router) fleet(m *member) bool {
-	out, limit, p := 0, 0.0, r.believed(m.group)
+// fleetHasRoom bounds what this router has out at m and its like: one each of many routers is a long queue there.
+func (r *Router) fleetHasRoom(m *member) bool {
+	out, limit, p := 0, 0.0, r.primaryOf(m.group)
 	for _, o := range m.group.members {
-		if (o == p) == (m == p) && r.open(o, true) {
+		if (o == p) == (m == p) && r.accepts(o, true) {
 			out, limit = out+len(o.out), limit+o.limit
 		}
 	}
 	return float64(out) < max(1, limit*fewRouters/float64(r.s.Routers))
 }
 
-// passes thins reads out by chance where many lately ended badly: a router alone sees no queue.
-func passes(q *request, bad float64) bool {
+// shed says whether a read is turned away, by chance, where the given part of the last attempts ended badly: a router alone sees no queue.
+func shed(q *request, bad float64) bool {
 	if q.worth < q.cls.Worth {
 		bad *= 2
 	}
-	return q.luck >= min(badMost, (bad-badFrom)*badSlope)
+	return q.shedDraw < min(badMost, (bad-badFrom)*badSlope)
 }
 
-func (r *Router) park(q *request) { // most worth for its work first, then newest, as the oldest are near late
-	q.parked = true
-	list := q.group.parked
+func (r *Router) enqueue(q *request) { // most worth for its work first, then newest, as the oldest are near late
+	q.queued = true
+	list := q.group.queued
 	i := len(list)
 	for i > 0 && before(q, list[i-1]) {
 		i--
 	}
-	q.group.parked = slices.Insert(list, i, q)
+	q.group.queued = slices.Insert(list, i, q)
 	r.wake(q.group)
 }
 
@@ -90,12 +90,12 @@
 	return x > y || x == y && a.cls.Name == b.cls.Name && a.seq > b.seq
 }
 
-// release sends what is parked and can go now, in the order that park keeps.
+// release sends what is queued and can go now, in the order that enqueue keeps.
 func (r *Router) release(g *group) {
-	if len(g.parked) == 0 {
+	if len(g.queued) == 0 {
 		return
 	}
-	list, stuck := g.parked, map[*class]int{} // a long queue is not tried to its end
+	list, stuck := g.queued, map[*class]int{} // a long queue is not tried to its end
 	order := list
 	if len(r.cells) > 1 { // the cell with least out for its weight goes first
 		used := map[*cell]float64{}
@@ -109,17 +109,17 @@
 			return cmp.Compare(used[a.cell], used[b.cell])
 		})
 	}
-	g.parked = nil
+	g.queued = nil
 	for _, q := range order {
-		if q.done || !q.parked || stuck[q.cls] >= 3 && !r.hopeless(q) {
+		if q.done || !q.queued || stuck[q.cls] >= 3 && !r.hopeless(q) {
 			continue
 		}
-		q.parked = false
-		if r.route(q); q.parked {
+		q.queued = false
+		if r.route(q); q.queued {
 			stuck[q.cls]++
 		}
 	}
-	g.parked = slices.DeleteFunc(list, func(q *request) bool { return q.done || !q.parked })
+	g.queued = slices.DeleteFunc(list, func(q *request) bool { return q.done || !q.queued })
 }
 
 func (r *Router) wake(g *group) { // asks for a beat if anything waits for one
@@ -133,9 +133,9 @@
 	}
 }
 
-// judge moves the number of attempts kept out at m (what waits here can still be turned away) and the part of
+// adjustLimit moves the number of attempts kept out at m (what waits here can still be turned away) and the part of
 // bad ends there, if they are blamed on the cell.
-func (r *Router) judge(m *member, c *cell, cls *class, result Result, took time.Duration, blamed bool) {
+func (r *Router) adjustLimit(m *member, c *cell, cls *class, result Result, took time.Duration, blamed bool) {
 	cut, answered := 0.0, result == OK || result == TimedOut
 	if result == OK {
 		cls.took += (took - cls.took) / tookMemory
--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -39,7 +39,7 @@
 	g.ask("save", 0)
 	for range 10 {
 		g.now += 100 * ms
-		m.quietFrom = g.now
+		m.silentSince = g.now
 		g.do(Timer{tagBeat})
 	}
 	g.ask("save", 0)
@@ -127,7 +127,7 @@
 			l := list()
 			g.do(Members{Whole: true, List: l})
 			g.r.now = g.now
-			g.r.down(g.r.members["p"], false)
+			g.r.blacklist(g.r.members["p"], false)
 			g.r.members["p"].downUntil = g.now + time.Hour
 			for _, s := range []string{"a", "b"} {
 				g.r.members[s].downUntil = g.now + time.Hour
--- a/balance/api.go
+++ b/balance/api.go
@@ -343,12 +343,12 @@
 type Why int
 
 const (
-	Strange Why = iota // of a class that the settings lack
-	Thinned            // many ends in its group are bad, or it is over its share: turned away as it came
-	Late               // it can hardly be answered in time, or was not sent in half of its time
-	Spent              // its attempts are used up, or it must not go again
-	Failing            // it fails wherever it goes
-	Overdue            // its time is over
+	UnknownClass    Why = iota // of a class that the settings lack
+	Shed                       // by load shedding as it came: many attempts in its group end badly, or it is over its share
+	TooLate                    // it can hardly be answered in time, or was not sent in half of its time
+	NoAttemptLeft              // its attempts are used up, or it must not go again
+	FailsEverywhere            // it fails wherever it goes
+	Overdue                    // its time is over
 )
 
 // String is the reason in a few words.
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -14,34 +14,34 @@
 		return
 	}
 	if late := r.hopeless(q); late || q.attempts >= r.s.MaxAttempts || !r.repeatable(q) {
-		r.giveUp(q, Spent.unless(late, Late))
+		r.giveUp(q, NoAttemptLeft.unless(late, TooLate))
 		return
 	}
 	if m := r.choose(q); m != nil {
 		r.send(q, m)
 		return
 	}
-	r.park(q)
+	r.enqueue(q)
 }
 
 func (r *Router) send(q *request, m *member) {
 	q.limit = 0
 	if q.cls.Effect == Safe && !q.Lease {
-		q.limit = r.useful(q) - r.now
+		q.limit = r.usefulUntil(q) - r.now
 		// An end too early for another attempt only throws away what the host goes on with.
-		if end := max(q.cls.Aim*6/10, 6*q.cls.took); m != q.group.primary && end+q.cls.again() <= q.limit {
+		if end := max(q.cls.Aim*6/10, 6*q.cls.took); m != q.group.primary && end+q.cls.attemptTime() <= q.limit {
 			q.limit = end
 		}
 	}
 	if len(m.out) == 0 {
-		m.quietFrom = r.now
+		m.silentSince = r.now
 	}
 	m.out = append(m.out, q)
 	m.of[q.cell]++
-	q.at, q.sentAt, q.parked, q.withdrawn = m, r.now, false, false
+	q.at, q.sentAt, q.queued, q.withdrawn = m, r.now, false, false
 	q.tried, q.attempts = append(q.tried, m), q.attempts+1
-	if !r.clock.Known && m == r.believed(q.group) {
-		r.clockScout = q
+	if !r.clock.Known && m == r.primaryOf(q.group) {
+		r.clockRead = q
 	}
 	r.do(Send{q.ID, m.Server, q.limit, r.grounds(q, m)})
 	if m == q.group.primary {
@@ -71,7 +71,7 @@
 func (r *Router) giveUp(q *request, why Why) {
 	c, bad := q.cls, q.cell.badAttempts(q.group).replicas
 	if q.at == nil && q.ranAt == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
-		r.do(Refuse{q.ID, min(cmp.Or(q.Over, comeBack), r.s.MaxRetryAfter), why, bad})
+		r.do(Refuse{q.ID, min(cmp.Or(q.Over, refusedRetryAfter), r.s.MaxRetryAfter), why, bad})
 	} else {
 		r.do(Fail{q.ID, why, bad})
 	}
@@ -84,26 +84,26 @@
 		q.cls.Scope != ScopeZone && r.now-q.ranAt < q.cls.KeyTTL-4*r.s.Tick-r.s.HoldUp
 }
 
-func (c *class) again() time.Duration { return min(c.took*3/2, c.Aim/2) } // that an attempt needs
+func (c *class) attemptTime() time.Duration { return min(c.took*3/2, c.Aim/2) } // that an attempt needs
 
-// needs is the time that an attempt for q is expected to need. A guess turns nobody away before half of the request's time is gone:
+// expectedTime is the time that an attempt for q is expected to need. A guess turns nobody away before half of the request's time is gone:
 // that time may be short for reasons of its own, such as the end of the process.
-func (r *Router) needs(q *request) time.Duration {
+func (r *Router) expectedTime(q *request) time.Duration {
 	if q.cls.answers < guessFades {
-		return min(q.cls.again(), max((r.useful(q)-q.arrived)/2, 1))
+		return min(q.cls.attemptTime(), max((r.usefulUntil(q)-q.arrived)/2, 1))
 	}
-	return q.cls.again()
+	return q.cls.attemptTime()
 }
 
 // hopeless says that q can hardly be answered in time. Half the aim is enough, or a slow class stayed shut.
 // What was never sent is not held past half its time, once it has been tried: its client can come back.
 func (r *Router) hopeless(q *request) bool {
-	return r.now+r.needs(q) > r.useful(q) ||
+	return r.now+r.expectedTime(q) > r.usefulUntil(q) ||
 		q.attempts == 0 && r.now > q.arrived &&
 			r.now-q.arrived+2*beat > cmp.Or(q.Patience, (q.Deadline-q.arrived)/2)
 }
 
-func (r *Router) useful(q *request) time.Duration {
+func (r *Router) usefulUntil(q *request) time.Duration {
 	if q.cls.LateWorth > 0 || q.Lease {
 		return q.Deadline
 	}
@@ -113,7 +113,7 @@
 // refusedPause is about how long q waits before it asks the primary m again, which did not run it.
 func (r *Router) refusedPause(q *request, m *member, result Result) time.Duration {
 	if result == Full && r.warmth(m) < 1 { // its budget counts what it turns away as well
-		q.coldLuck *= coldRetryFactor
+		q.coldDraw *= coldRetryFactor
 		return coldPause
 	}
 	return retryPause << min(q.attempts-1, 4)
@@ -133,7 +133,7 @@
 	part, _ := r.part(q.cell, m, m.limit)
 	// A cell with less than its part out is not what overloads a member.
 	blamed := len(r.cells) == 1 || float64(m.of[q.cell]) >= part*q.cell.Weight
-	r.judge(m, q.cell, q.cls, e.Result, e.Took, blamed)
+	r.adjustLimit(m, q.cell, q.cls, e.Result, e.Took, blamed)
 	if e.Final || e.Result == OK {
 		r.end(q)
 	}
@@ -149,19 +149,19 @@
 	if m.of[q.cell]--; m.of[q.cell] == 0 {
 		delete(m.of, q.cell)
 	}
-	if q.at = nil; r.clockScout == q {
-		r.clockScout = nil
+	if q.at = nil; r.clockRead == q {
+		r.clockRead = nil
 	}
 }
 
 // noteResult takes what the end of q's attempt shows of m, of the members that q failed at before, and of q.
 func (r *Router) noteResult(q *request, m *member, e Outcome) {
-	primary := r.believed(q.group)
+	primary := r.primaryOf(q.group)
 	switch e.Result {
 	case OK:
 		for _, f := range q.failed {
-			if f != m && f != primary && r.spare(f) {
-				r.down(f, f.fails >= failsMost) // what failed there runs here: that member's error
+			if f != m && f != primary && r.canBlacklist(f) {
+				r.blacklist(f, f.fails >= failsMost) // what failed there runs here: that member's error
 			}
 		}
 		m.downUntil, m.suspect, m.timeouts, m.fails = 0, false, 0, 0
@@ -170,20 +170,20 @@
 		}
 	case NoConnection, Reset: // one may break for reasons of its own: a dead process answers no probe
 		if m.suspect = true; !r.probe(m) {
-			r.down(m, false)
+			r.blacklist(m, false)
 		}
 	case Failed:
 		q.failed = append(q.failed, m)
 		m.fails++
 	case TimedOut:
 		// A time-out is this member's fault only if it has answered nothing at all meanwhile.
-		if q.limit > 0 && m.quietFrom <= q.sentAt && m != primary && r.spare(m) {
-			r.down(m, true)
+		if q.limit > 0 && m.silentSince <= q.sentAt && m != primary && r.canBlacklist(m) {
+			r.blacklist(m, true)
 		}
 	}
 	switch e.Result {
 	case OK, Failed, Garbled, Full, Miss, Stale:
-		r.lives(m)
+		r.noteAlive(m)
 	}
 	if q.ranAt == 0 && !e.Result.NeverRan() {
 		q.ranAt = q.sentAt
@@ -193,19 +193,19 @@
 // goOn sends q again, lets it wait or ends it, after its attempt at m ended so.
 func (r *Router) goOn(q *request, m *member, result Result) {
 	g := q.group
-	if (result == Full || result == NoConnection || result == NotSent) && m == r.believed(g) {
+	if (result == Full || result == NoConnection || result == NotSent) && m == r.primaryOf(g) {
 		// Sent back at once by hundreds of routers, rejects are all that a full primary gets to do.
-		q.notBefore = r.now + r.about(r.refusedPause(q, m, result))
+		q.notBefore = r.now + r.jitter(r.refusedPause(q, m, result))
 	}
-	if g.scout == q && (q.done || result != Miss) {
-		g.scout = nil
+	if g.searcher == q && (q.done || result != Miss) {
+		g.searcher = nil
 	}
 	switch {
 	case q.done:
 	case q.notBefore > r.now || q.cls.Need == Write && result == Miss && g.primary == nil:
-		r.park(q) // waits for the next beat or answer
+		r.enqueue(q) // waits for the next beat or answer
 	case len(q.failed) >= 2:
-		r.giveUp(q, Failing) // it fails wherever it goes: no member's fault
+		r.giveUp(q, FailsEverywhere) // it fails wherever it goes: no member's fault
 	default:
 		r.route(q)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -43,7 +43,7 @@
 	}
 	n := len(g.r.reqs) + len(g.r.seqs)
 	for _, gr := range g.r.groups {
-		n += len(gr.members) + len(gr.parked)
+		n += len(gr.members) + len(gr.queued)
 	}
 	if n += len(g.r.members); n > 12 {
 		t.Errorf("%d records kept of 3 servers and no open request", n)
--- a/balance/cells.go
+++ b/balance/cells.go
@@ -60,9 +60,9 @@
 	return limit / max(by.weight, c.Weight, leastWeight), by.cells
 }
 
-// fair says whether q's cell may have one more out at m: its reserve of its fair part even where others hold
+// cellHasRoom says whether q's cell may have one more out at m: its reserve of its fair part even where others hold
 // the limit; beyond it leaves free what others have left of theirs.
-func (r *Router) fair(q *request, m *member, limit float64) bool {
+func (r *Router) cellHasRoom(q *request, m *member, limit float64) bool {
 	part, cells := r.part(q.cell, m, limit)
 	free := limit - float64(len(m.out))
 	if float64(m.of[q.cell]+1) <= q.cell.Reserve*q.cell.Weight*part {
--- a/balance/cells_test.go
+++ b/balance/cells_test.go
@@ -227,7 +227,7 @@
 				if float64(p.of[q.cell]) <= part*q.cell.Weight {
 					continue
 				}
-				for _, w := range q.group.parked {
+				for _, w := range q.group.queued {
 					if w.cell != q.cell && w.notBefore <= g.now && float64(p.of[w.cell]+1) <= reserve*part*w.cell.Weight {
 						rt.Fatalf("cell %d gets %d out at a limit of %v while cell %d waits with %d", q.cell.ID, p.of[q.cell],
 							p.limit, w.cell.ID, p.of[w.cell])
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -17,41 +17,41 @@
 	if m := r.draw(q); m != nil {
 		return m
 	}
-	// What replicas cannot serve drowns the primary when they all lag.
-	if r.asking(q) || r.boundingClock(q) || !passes(q, q.cell.badAttempts(q.group).primary) {
+	// What replicas cannot serve overloads the primary when they all lag.
+	if r.probesPosition(q) || r.boundingClock(q) || shed(q, q.cell.badAttempts(q.group).primary) {
 		return nil
 	}
 	return r.primaryFor(q, fallbackPart, fallbackPart)
 }
 
 // boundingClock says that q, which needs no more than that the clock is bounded, waits for an answer that may do so: the first reads of
-// all routers that have just started would crowd the primaries.
+// all routers that have just started would overload the primaries.
 func (r *Router) boundingClock(q *request) bool {
-	return q.cls.Need == Bounded && !r.clock.Known && r.s.Checks == ChecksNone && r.clockScout != nil && r.now-r.clockScout.sentAt < scoutFor
+	return q.cls.Need == Bounded && !r.clock.Known && r.s.Checks == ChecksNone && r.clockRead != nil && r.now-r.clockRead.sentAt < clockReadFor
 }
 
 // draw picks a replica for q at random by weight, nil if none may take it.
 func (r *Router) draw(q *request) *member {
 	var total, all float64
-	usable, primary := r.usable[:0], r.believed(q.group)
+	usable, primary := r.usable[:0], r.primaryOf(q.group)
 	downPause := max(downProbe, probeShare*time.Duration(r.s.Routers))
 	for _, m := range q.group.members {
 		if m.State == Active {
 			all += m.Weight
 		}
 		switch {
-		case m == primary || !q.may(m) || !r.open(m, false):
+		case m == primary || !q.may(m) || !r.accepts(m, false):
 		case r.alive(m) && !(m.suspect && r.s.Probes):
 			usable = append(usable, m)
 		case (m.timeouts == 0 || r.alive(m)) && r.now-m.probedAt >= downPause:
-			r.probe(m) // where a read wants it: on a beat, hundreds of routers wear a member down
+			r.probe(m) // only where a read needs it: on each beat, the probes of hundreds of routers would load a member
 		}
 	}
 	r.usable = usable
 	weights := r.weights[:0]
 	for _, m := range usable {
 		w := m.Weight * math.Sqrt(r.warmth(m)) * math.Pow(max(0, 1-float64(len(m.out))/m.limit), 2)
-		if slices.Contains(q.tried, m) || !r.fresh(q, m) || !r.room(q, m, 1) {
+		if slices.Contains(q.tried, m) || !r.fresh(q, m) || !r.hasRoom(q, m, 1) {
 			w = 0
 		}
 		total += w
@@ -72,10 +72,11 @@
 	return nil
 }
 
-// primaryFor finds the primary for q, nil while q has to wait. Only writes scout: others miss them unrun.
+// primaryFor finds the primary for q, nil while q has to wait. Only a write is sent to members in turn in search of it: who is no
+// primary turns it away unrun.
 func (r *Router) primaryFor(q *request, part, share float64) *member {
 	g := q.group
-	p := r.believed(g)
+	p := r.primaryOf(g)
 	if r.serves(p) {
 		if g.lostAt > 0 {
 			g.foundAt, g.outage, g.lostAt = r.now, r.now-g.lostAt, 0
@@ -86,15 +87,15 @@
 			spread := min(g.outage, q.Deadline-r.now)*3/4 + 1
 			q.notBefore = r.now + 1 + time.Duration(r.rng.Int64N(int64(spread)))
 		}
-		if r.quiet(p) && r.s.Probes {
-			r.probe(p) // feed nothing to a silent member before it has shown life
+		if r.unresponsive(p) && r.s.Probes {
+			r.probe(p) // nothing is sent to a silent member before it has answered
 			return nil
 		}
-		if !r.room(q, p, part) || r.now < q.notBefore {
+		if !r.hasRoom(q, p, part) || r.now < q.notBefore {
 			return nil
 		}
 		if !r.admit(q, p, 1, share) {
-			q.notBefore = r.now + r.about(coldPause)
+			q.notBefore = r.now + r.jitter(coldPause)
 			return nil
 		}
 		return p
@@ -102,7 +103,7 @@
 	if g.lostAt == 0 {
 		g.lostAt = r.now
 	}
-	if q.cls.Need != Write || g.scout != nil && g.scout != q && !g.scout.done || r.now < g.scoutAfter ||
+	if q.cls.Need != Write || g.searcher != nil && g.searcher != q && !g.searcher.done || r.now < g.searchAfter ||
 		q.attempts >= r.s.MaxAttempts-2 {
 		return nil
 	}
@@ -110,14 +111,14 @@
 		m := g.members[g.next%len(g.members)]
 		g.next++
 		// A miss weighs on a cold member like work that is served, so only probes look for the primary there.
-		if m != p && r.open(m, true) && r.alive(m) && !slices.Contains(q.tried, m) && r.room(q, m, 1) &&
-			!r.quiet(m) && r.warmth(m) == 1 {
-			g.scout = q
+		if m != p && r.accepts(m, true) && r.alive(m) && !slices.Contains(q.tried, m) && r.hasRoom(q, m, 1) &&
+			!r.unresponsive(m) && r.warmth(m) == 1 {
+			g.searcher = q
 			return m
 		}
 	}
-	q.tried, g.scout = q.tried[:0], nil
-	g.scoutAfter = r.now + r.askPause()
+	q.tried, g.searcher = q.tried[:0], nil
+	g.searchAfter = r.now + r.askPause()
 	return nil
 }
 
@@ -125,20 +126,20 @@
 	return min(retryPause+time.Duration(r.s.Routers)*ms, downProbe)
 }
 
-// seek probes a member of a group in which requests wait, each in turn, for a sign of its primary.
-func (r *Router) seek(g *group) {
-	if p := r.believed(g); r.serves(p) && !r.quiet(p) ||
-		r.now-g.soughtAt < r.askPause() || len(g.members) == 0 {
+// probeForPrimary probes a member of a group in which requests wait, each in turn, for a sign of its primary.
+func (r *Router) probeForPrimary(g *group) {
+	if p := r.primaryOf(g); r.serves(p) && !r.unresponsive(p) ||
+		r.now-g.searchedAt < r.askPause() || len(g.members) == 0 {
 		return
 	}
-	g.soughtAt, g.next = r.now, g.next+1
+	g.searchedAt, g.next = r.now, g.next+1
 	m := g.members[g.next%len(g.members)]
 	for _, o := range g.members {
 		if o.Primary && r.now-o.probedAt >= downProbe { // the list's word proves nothing, but that is whom to ask first
 			m = o
 		}
 	}
-	if r.open(m, true) {
+	if r.accepts(m, true) {
 		r.probe(m)
 	}
 }
--- a/balance/clock_bounds_test.go
+++ b/balance/clock_bounds_test.go
@@ -54,7 +54,7 @@
 	g := newRig(t, func(s *Settings) { s.Probes = false })
 	g.do(ClockBounds{})
 	g.ask("browse", 0)
-	g.now += scoutFor
+	g.now += clockReadFor
 	if _, acts := g.ask("browse", 0); !slices.Equal(sends(acts), []string{"p"}) {
 		t.Errorf("a read goes to %v beside one that is out for long", sends(acts))
 	}
--- a/balance/elapsed_test.go
+++ b/balance/elapsed_test.go
@@ -24,7 +24,7 @@
 				t.Errorf("%s is waited for longer than its aim", try.id)
 			}
 		case Refuse:
-			if try.sent || a.Why != Late {
+			if try.sent || a.Why != TooLate {
 				t.Errorf("%s is refused: %v", try.id, a.Why)
 			}
 		default:
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -214,13 +214,13 @@
 	return newest
 }
 
-// believed is the member that last said it is the primary, else the one that the list names as long as it has not told its role.
-func (r *Router) believed(g *group) *member {
+// primaryOf is the member that last said it is the primary, else the one that the list names as long as it has not told its role.
+func (r *Router) primaryOf(g *group) *member {
 	if g.primary != nil {
 		return g.primary
 	}
 	for _, m := range g.members {
-		if m.Primary && m.evidence.silent() && !m.relisted && r.open(m, true) {
+		if m.Primary && m.evidence.silent() && !m.relisted && r.accepts(m, true) {
 			return m
 		}
 	}
--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -91,7 +91,7 @@
 	g.r.members["p"].aliveAt, g.r.members["p"].fails = g.now, 2
 	g.now += 100 * ms
 	g.started("p", start, true)
-	if p := g.r.believed(g.r.groups[0]); p != nil {
+	if p := g.r.primaryOf(g.r.groups[0]); p != nil {
 		t.Errorf("%s counts as the primary", p.Server)
 	}
 	if _, acts := g.ask("browse", 0); slices.Contains(sends(acts), "p") {
@@ -172,7 +172,7 @@
 			g.now += ms
 			c.do(g)
 			got := ""
-			if p := g.r.believed(g.r.groups[0]); p != nil {
+			if p := g.r.primaryOf(g.r.groups[0]); p != nil {
 				got = p.Server
 			}
 			if got != c.want {
--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -72,13 +72,13 @@
 	return r.now + r.clock.Ages - position
 }
 
-// asking re-probes a replica for q, once per bound and less often if far behind; q waits for the answer. While nothing bounds the clock
+// probesPosition re-probes a replica for q, once per bound and less often if far behind; q waits for the answer. While nothing bounds the clock
 // q does not wait: only a primary's answer to it helps.
-func (r *Router) asking(q *request) bool {
+func (r *Router) probesPosition(q *request) bool {
 	var next *member
 	n := 0
 	for _, m := range r.usable { // of the draw just made
-		if !r.s.Probes || r.fresh(q, m) || !r.room(q, m, 1) || !r.clock.Known && m.evidence.position > 0 {
+		if !r.s.Probes || r.fresh(q, m) || !r.hasRoom(q, m, 1) || !r.clock.Known && m.evidence.position > 0 {
 			continue
 		}
 		if m.probeOut && r.now-m.probedAt < beat {
--- a/balance/health.go
+++ b/balance/health.go
@@ -4,9 +4,9 @@
 
 import "cmp"
 
-// quiet says that m has work out and has been silent for longer than its answers usually take.
-func (r *Router) quiet(m *member) bool {
-	return len(m.out) > 0 && r.now-m.quietFrom > max(quietFloor, 2*m.out[0].cls.took, m.out[0].cls.Aim/4)
+// unresponsive says that m has work out and has been silent for longer than its answers usually take.
+func (r *Router) unresponsive(m *member) bool {
+	return len(m.out) > 0 && r.now-m.silentSince > max(silentFloor, 2*m.out[0].cls.took, m.out[0].cls.Aim/4)
 }
 
 func (r *Router) probe(m *member) bool { // says whether one is out
@@ -17,9 +17,9 @@
 	return m.probeOut
 }
 
-// down blacklists m and takes back what may be tried elsewhere. A good probe ends that, but not after a
-// time-out: members that swallow requests answer probes. They stay away longer each time.
-func (r *Router) down(m *member, timedOut bool) {
+// blacklist sets aside m and takes back what may be tried elsewhere. A good probe ends that, but not after a
+// time-out: members that take requests and never answer them answer probes. They stay away longer each time.
+func (r *Router) blacklist(m *member, timedOut bool) {
 	m.downUntil, m.suspect = r.now+blacklistFor, true
 	if timedOut {
 		m.timeouts = min(m.timeouts+1, 3)
@@ -39,11 +39,11 @@
 	}
 }
 
-// spare says that half of the replicas are left without m: what shows on most is not one member's fault.
-func (r *Router) spare(m *member) bool {
-	n, left, primary := 0, 0, r.believed(m.group)
+// canBlacklist says that half of the replicas are left without m: what shows on most is not one member's fault.
+func (r *Router) canBlacklist(m *member) bool {
+	n, left, primary := 0, 0, r.primaryOf(m.group)
 	for _, o := range m.group.members {
-		if o == m || o == primary || !r.open(o, false) {
+		if o == m || o == primary || !r.accepts(o, false) {
 			continue
 		}
 		if n++; r.alive(o) {
@@ -60,13 +60,13 @@
 	}
 	m.probeOut = false
 	if e.Result == OK || e.Result == Garbled {
-		r.lives(m)
+		r.noteAlive(m)
 		r.learnReport(m, e.Made, e.Report)
 		m.suspect = false
 		m.reinstate()
 	} else if e.Result != NotSent { // that is this router's own lack of a connection
 		m.dead = true
-		r.down(m, false)
+		r.blacklist(m, false)
 	}
 	r.release(m.group)
 }
@@ -80,15 +80,15 @@
 	r.learn(m, Statement{Source: e.Source, Role: e.Role, Position: e.Position, Made: Made{NotBefore: e.NotBefore, NotAfter: cmp.Or(e.NotAfter, r.now)}})
 	switch {
 	case e.Result == NoConnection:
-		m.suspect = m.suspect || e.At > m.quietFrom // a probe comes before what is sent
-	case e.Result != TimedOut && e.Result != Reset && e.At > m.quietFrom && !m.dead:
-		m.quietFrom, m.aliveAt, m.suspect = e.At, max(m.aliveAt, e.At), false
+		m.suspect = m.suspect || e.At > m.silentSince // a probe comes before what is sent
+	case e.Result != TimedOut && e.Result != Reset && e.At > m.silentSince && !m.dead:
+		m.silentSince, m.aliveAt, m.suspect = e.At, max(m.aliveAt, e.At), false
 		if e.Result == OK {
 			m.reinstate()
 		}
 	}
 	if cls := r.cells[0].classes[e.Class]; cls != nil {
-		r.judge(m, r.cells[0], cls, e.Result, e.Took, true)
+		r.adjustLimit(m, r.cells[0], cls, e.Result, e.Took, true)
 	}
 	r.release(m.group)
 }
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -33,10 +33,10 @@
 	for range 60 {
 		g.now += cutPause
 		g.r.now = g.now
-		g.r.judge(m, g.r.cells[0], g.r.cells[0].classes["any"], OK, 900*ms, true)
+		g.r.adjustLimit(m, g.r.cells[0], g.r.cells[0].classes["any"], OK, 900*ms, true)
 	}
 	// Four run side by side on a host; with two out, half of it idled while reads waited until they were too late.
-	if m.limit != leastLimit || !g.r.room(nil, &member{limit: m.limit, out: make([]*request, 3), group: m.group}, 1) {
+	if m.limit != leastLimit || !g.r.hasRoom(nil, &member{limit: m.limit, out: make([]*request, 3), group: m.group}, 1) {
 		t.Errorf("limit %v after a long slow spell, want %d and room for a fourth", m.limit, leastLimit)
 	}
 }
@@ -168,10 +168,10 @@
 		m := g.r.members["a"]
 		g.r.now = g.now
 		for range c.timeouts {
-			g.r.down(m, true)
+			g.r.blacklist(m, true)
 		}
 		if c.timeouts == 0 {
-			g.r.down(m, false)
+			g.r.blacklist(m, false)
 		}
 		g.now += c.after
 		g.do(ProbeResult{Server: "a", Result: OK})
@@ -188,8 +188,8 @@
 	}
 	n := 0
 	for _, s := range []string{"a", "b", "c", "d"} {
-		if g.r.spare(g.r.members[s]) {
-			g.r.down(g.r.members[s], true)
+		if g.r.canBlacklist(g.r.members[s]) {
+			g.r.blacklist(g.r.members[s], true)
 			n++
 		}
 	}
--- a/balance/look.go
+++ b/balance/look.go
@@ -6,8 +6,8 @@
 func (r *Router) Look(now time.Duration, see func(Seen)) {
 	r.now = now
 	for _, m := range r.members {
-		see(Seen{m.Server, m.group.id, m.limit, len(m.out), r.warmth(m), r.open(m, false) && r.alive(m),
-			m == r.believed(m.group), m.evidence.position > 0, m.evidence.leads, m.evidence.follows, m.evidence.position,
+		see(Seen{m.Server, m.group.id, m.limit, len(m.out), r.warmth(m), r.accepts(m, false) && r.alive(m),
+			m == r.primaryOf(m.group), m.evidence.position > 0, m.evidence.leads, m.evidence.follows, m.evidence.position,
 			max(m.Started, m.revived)})
 	}
 }
--- a/balance/membership.go
+++ b/balance/membership.go
@@ -21,7 +21,7 @@
 	revived                 time.Duration // first heard of after its death was seen: a start not told yet
 	out                     []*request    // attempts out, oldest first
 	of                      map[*cell]int // how many of them each cell has
-	quietFrom               time.Duration // start of the present silence with work out
+	silentSince             time.Duration // start of the present silence with work out
 	downUntil               time.Duration // blacklisted
 	timeouts, fails         int           // since its last answer
 	probedAt                time.Duration
@@ -65,7 +65,7 @@
 			r.setState(m, Left)
 			m.State = Left
 		}
-		if m.State != Left || r.open(m, true) || len(m.out) > 0 || r.now-m.toldAt < forgetAfter {
+		if m.State != Left || r.accepts(m, true) || len(m.out) > 0 || r.now-m.toldAt < forgetAfter {
 			continue
 		}
 		// Gone for good: a fleet that is replaced again and again must not fill memory.
@@ -103,18 +103,18 @@
 	}
 }
 
-// open says whether the list lets anything new go to m. A primary that drains still takes writes until it
+// accepts says whether the list lets anything new go to m. A primary that drains still takes writes until it
 // hands over, so it may be used for a part of the grace; reads have other places.
-func (r *Router) open(m *member, grace bool) bool {
+func (r *Router) accepts(m *member, grace bool) bool {
 	if m.State == Draining {
 		return grace && r.now < cmp.Or(m.SendUntil, m.toldAt+r.s.DrainGrace)-2*r.s.Tick-beat
 	}
 	return m.State == Active || m.State == Left && r.s.DroppedStayOpen && !m.drained
 }
 
-// lives notes a sign of life. After a death that was seen it means a start, told late.
-func (r *Router) lives(m *member) {
-	m.quietFrom, m.aliveAt = r.now, r.now
+// noteAlive notes a sign of life. After a death that was seen it means a start, told late.
+func (r *Router) noteAlive(m *member) {
+	m.silentSince, m.aliveAt = r.now, r.now
 	if m.dead {
 		m.dead, m.revived = false, r.now
 	}
@@ -122,4 +122,4 @@
 
 func (r *Router) alive(m *member) bool { return r.now >= m.downUntil }
 
-func (r *Router) serves(p *member) bool { return p != nil && r.open(p, true) && r.alive(p) }
+func (r *Router) serves(p *member) bool { return p != nil && r.accepts(p, true) && r.alive(p) }
--- a/balance/membership_test.go
+++ b/balance/membership_test.go
@@ -32,7 +32,7 @@
 
 func TestNewProcessIsTakenBack(t *testing.T) {
 	g := newRig(t, nil)
-	g.r.down(g.r.members["a"], false)
+	g.r.blacklist(g.r.members["a"], false)
 	l := list()
 	l[1].Started = g.now
 	g.do(Members{List: l[1:2]})
@@ -77,7 +77,7 @@
 	l := list()
 	l[1].Started = g.now
 	g.do(Members{List: l[1:2]})
-	if p := g.r.believed(g.r.groups[0]); p != nil && p.Server == "a" {
+	if p := g.r.primaryOf(g.r.groups[0]); p != nil && p.Server == "a" {
 		t.Error("the role of the old process vouches for the new one")
 	}
 }
--- a/balance/router.go
+++ b/balance/router.go
@@ -14,20 +14,20 @@
 const (
 	ms = time.Millisecond
 
-	pinWindow       = 300 * ms // session reads stay on the primary this long after a write
-	blacklistFor    = 5 * time.Second
-	beat            = 20 * ms         // pace of what waits, also for a position that was asked for
-	scoutFor        = 150 * ms        // reads wait for an answer that may bound the clock
-	retryPause      = 50 * ms         // before a primary that was full, or none, is asked for again
-	quietFloor      = 100 * ms        // a primary with work out and silent for longer is probed
-	cutPause        = 100 * ms        // between two cuts of a limit
-	downProbe       = 500 * ms        // between probes of a blacklisted member
-	probeShare      = 10 * ms         // the same for each router, where that is more
-	comeBack        = time.Second     // of who is refused: sooner it only adds to the load, and gains little
-	coldPause       = 2 * time.Second // about until a cold primary is asked again
-	coldRetryFactor = 4               // of what it turned away, one part in so many may ask again
-	forgetAfter     = time.Minute     // a member that left
-	slack           = ms              // positions are whole milliseconds: doubt counts as stale
+	pinWindow         = 300 * ms // session reads stay on the primary this long after a write
+	blacklistFor      = 5 * time.Second
+	beat              = 20 * ms         // pace of what waits, also for a position that was asked for
+	clockReadFor      = 150 * ms        // reads wait for an answer that may bound the clock
+	retryPause        = 50 * ms         // before a primary that was full, or none, is asked for again
+	silentFloor       = 100 * ms        // a primary with work out and silent for longer is probed
+	cutPause          = 100 * ms        // between two cuts of a limit
+	downProbe         = 500 * ms        // between probes of a blacklisted member
+	probeShare        = 10 * ms         // the same for each router, where that is more
+	refusedRetryAfter = time.Second     // of who is refused: sooner it only adds to the load, and gains little
+	coldPause         = 2 * time.Second // about until a cold primary is asked again
+	coldRetryFactor   = 4               // of what it turned away, one part in so many may ask again
+	forgetAfter       = time.Minute     // a member that left
+	slack             = ms              // positions are whole milliseconds: doubt counts as stale
 
 	// holdUpSlack is the part of the protocol's 50 ms of slack that a process held up before a send may use; the rest is for the
 	// clock (fleetclock.AgeSlack). At most one part in holdUpPart of a bound is kept free for that: short bounds would leave no
@@ -49,7 +49,7 @@
 	firstLimit, leastLimit     = 8, 4          // attempts out at a new member; kept however slow all are
 	highShare, lowShare        = 0.35, 0.25    // of the aim: slower answers, fewer attempts out
 	shareMemory, overMargin    = 100.0, 1.2    // requests tenants are compared by; above that is over
-	badFrom, badSlope, badMost = 0.1, 2.0, 0.9 // bad ends: thinned from there, how steeply, at most
+	badFrom, badSlope, badMost = 0.1, 2.0, 0.9 // bad attempts: reads are shed from there, how steeply, at most
 
 	tagBeat, tagWatch, firstSeq = 0, 1, 2 // timer tags; those above are request numbers
 )
@@ -73,12 +73,12 @@
 	primary                 *member       // who said so last, if nothing later speaks against it
 	ledBefore               time.Duration // newest such word of members that are forgotten
 	newest                  time.Duration // position of any member
-	parked                  []*request
-	scout                   *request // the one write that looks for the primary while there is none
-	scoutAfter, soughtAt    time.Duration
+	queued                  []*request
+	searcher                *request // the one write that looks for the primary while there is none
+	searchAfter, searchedAt time.Duration
 	lostAt, foundAt, outage time.Duration // of the primary, as requests met it
 	next                    int           // member whose turn it is to be asked for the primary
-	waiting                 bool          // requests are parked: looked at with each beat
+	waiting                 bool          // requests are queued: looked at with each beat
 }
 
 type request struct {
@@ -94,9 +94,10 @@
 	limit                   time.Duration // that attempt's time-out, 0: the client's
 	ranAt                   time.Duration // when the first attempt was sent that may have run
 	tried, failed           []*member     // sent to; answered with an error
-	parked, withdrawn, done bool
-	worth, luck             float64       // luck is drawn once: below what is thinned out, it is
-	coldLuck                float64       // drawn once, above 0, when a cold member is first in question; 0: not yet
+	queued, withdrawn, done bool
+	worth                   float64
+	shedDraw                float64       // drawn once, as it comes: below the part that is shed, it is
+	coldDraw                float64       // drawn once, above 0, when a cold member is first in question; 0: not yet
 	notBefore               time.Duration // it does not ask the primary again before this
 }
 
@@ -110,7 +111,7 @@
 	all                sharers            // of a primary
 	shared             map[string]sharers // of a replica
 	clock              ClockBounds
-	clockScout         *request      // whose answer may bound the clock, where nothing does; nil: none is out
+	clockRead          *request      // whose answer may bound the clock, where nothing does; nil: none is out
 	bound              time.Duration // the least bound of a bounded class: the pace of position probes
 	members            map[string]*member
 	forgotten          map[string]bool // members that left, of which a role had been told
@@ -166,9 +167,9 @@
 // Handle takes one event and appends what to do about it to acts.
 func (r *Router) Handle(now time.Duration, ev Event, acts []Action) []Action {
 	r.now, r.acts = now, acts
-	if r.beating && now > r.beatDue+quietFloor {
+	if r.beating && now > r.beatDue+silentFloor {
 		for _, m := range r.members { // this router stood still: what seems silent or slow is nobody's fault
-			m.quietFrom, m.cutAt = now, now
+			m.silentSince, m.cutAt = now, now
 		}
 		r.beatDue = now
 	}
@@ -229,15 +230,15 @@
 	case tag == tagBeat:
 		r.beating = false
 		r.waiting = slices.DeleteFunc(r.waiting, func(g *group) bool {
-			r.seek(g)
+			r.probeForPrimary(g)
 			r.release(g)
-			g.waiting = len(g.parked) > 0 || g.primary != nil && len(g.primary.out) > 0
+			g.waiting = len(g.queued) > 0 || g.primary != nil && len(g.primary.out) > 0
 			return !g.waiting
 		})
 		r.wake(nil)
 	}
 }
 
-func (r *Router) about(d time.Duration) time.Duration { // half to one and a half of it
+func (r *Router) jitter(d time.Duration) time.Duration { // half to one and a half of it
 	return d/2 + time.Duration(r.rng.Int64N(int64(d)))
 }
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -20,10 +20,10 @@
 	if w == 1 {
 		return true
 	}
-	if q.coldLuck == 0 {
-		q.coldLuck = 1 - r.rng.Float64()
+	if q.coldDraw == 0 {
+		q.coldDraw = 1 - r.rng.Float64()
 	}
-	return q.coldLuck*chance <= w*share*r.coldFactor()
+	return q.coldDraw*chance <= w*share*r.coldFactor()
 }
 
 // coldFactor is how many times the least part of its capacity a cold member may be sent.
