waits: names of the histogram and of its bounds

Renamed, inside the package: seen (histogram, with counts), around (near), common and fewest (firstTryPart, firstTryLeast), memory (rememberedTries), again and mostAgain (retriesMost, expectedMost).

--- a/internal/control/waits/waits.go
+++ b/internal/control/waits/waits.go
@@ -17,28 +17,29 @@
 const (
 	// buckets is into how many parts a class's time is divided. Neighbours count together.
 	buckets = 128
-	// common is the part of a class's tries, one in so many, from which on a wait is one of first tries: a client comes
-	// again up to three times, and there may be clients of other programs. fewest is how many tries it must be, too.
-	common, fewest = 5, 3
-	// memory is how many tries count: half of them are forgotten when there are more.
-	memory = 512
-	// again is how many later tries a client makes at most for one that went unserved, and mostAgain how many are expected at
-	// a time: a storm that has passed must not speak against who comes long after it.
-	again, mostAgain = 3, 512
+	// firstTryPart is the part of a class's tries, one in so many, from which on a wait is one of first tries: a client comes
+	// again up to three times, and there may be clients of other programs. firstTryLeast is how many tries it must be, too.
+	firstTryPart, firstTryLeast = 5, 3
+	// rememberedTries is how many tries count: half of them are forgotten when there are more.
+	rememberedTries = 512
+	// retriesMost is how many later tries a client makes at most for one that went unserved, and expectedMost how many are expected at
+	// a time: what a burst of failures made likely must not count against clients that come long after it.
+	retriesMost, expectedMost = 3, 512
 )
 
 // Waits is what one gateway has seen of its clients. It is not safe for concurrent use.
-type Waits struct{ classes map[string]*seen }
+type Waits struct{ classes map[string]*histogram }
 
-type seen struct {
+// histogram counts the waits of one class.
+type histogram struct {
 	giveUp   time.Duration
 	expected int // later tries that may come
 	total    int
-	n        [buckets + 2]int // one empty at each end
+	counts   [buckets + 2]int // one empty at each end
 }
 
 // New makes one that has seen nothing.
-func New() *Waits { return &Waits{classes: map[string]*seen{}} }
+func New() *Waits { return &Waits{classes: map[string]*histogram{}} }
 
 // Try takes a try of a class: its client waits for so long, and giveUp is the class's time in all. It gives how long the client
 // has been at it; 0 for a first try, and where that can't be told.
@@ -48,16 +49,16 @@
 	}
 	s := w.classes[class]
 	if s == nil || s.giveUp != giveUp { // a class of new settings
-		s = &seen{giveUp: giveUp}
+		s = &histogram{giveUp: giveUp}
 		w.classes[class] = s
 	}
 	i := 1 + int(min(wait, giveUp-1)*buckets/giveUp)
 	s.add(i)
-	if s.expected == 0 || s.around(i)*common >= s.total {
+	if s.expected == 0 || s.near(i)*firstTryPart >= s.total {
 		return 0
 	}
 	for j := buckets; j > i+1; j-- {
-		if n := s.around(j); n >= fewest && n*common >= s.total {
+		if n := s.near(j); n >= firstTryLeast && n*firstTryPart >= s.total {
 			s.expected--
 			return giveUp - wait
 		}
@@ -69,20 +70,20 @@
 // of what Try gave a time for, whose client is counted already.
 func (w *Waits) Unserved(class string) {
 	if s := w.classes[class]; s != nil {
-		s.expected = min(s.expected+again, mostAgain)
+		s.expected = min(s.expected+retriesMost, expectedMost)
 	}
 }
 
-func (s *seen) add(i int) {
-	if s.total++; s.total > memory {
+func (s *histogram) add(i int) {
+	if s.total++; s.total > rememberedTries {
 		s.total = 0
-		for j := range s.n {
-			s.n[j] /= 2
-			s.total += s.n[j]
+		for j := range s.counts {
+			s.counts[j] /= 2
+			s.total += s.counts[j]
 		}
 	}
-	s.n[i]++
+	s.counts[i]++
 }
 
-// around is how many tries wait for about as long as bucket i has it.
-func (s *seen) around(i int) int { return s.n[i-1] + s.n[i] + s.n[i+1] }
+// near is how many tries wait for about as long as bucket i has it.
+func (s *histogram) near(i int) int { return s.counts[i-1] + s.counts[i] + s.counts[i+1] }
--- a/internal/control/waits/waits_test.go
+++ b/internal/control/waits/waits_test.go
@@ -93,7 +93,7 @@
 				told++
 			case rapid.Bool().Draw(t, "unserved"):
 				w.Unserved("view")
-				allowed += again
+				allowed += retriesMost
 			}
 			if told > allowed {
 				t.Fatalf("%d later tries after %d that can be", told, allowed)
@@ -104,12 +104,12 @@
 
 func TestOldTriesAreForgotten(t *testing.T) {
 	w := New()
-	play(w, 2*memory, 700*ms, func(int) time.Duration { return 0 })
-	told := play(w, 4*memory, 320*ms, func(int) time.Duration { return 0 }) // the program has changed
-	if n := len(told); n > memory {
+	play(w, 2*rememberedTries, 700*ms, func(int) time.Duration { return 0 })
+	told := play(w, 4*rememberedTries, 320*ms, func(int) time.Duration { return 0 }) // the program has changed
+	if n := len(told); n > rememberedTries {
 		t.Errorf("%d first tries of the new program are taken for later ones", n)
 	}
-	if s := w.classes["view"]; s.total > memory || s.expected > mostAgain {
+	if s := w.classes["view"]; s.total > rememberedTries || s.expected > expectedMost {
 		t.Errorf("it remembers %d tries and expects %d", s.total, s.expected)
 	}
 }
