--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -33,16 +33,20 @@
 	maxBytes = 256 // of a datagram, by the platform's protocol
 	maxNotes = (maxBytes - headSize) / noteSize
 
-	tookStep  = 4 * time.Millisecond
-	endedStep = 16 * time.Millisecond
-	ageStep   = 4 * time.Millisecond
-	noClass   = 3
+	durationStep = 4 * time.Millisecond
+	endedStep    = 16 * time.Millisecond
+	ageStep      = 4 * time.Millisecond
+	noClass      = 3
 
-	// latest is how old a datagram may be. They travel for tens of milliseconds; one that comes much later, or from a
+	endedMost    = 15  // steps of endedStep that a note has room for
+	durationMost = 15  // the highest code of a duration
+	ageStepsMost = 254 // steps of ageStep that a note has room for
+
+	// maxAge is how old a datagram may be. They travel for tens of milliseconds; one that comes much later, or from a
 	// clock that went wrong, says nothing of now.
-	latest = 2 * time.Second
-	// early is how far ahead of this clock a datagram may be: clocks are read apart.
-	early = 5 * time.Millisecond
+	maxAge = 2 * time.Second
+	// maxAhead is how far ahead of this clock a datagram may be: clocks are read apart.
+	maxAhead = 5 * time.Millisecond
 )
 
 // Offsets are what the fleet's clock shows more than the one of this gateway: at least, and at most where that is Bounded.
@@ -105,8 +109,8 @@
 	}
 }
 
-// Taken says that a request came in: it pays for what may be told.
-func (s *State) Taken() { s.budget = min(s.budget+s.cfg.PerTake, s.cfg.Burst) }
+// Credit adds to the budget what one request that came in allows to be told.
+func (s *State) Credit() { s.budget = min(s.budget+s.cfg.PerTake, s.cfg.Burst) }
 
 // Note takes how an attempt or a probe ended here; told says that others will hear of it.
 func (s *State) Note(now time.Duration, n balance.Heard) (told bool) {
@@ -137,35 +141,40 @@
 	out = append(out, version)
 	fleet := (now + ahead.Least) / time.Millisecond // rounded down: what is counted back from it is never later than it was
 	out = binary.BigEndian.AppendUint32(out, uint32(fleet))
-	logHead := fleet * time.Millisecond
-	head := logHead - ahead.Least
+	fleetHead := fleet * time.Millisecond
+	head := fleetHead - ahead.Least
 	for _, n := range s.pending {
-		class, known := s.classes[n.Class]
-		if !known {
-			class = noClass
-		}
-		h := hash(n.Server)
-		// Roles count by their time: one told as later than it was seen would bring back a primary that is none any more.
-		ended := (max(head-n.At, 0) + endedStep - 1) / endedStep
-		if ended > 15 {
-			ended, n.Role = 15, balance.Unknown
-		}
-		info := uint16(n.Result)<<12 | uint16(n.Role)<<10 | uint16(class)<<8 | uint16(tookCode(n.Took))<<4 | uint16(ended)
-		out = append(out, byte(h>>16), byte(h>>8), byte(h), byte(info>>8), byte(info), ageCode(logHead-n.Position, n.Position))
+		out = s.appendNote(out, n, head, fleetHead)
 	}
 	s.pending = s.pending[:0]
 	return out
 }
 
-func tookCode(d time.Duration) int {
-	if d <= tookStep {
+// appendNote appends one note to a datagram whose head is a time by this gateway's clock, and by the fleet's.
+func (s *State) appendNote(out []byte, n balance.Heard, head, fleetHead time.Duration) []byte {
+	class, known := s.classes[n.Class]
+	if !known {
+		class = noClass
+	}
+	h := hash(n.Server)
+	// Roles count by their time: one told as later than it was seen would bring back a primary that is none any more.
+	ended := (max(head-n.At, 0) + endedStep - 1) / endedStep
+	if ended > endedMost {
+		ended, n.Role = endedMost, balance.Unknown
+	}
+	info := uint16(n.Result)<<12 | uint16(n.Role)<<10 | uint16(class)<<8 | uint16(durationCode(n.Took))<<4 | uint16(ended)
+	return append(out, byte(h>>16), byte(h>>8), byte(h), byte(info>>8), byte(info), ageCode(fleetHead-n.Position, n.Position))
+}
+
+func durationCode(d time.Duration) int {
+	if d <= durationStep {
 		return 0
 	}
-	return min(15, int(math.Round(2*math.Log2(float64(d)/float64(tookStep)))))
+	return min(durationMost, int(math.Round(2*math.Log2(float64(d)/float64(durationStep)))))
 }
 
-func tookOf(code int) time.Duration {
-	return time.Duration(float64(tookStep) * math.Pow(2, float64(code)/2))
+func durationOf(code int) time.Duration {
+	return time.Duration(float64(durationStep) * math.Pow(2, float64(code)/2))
 }
 
 // ageCode rounds up: a position told must not be later than the host's.
@@ -174,7 +183,7 @@
 		return 0
 	}
 	steps := (max(age, 0) + ageStep - 1) / ageStep
-	if steps > 254 {
+	if steps > ageStepsMost {
 		return 0 // too old to be of use
 	}
 	return byte(1 + steps)
@@ -201,33 +210,43 @@
 	// The head: the reading of the fleet's clock, modulo 2^32, that is nearest to now.
 	ms := (now + ahead.Least) / time.Millisecond
 	head := (ms + time.Duration(int32(binary.BigEndian.Uint32(b[1:])-uint32(ms)))) * time.Millisecond
-	if ahead.Bounded && head-ahead.Most > now+early || head-ahead.Least < now-latest {
+	if ahead.Bounded && head-ahead.Most > now+maxAhead || head-ahead.Least < now-maxAge {
 		return out, fmt.Errorf("%w: %s to %s", ErrClock, now-head+ahead.Least, now-head+ahead.Most)
 	}
 	from := len(out)
 	for b = b[headSize:]; len(b) > 0; b = b[noteSize:] {
-		info := binary.BigEndian.Uint16(b[3:])
-		n := balance.Heard{Result: balance.Result(info >> 12), Role: balance.Role(info >> 10 & 3), Took: tookOf(int(info >> 4 & 15)),
-			Source: balance.FromGossip}
-		if ahead.Bounded {
-			n.At = min(head-ahead.Most, now) - time.Duration(info&15)*endedStep
-		}
-		if n.Result > balance.Garbled || n.Role > balance.Replica {
-			return out[:from], ErrNote
-		}
-		if class := int(info >> 8 & 3); class < min(noClass, len(s.cfg.Classes)) {
-			n.Class = s.cfg.Classes[class].Name
+		out = append(out, balance.Heard{})
+		n := &out[len(out)-1]
+		if err := s.readNote(now, ahead, head, b, n); err != nil {
+			return out[:from], err
 		}
-		if b[5] > 0 {
-			position := head - time.Duration(b[5]-1)*ageStep // by the fleet's clock
-			n.Position, n.NotBefore = position, min(position-ahead.Most, now)
-		}
-		if n.Role == balance.Primary && (n.Position == 0 || !ahead.Bounded) {
-			n.Role = balance.Unknown // a primary's position is the time of its word; without one, or bounds, that is not known
-		}
-		if n.Server = s.hosts[uint32(b[0])<<16|uint32(b[1])<<8|uint32(b[2])]; n.Server != "" {
-			out = append(out, n)
+		if n.Server == "" {
+			out = out[:len(out)-1]
 		}
 	}
 	return out, nil
 }
+
+// readNote reads the first note of b into n, from a datagram whose head is a time by the fleet's clock. No server: it is not known.
+func (s *State) readNote(now time.Duration, ahead Offsets, head time.Duration, b []byte, n *balance.Heard) error {
+	info := binary.BigEndian.Uint16(b[3:])
+	n.Server, n.Source = s.hosts[uint32(b[0])<<16|uint32(b[1])<<8|uint32(b[2])], balance.FromGossip
+	n.Result, n.Role, n.Took = balance.Result(info>>12), balance.Role(info>>10&3), durationOf(int(info>>4&15))
+	if n.Result > balance.Garbled || n.Role > balance.Replica {
+		return ErrNote
+	}
+	if ahead.Bounded {
+		n.At = min(head-ahead.Most, now) - time.Duration(info&15)*endedStep
+	}
+	if class := int(info >> 8 & 3); class < min(noClass, len(s.cfg.Classes)) {
+		n.Class = s.cfg.Classes[class].Name
+	}
+	if b[5] > 0 {
+		n.Position = head - time.Duration(b[5]-1)*ageStep // by the fleet's clock
+		n.NotBefore = min(n.Position-ahead.Most, now)
+	}
+	if n.Role == balance.Primary && (n.Position == 0 || !ahead.Bounded) {
+		n.Role = balance.Unknown // a primary's position is the time of its word; without one, or bounds, that is not known
+	}
+	return nil
+}
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -49,7 +49,7 @@
 		{"a position rounds down", balance.Heard{Server: "s-2", Class: "list", Position: now - 101*ms, At: now},
 			balance.Heard{Server: "s-2", Class: "list", Took: 4 * ms, Position: now - 104*ms, At: now}},
 		{"one that is too old is not told", balance.Heard{Server: "s-2", Result: balance.TimedOut, Class: "save", Took: time.Hour, Position: now - 2*time.Second, At: now},
-			balance.Heard{Server: "s-2", Result: balance.TimedOut, Class: "save", Took: tookOf(15), At: now}},
+			balance.Heard{Server: "s-2", Result: balance.TimedOut, Class: "save", Took: durationOf(15), At: now}},
 		{"a role is never told as seen later", balance.Heard{Server: "s-1", Class: "own", Role: balance.Primary, Position: now - 33*ms, At: now - 33*ms},
 			balance.Heard{Server: "s-1", Class: "own", Took: 4 * ms, Role: balance.Primary, Position: now - 36*ms, At: now - 48*ms}},
 		{"nor where it is not known when", balance.Heard{Server: "s-1", Class: "own", Role: balance.Primary, At: now - 33*ms},
@@ -77,7 +77,7 @@
 		at := now + time.Duration(rapid.Int64Range(0, int64(100*24*time.Hour)).Draw(t, "clock"))
 		position := at - time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "age"))
 		sent := at + time.Duration(rapid.Int64Range(0, int64(100*ms)).Draw(t, "held"))
-		come := sent + time.Duration(rapid.Int64Range(-int64(early), int64(latest)-int64(ms)).Draw(t, "on its way"))
+		come := sent + time.Duration(rapid.Int64Range(-int64(maxAhead), int64(maxAge)-int64(ms)).Draw(t, "on its way"))
 		s, to := state(nil), state(nil)
 		s.Note(at, balance.Heard{Server: "s-1", Position: position, At: at})
 		out, err := to.Receive(come, Offsets{Bounded: true}, s.Datagram(sent, Offsets{Bounded: true}, nil), nil)
@@ -146,7 +146,7 @@
 		t.Errorf("%d notes for what was saved up, want 2", n)
 	}
 	for range 9 {
-		s.Taken()
+		s.Credit()
 	}
 	if n := told(); n != 2 {
 		t.Errorf("%d notes for nine requests, want 2", n)
--- a/internal/memory/exchange/request.go
+++ b/internal/memory/exchange/request.go
@@ -11,7 +11,7 @@
 func (x *Exchange) request(r *Request) {
 	x.cfg.Counters.Taken.Add(1)
 	if x.cfg.Gossip != nil {
-		x.cfg.Gossip.Taken()
+		x.cfg.Gossip.Credit()
 	}
 	class := x.classes[r.Class]
 	reject := func(k Kind, reason string) {
