A list that is behind takes no host's start back

Callers: a host that has just started may get a warm one's load and fall, where the next list tells its start later than the one before did, or not at all: behind a SIGHUP to another agent, or in a list that has it as started long ago.

Cause: the module's entry, and so warmth, takes the start of the newest list, whatever an earlier one told.

Evidence: TestAListThatIsBehindTakesNoStartBack. With the line taken out a host whose start was told counts as started long ago once a list has 0.

Change: of each host the latest start that was told holds, an elder's word too where it had one. Starts are told by the fleet's clock, which all agents read, so the later is the newer process.

--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -43,7 +43,7 @@
 	begunAt time.Duration // the process's first moment
 	mu      sync.Mutex
 	drains  *draining.Tracker
-	known   map[string]time.Duration // hosts, with the latest start that a list told of them
+	known   map[string]time.Duration // hosts, with the latest start that was told of them
 	agent   string                   // of the last list
 	hosts   Hosts                    // nil until Run
 }
@@ -62,7 +62,7 @@
 // states is drainStates the other way round.
 var states = map[draining.State]balance.State{draining.Serving: balance.Active, draining.Draining: balance.Draining, draining.Gone: balance.Left}
 
-// take puts a list in force, and gives it with the states that hold. A host that drains when the process first hears of it may have done so
+// take puts a list in force, and gives it with the states that hold, and the latest starts: a list that is behind takes none back. A host that drains when the process first hears of it may have done so
 // since before the process began: what discovery's agent has counts as notified from the process's first moment.
 func (b *bounds) take(l List) members {
 	b.mu.Lock()
@@ -71,7 +71,7 @@
 	for i, m := range e.list {
 		named[m.Server] = true
 		b.tellLocked(b.drains.Set(b.wordLocked(l, m)))
-		e.list[i].State = states[b.drains.State(m.Server)]
+		e.list[i].State, e.list[i].Started = states[b.drains.State(m.Server)], max(m.Started, b.known[m.Server])
 	}
 	if !l.Whole {
 		return e
@@ -94,11 +94,14 @@
 	if w.State != draining.Serving {
 		w.Started = max(latest, w.Started)
 	}
-	if l.inherited {
-		w.Agent, b.known[m.Server] = m.ToldBy, latest
+	if m.Started < farAhead { // else an earlier process could not say when
+		latest = max(latest, m.Started)
+	}
+	if b.known[m.Server] = latest; l.inherited {
+		w.Agent = m.ToldBy
 		return w
 	}
-	b.agent, b.known[m.Server] = l.Agent, max(latest, m.Started)
+	b.agent = l.Agent
 	return w
 }
 
--- a/internal/memory/exchange/startunknown_test.go
+++ b/internal/memory/exchange/startunknown_test.go
@@ -22,3 +22,17 @@
 		})
 	})
 }
+
+func TestAListThatIsBehindTakesNoStartBack(t *testing.T) {
+	x, _, _ := fresh(t)
+	host := only(balance.Active).list[0]
+	for i, started := range []time.Duration{x.begunAt, 0, x.begunAt - time.Hour} {
+		host.Started = started
+		x.handle(x.begunAt, x.bounds.take(List{Agent: "a", At: x.begunAt, Hosts: []Member{host}, inherited: i == 0}))
+		x.router.Look(x.cfg.Clock.Now(), func(s balance.Seen) {
+			if s.Started < x.begunAt {
+				t.Errorf("a host whose start was told counts as started %s before it once a list tells %s", x.begunAt-s.Started, started)
+			}
+		})
+	}
+}
