SIGKILL may come by the old settings' deadlines as long as the new ones do not bind

Callers: requests that are open at the end are lost, where SIGTERM comes within 1.2 s of a SIGHUP whose settings have a longer deadline, or where such a SIGHUP comes behind SIGTERM: the last answer was planned behind the SIGKILL.

Cause: service.State.Retime put the new deadlines in force at once, also while the process ends.

Change: until new settings bind the earlier of the old and the new times hold, and for good where SIGTERM comes by then. The time after which settings bind has one name for both, exchange.SettleAfter.

--- a/internal/control/service/service.go
+++ b/internal/control/service/service.go
@@ -98,25 +98,47 @@
 
 // State is one process. It is not safe for concurrent use.
 type State struct {
-	times   Times
-	phase   Phase
-	ready   bool // it was, once
-	heir    Heir
-	elder   bool
-	since   time.Duration // of the drain
-	endAt   time.Duration // when SIGTERM came
-	tookAt  time.Duration // when the heir took the clients
-	drained bool          // SIGTERM found it draining
+	times Times
+	next  Times // of the newest settings, in force alone from settleAt on
+	// settleAt is 0 where the newest times are in force alone.
+	settleAt time.Duration
+	phase    Phase
+	ready    bool // it was, once
+	heir     Heir
+	elder    bool
+	since    time.Duration // of the drain
+	endAt    time.Duration // when SIGTERM came
+	tookAt   time.Duration // when the heir took the clients
+	drained  bool          // SIGTERM found it draining
 }
 
 // New makes the state of a process that starts.
 func New(t Times) *State { return &State{times: t} }
 
-// Retime changes the platform's times, as new settings may.
-func (s *State) Retime(t Times) { s.times = t }
+// Retime changes the platform's times to those of new settings, which bind from a time on. Until then SIGKILL may come by the old or the new
+// ones, so that the earlier hold; and so for good where SIGTERM comes by then.
+func (s *State) Retime(now time.Duration, t Times, binds time.Duration) {
+	s.settle(now)
+	s.times = s.times.earlier(t)
+	s.next, s.settleAt = t, binds
+}
+
+// settle puts the newest times in force alone, if their time has come.
+func (s *State) settle(now time.Duration) {
+	if s.phase != Ending && s.settleAt > 0 && now >= s.settleAt {
+		s.times, s.settleAt = s.next, 0
+	}
+}
+
+// earlier gives times by which everything that the end asks for is done by either.
+func (t Times) earlier(o Times) Times {
+	o.Shed, o.LastAnswer, o.End = min(t.Shed, o.Shed), min(t.LastAnswer, o.LastAnswer), min(t.End, o.End)
+	return o
+}
 
 // Handle takes an event. An event that changes nothing is no error; one that can't be followed is.
 func (s *State) Handle(now time.Duration, e Event) error {
+	s.settle(now)
 	switch e {
 	case Ready:
 		if s.ready = true; s.phase == Starting {
--- a/internal/control/service/service_test.go
+++ b/internal/control/service/service_test.go
@@ -96,6 +96,46 @@
 	}
 }
 
+// SIGKILL may come by the old settings or by the new ones, as long as these do not bind.
+func TestTheEndKeepsTheEarlierOfTheTimesThatMayHold(t *testing.T) {
+	at := func(last time.Duration) Times {
+		return Times{Shed: last - 600*ms, LastAnswer: last, End: last + 70*ms, Accept: 450 * ms, Linger: 10 * time.Second}
+	}
+	type retime struct{ now, last time.Duration }
+	const binds, old, longer, shorter = 1200 * ms, 2 * time.Second, 3 * time.Second, time.Second
+	for name, c := range map[string]struct {
+		before    []retime
+		terminate time.Duration
+		after     []retime
+		want      time.Duration
+	}{
+		"longer, not yet":                     {[]retime{{0, longer}}, binds - ms, nil, old},
+		"longer, once they bind":              {[]retime{{0, longer}}, binds, nil, longer},
+		"shorter, at once":                    {[]retime{{0, shorter}}, ms, nil, shorter},
+		"shorter and longer in a row":         {[]retime{{0, shorter}, {ms, longer}}, binds, nil, shorter},
+		"shorter and longer, once they bind":  {[]retime{{0, shorter}, {ms, longer}}, binds + ms, nil, longer},
+		"shorter, which bound before longer":  {[]retime{{0, shorter}, {binds, longer}}, binds + ms, nil, shorter},
+		"longer after SIGTERM":                {nil, 0, []retime{{ms, longer}}, old},
+		"shorter after SIGTERM":               {nil, 0, []retime{{ms, shorter}}, shorter},
+		"longer after SIGTERM, however later": {[]retime{{0, longer}}, ms, []retime{{binds + ms, longer}}, old},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(at(old))
+			for _, r := range c.before {
+				s.Retime(r.now, at(r.last), r.now+binds)
+			}
+			_ = s.Handle(c.terminate, Terminate)
+			for _, r := range c.after {
+				s.Retime(r.now, at(r.last), r.now+binds)
+			}
+			_ = s.Handle(2*binds, Resume) // changes nothing, whenever it comes
+			if v := s.View(c.terminate + ms); v.Last != c.terminate+c.want {
+				t.Errorf("the last answer is due %s after SIGTERM, want %s", v.Last-c.terminate, c.want)
+			}
+		})
+	}
+}
+
 // Whatever comes in whatever order, the view keeps what is owed.
 func TestViewKeepsItsWord(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/lifecycle/service.go
+++ b/internal/lifecycle/service.go
@@ -86,8 +86,9 @@
 
 // retime takes the classes of new settings: SIGKILL waits for the longest deadline.
 func (c *controller) retime(classes []balance.Class) {
+	now := c.clock.Now()
 	c.mu.Lock()
-	c.state.Retime(timesOf(classes))
+	c.state.Retime(now, timesOf(classes), now+exchange.SettleAfter)
 	c.mu.Unlock()
 	c.wake()
 }
--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -40,13 +40,14 @@
 	windowMargin = 20*time.Millisecond + draining.HoldUp
 	// retryAfter is when a client may try a group again that no list has named yet.
 	retryAfter = 500 * time.Millisecond
-	// settleAfter is how long after they were given new settings are binding, by the operators' word.
-	settleAfter = 1200 * time.Millisecond
 	// forgetAfter is how long a host that left is remembered, later than the module forgets it: a fleet that is
 	// replaced again and again must not fill memory.
 	forgetAfter = 2 * time.Minute
 )
 
+// SettleAfter is how long after they were given new settings are binding, by the operators' word.
+const SettleAfter = 1200 * time.Millisecond
+
 type open struct {
 	*Request
 	class    *balance.Class
@@ -124,7 +125,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	begunAt := cfg.Clock.Now()
-	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), versions: reload.New(s, settleAfter), tries: waits.New(),
+	x := &Exchange{cfg: cfg, router: router, wake: make(chan struct{}, 1), versions: reload.New(s, SettleAfter), tries: waits.New(),
 		open: map[string]*open{}, groups: map[int]bool{}, list: map[string]Member{},
 		bounds: newBounds(s, begunAt), begunAt: begunAt}
 	x.use(s)
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -179,7 +179,7 @@
 		s := x.cfg.Settings
 		s.DrainGrace = grace
 		x.handle(at, retuning{s})
-		x.settle(at + 2*settleAfter)
+		x.settle(at + 2*SettleAfter)
 		if want := at + grace - 2*draining.HoldUp; h.until["s"] != want {
 			t.Errorf("grace of %s: the host side may send until %v, want %v", grace, h.until["s"], want)
 		}
