New settings on dropped hosts and carried tokens wait until they bind

Callers: after a SIGHUP whose settings let dropped hosts stay open, a host that is gone gets requests past the grace while the old settings still bind. Where settings change whether sessions carry their last write, a session's read may miss what it wrote.

Cause: reload.both took both words from the new settings at once. The module remembered no write while tokens were carried, and with carried tokens looked at nothing else.

Evidence: TestWhatOneVersionDoesNotAllowIsNotTakenUntilTheNewOneBinds and TestAWriteIsSeenThoughTokensAreNotCarriedAnyMoreOrNotYet fail without the change.

Change: in the grace each holds only if both versions say so. A read sees the later of what its session carries and what is remembered; when tokens are not carried any more, every session may have written until then (as after an upgrade).

--- a/balance/freshness.go
+++ b/balance/freshness.go
@@ -91,16 +91,16 @@
 	return next != nil && r.clock.Known
 }
 
-// wrote gives the time of the last write that a session read must see, 0 for none.
+// wrote gives the time of the last write that a session read must see, 0 for none: the latest of what it carries and what is remembered.
 func (r *Router) wrote(e Request) time.Duration {
-	if !r.s.TokensCarried {
-		return max(r.sessions[e.Session], r.floor)
-	} else if e.After > 0 {
-		return e.After + slack // a commit is told rounded up: of a member that told the same one this may be missing
-	} else if e.WriteAge <= 0 {
-		return 0
+	remembered := max(r.sessions[e.Session], r.floor)
+	switch {
+	case e.After > 0:
+		return max(remembered, e.After+slack) // a commit is told rounded up: of a member that told the same one this may be missing
+	case e.WriteAge > 0:
+		return max(remembered, r.now-e.WriteAge+slack)
 	}
-	return r.now - e.WriteAge + slack
+	return remembered
 }
 
 // remember keeps a session's last write. A full memory is emptied and leaves a floor above all forgotten.
--- a/balance/retune_test.go
+++ b/balance/retune_test.go
@@ -1,6 +1,9 @@
 package balance
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // New settings hold for what comes; a request under way keeps the class that it came with.
 func TestRetune(t *testing.T) {
@@ -38,3 +41,25 @@
 		t.Error("a class that stays as it was loses what was learnt of it")
 	}
 }
+
+// Whether sessions carry their last write may change: what they wrote before is seen all the same.
+func TestAWriteIsSeenThoughTokensAreNotCarriedAnyMoreOrNotYet(t *testing.T) {
+	for name, carried := range map[string]bool{"not any more": true, "not yet": false} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, func(s *Settings) { s.TokensCarried, s.Probes = carried, false })
+			g.know("p", Primary, 0)
+			for _, replica := range []string{"a", "b"} {
+				g.know(replica, Replica, 10*ms)
+			}
+			id, _ := g.ask("save", 0)
+			g.do(Outcome{ID: id, Server: "p", Result: OK, Role: Primary, Position: g.now, Took: ms, Final: true})
+			s := settings()
+			s.TokensCarried, s.Probes = !carried, false
+			g.do(Retune{s})
+			g.now += time.Second // past the pin, and no replica has told more
+			if _, acts := g.ask("own", 0); len(sends(acts)) != 1 || sends(acts)[0] != "p" {
+				t.Errorf("a read of the session goes to %v, want the primary", sends(acts))
+			}
+		})
+	}
+}
--- a/balance/router.go
+++ b/balance/router.go
@@ -143,6 +143,9 @@
 
 // take puts settings in force. What is under way keeps the class that it came with.
 func (r *Router) take(s Settings) {
+	if r.s.TokensCarried && !s.TokensCarried { // what sessions wrote until now was not remembered
+		r.floor = max(r.floor, r.latestPosition(r.now))
+	}
 	r.s, r.bound, r.tenants, r.quota = s, 0, map[string]*tenant{}, 0
 	for _, c := range s.Classes {
 		if c.bounded() && (r.bound == 0 || c.Bound < r.bound) {
--- a/internal/control/reload/need_test.go
+++ b/internal/control/reload/need_test.go
@@ -52,3 +52,14 @@
 		}
 	}
 }
+
+func TestWhatOneVersionDoesNotAllowIsNotTakenUntilTheNewOneBinds(t *testing.T) {
+	lax, strict := balance.Settings{DroppedStayOpen: true, TokensCarried: true}, balance.Settings{}
+	for _, c := range []struct{ old, new balance.Settings }{{lax, strict}, {strict, lax}} {
+		v := New(c.old, time.Second)
+		v.Take(0, c.new)
+		if got := v.InForce(); got.DroppedStayOpen || got.TokensCarried {
+			t.Errorf("from %+v to %+v: %+v", c.old, c.new, got)
+		}
+	}
+}
--- a/internal/control/reload/reload.go
+++ b/internal/control/reload/reload.go
@@ -65,6 +65,8 @@
 	s.ColdShare = min(old.ColdShare, s.ColdShare)
 	s.ColdTime = max(old.ColdTime, s.ColdTime)
 	s.Probes, s.Cancel = old.Probes && s.Probes, old.Cancel && s.Cancel
+	s.DroppedStayOpen = old.DroppedStayOpen && s.DroppedStayOpen
+	s.TokensCarried = old.TokensCarried && s.TokensCarried // else what the sessions write is remembered
 	if old.Checks == balance.ChecksNone {
 		s.Checks = balance.ChecksNone // no member is trusted to check a read that did not before
 	}
