A configuration that can't be read for a moment is read again

Callers: a gateway that has no descriptor free when SIGHUP moves discovery goes on with the agent of before, and sends to hosts that drain for as long as it runs.

Cause: a file that could not be opened (EMFILE, ENFILE, ENOMEM) counted as one that makes no sense: nothing of it is used. The signal comes once.

Evidence: TestAFileThatCanNotBeReadForAMomentIsReadAgain; with the reading taken out 3 of its 4 cases read the file once.

Change: where the error is of the machine's own state (socket.Transient) the files are read again 50 ms later, until they are read or make no sense. SIGUSR1 and SIGTERM are followed meanwhile. The operator's file likewise.

Run: internal/lifecycle, cmd/yokemast -run 'Signal|SIGHUP|Settings|Operator|Reread|Again|Bad' pass.

--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -13,6 +13,7 @@
 	"yokemast/internal/wire/discovery"
 	"yokemast/internal/wire/frontend"
 	"yokemast/internal/wire/settings"
+	"yokemast/internal/wire/socket"
 )
 
 // Reload reads the files anew. Operator gives nil where there is no operator's file.
@@ -35,19 +36,20 @@
 	counts  *counters.Set
 }
 
-func (r *reloading) read() {
-	r.configuration()
-	r.operator()
+// read reads both files. again says that one could not be read for the machine's own state.
+func (r *reloading) read() (again bool) {
+	again = r.configuration()
+	return r.operator() || again
 }
 
 // configuration takes the address of discovery and the settings, both or neither. Hosts, sessions and requests stay as they
 // are: the list of another discovery is merged into what is known. All else that the file says holds from the start to the end.
-func (r *reloading) configuration() {
+func (r *reloading) configuration() (again bool) {
 	c, err := r.from.Config(r.c)
 	if err != nil {
 		r.counts.BadReloads.Add(1)
 		r.log.Error("the new configuration is not used", zap.Error(err))
-		return
+		return socket.Transient(err)
 	}
 	r.counts.Reloads.Add(1)
 	r.log.Info("configuration read anew", zap.String("discovery", c.Discovery))
@@ -58,10 +60,11 @@
 	r.front.Retune(retryAdvice(c.Settings.Balance))
 	r.duty.retime(c.Settings.Balance.Classes)
 	r.c = c
+	return false
 }
 
 // operator takes the operator's file anew; one that makes no sense is not used in any part.
-func (r *reloading) operator() {
+func (r *reloading) operator() (again bool) {
 	f, err := r.from.Operator()
 	switch {
 	case err != nil:
@@ -75,6 +78,7 @@
 		}
 		r.x.Configure(f.Cells)
 	}
+	return socket.Transient(err)
 }
 
 // retryAdvice is the come-back time of a client that found no room.
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -111,7 +111,7 @@
 	g.run()
 	again := reloading{c: c, own: own, from: reload, watcher: g.watcher, x: g.x, hosts: g.hosts, front: g.front, duty: g.duty, log: log, counts: g.counts}
 	group.Go(func() error { return g.handleTermination(signals.terminate) })
-	group.Go(func() error { return g.handleSignals(signals, &again) })
+	group.Go(func() error { return g.handleSignals(signals, again.read) })
 	group.Go(func() error {
 		defer stop()
 		g.duty.run(ctx, g.front.Held, g.apply)
--- a/internal/lifecycle/signals.go
+++ b/internal/lifecycle/signals.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -38,16 +39,25 @@
 	}
 }
 
-// handleSignals follows the other signals.
-func (g *gateway) handleSignals(s Signals, again *reloading) error {
+// rereadPause is how long after a file could not be read for a moment it is read again.
+const rereadPause = 50 * time.Millisecond
+
+// handleSignals follows the other signals. read reads the files anew; again says that one could not be read for the machine's own state,
+// which may be gone the next moment: no other SIGHUP comes for it.
+func (g *gateway) handleSignals(s Signals, read func() (again bool)) error {
+	var reread <-chan time.Time
 	for {
 		select {
 		case <-g.ctx.Done():
 			return nil
 		case <-s.report:
 			g.logCounters()
+			continue
 		case <-s.reload:
-			again.read()
+		case <-reread:
+		}
+		if reread = nil; read() {
+			reread = time.After(rereadPause)
 		}
 	}
 }
