The operator's file tells why it could not be read, so that it is read again

Callers: an operator's file that could not be opened at a SIGHUP for want of descriptors was not read again.

Evidence: TestTheErrorOfAFileThatCanNotBeReadTellsItsCause fails without Cause.

Change: Error wraps its cause.

Run: internal/operator, internal/lifecycle pass.

--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -67,7 +67,7 @@
 func Load(path string) (*File, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, &Error{File: path, What: errors.Unwrap(err).Error()}
+		return nil, &Error{File: path, What: errors.Unwrap(err).Error(), Cause: err}
 	}
 	return Parse(path, b)
 }
--- a/internal/operator/grammar.go
+++ b/internal/operator/grammar.go
@@ -27,8 +27,12 @@
 	Line, Column int    // from 1; 0: none is known
 	Entry        string // the path of the entry at fault, as in cells.tenant.rate; "": the form of the file itself
 	What         string
+	Cause        error // of a file that could not be read; nil: it could
 }
 
+// Unwrap gives the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
 func (e *Error) Error() string {
 	at := e.File
 	if e.Line > 0 {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io/fs"
 	"os"
 	"strings"
 	"testing"
@@ -95,6 +97,12 @@
 	}
 }
 
+func TestTheErrorOfAFileThatCanNotBeReadTellsItsCause(t *testing.T) {
+	if _, err := Load(t.TempDir() + "/none"); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("%v", err)
+	}
+}
+
 func TestPrintedSettingsReadBackTheSame(t *testing.T) {
 	check := func(t rapid.TB, text string) {
 		f, err := Parse("f", []byte(text))
