Two old lists in a row, taken for a new count, end no drain

Callers: requests go to a host that drains past the grace, where discovery answers twice in a row with lists that are older than one before.

Cause: listwatch takes a lower revision that a later whole list confirms for an agent that counts anew. What such a list says of hosts that serve ended the drains that the newer list had told.

Evidence: TestAnAgentThatCountsAnewIsAnother fails without the change: the older lists are told under the name of the agent of the drain.

Change: such an agent goes by another name from then on, so that its word ends no drain that it told before (draining.Word): a later start does, or a drain that it tells anew. Its lists are used as before. Cost: where it does count anew and a drain is called off just then, the host is out until its next start.

Run: internal/control/listwatch, internal/wire/discovery, cmd/yokemast -run 'Discovery|List|Drain|SIGHUP|Watch' pass.

--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -99,6 +99,7 @@
 	broken   bool            // a call has failed or fallen silent since the last answer
 	crowded  bool            // a call was turned away since the last answer, or none was ever answered
 	used     map[string]used // by address: the present one, and those with calls out
+	recounts int             // times that an agent was taken to count anew
 	last     int
 	calls    []outstanding // oldest first
 	next     time.Duration // when the next call begins at the latest; never: when something happens
@@ -127,6 +128,10 @@
 // Broken says that a call to the present address has failed or fallen silent since the last answer.
 func (w *Watch) Broken() bool { return w.broken }
 
+// Recounts is how many times an agent was taken to count anew, as two of its lists were of a lower revision than one before. They may as well
+// be older than that one.
+func (w *Watch) Recounts() int { return w.recounts }
+
 // Latency is how long answers took lately beyond their wait.
 func (w *Watch) Latency() time.Duration { return w.latency }
 
@@ -180,6 +185,9 @@
 	u := w.used[c.Address]
 	confirmed := u.rewound > 0 && c.ID > u.rewound && c.Revision == Whole
 	if revision >= u.revision || confirmed {
+		if revision < u.revision {
+			w.recounts++
+		}
 		w.used[c.Address] = used{revision: revision}
 		return true
 	}
--- a/internal/wire/discovery/notified_test.go
+++ b/internal/wire/discovery/notified_test.go
@@ -24,6 +24,7 @@
 	notified []time.Duration
 	// revisions are what the watcher said of its lists while one was handed over.
 	revisions []int64
+	agents    []string // that told each
 }
 
 func play(revision int64) *played {
@@ -32,6 +33,7 @@
 	w.Log, w.Counters, w.Clock, w.Answered = zap.NewNop(), &counters.Set{}, exchange.NewClock(), func() {}
 	w.Members = func(l exchange.List) {
 		p.notified, p.revisions = append(p.notified, l.At), append(p.revisions, w.Revision())
+		p.agents = append(p.agents, l.Agent)
 	}
 	p.began = w.Clock.Now()
 	w.Begun = p.began - 400*ms
@@ -108,6 +110,18 @@
 	}
 }
 
+// Two lists of a lower revision are those of an agent that counts anew, or older ones: they must not end what it told before.
+func TestAnAgentThatCountsAnewIsAnother(t *testing.T) {
+	p := play(41)
+	p.answer(p.begin(0)[0], 0, 42)
+	for i, revision := range []int64{7, 7, 8} {
+		p.answer(p.begin(time.Duration(i+1) * time.Second)[0], time.Duration(i+1)*time.Second, revision)
+	}
+	if diff := cmp.Diff([]string{"a", "a#1", "a#1"}, p.agents); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestTheListOfAnotherAgentCountsFromItsArrival(t *testing.T) {
 	p := play(41)
 	p.answer(p.begin(0)[0], 0, 42)
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -194,7 +194,7 @@
 	if r.list.Complete || len(r.list.Members) > 0 {
 		s.Log.Info("hosts listed", zap.Bool("whole", r.list.Complete), zap.Int64("revision", r.list.Revision), zap.Int("entries", len(r.list.Members)),
 			zap.String("agent", r.call.Address), zap.Duration("handled_after", now-r.at), zap.Duration("notified_before", r.at-notified))
-		s.Members(exchange.List{Agent: r.call.Address, At: notified, Whole: r.list.Complete, Hosts: r.list.Members})
+		s.Members(exchange.List{Agent: s.agent(r.call), At: notified, Whole: r.list.Complete, Hosts: r.list.Members})
 	}
 	s.revision.Store(s.decisions.Revision())
 	if !s.answered {
@@ -203,6 +203,15 @@
 	}
 }
 
+// agent names who told the list of a call. One that counts anew goes by another name from then on: what it tells may be older than what it
+// told before.
+func (s *session) agent(c listwatch.Call) string {
+	if n := s.decisions.Recounts(); n > 0 {
+		return fmt.Sprintf("%s#%d", c.Address, n)
+	}
+	return c.Address
+}
+
 // notifiedAt is when the gateway counts as notified of what a list tells. The agent may have had it since before, and what the agent has
 // counts as told: from the process's first moment for the first list, and from the last answer on where a call has brought none since, or
 // where the agent may have had it before the watch was opened.
