Soak: clients look at the values that they are served with

The soak counted a request as served whatever its row held, and all values were one byte, so a cut, mixed-up or repeated answer would not have shown. A plan's draws stay.

--- a/cmd/yokemast/soak_test.go
+++ b/cmd/yokemast/soak_test.go
@@ -588,6 +588,15 @@
 	return time.Duration(5+rng.IntN(20)) * time.Millisecond
 }
 
+// soakValue is what a request writes: no other writes the same, and one in eight is long, up to 64 KiB.
+func soakValue(id string, drawn byte) []byte {
+	value := []byte(id)
+	if drawn%8 == 0 {
+		value = append(value, make([]byte, int(drawn)*int(drawn))...)
+	}
+	return value
+}
+
 // ask asks one request; false: the connection is of no more use.
 func (r *soakRun) ask(n *soakNode, c *clients.Client, rng *rand.Rand) bool {
 	q := clients.Request{ID: clients.NewID(), Class: "view", Key: fmt.Sprint("k", rng.IntN(20)), Wait: r.plan.Deadline, Repeatable: true}
@@ -596,7 +605,7 @@
 	}
 	switch rng.IntN(4) {
 	case 0:
-		q.Class, q.Write, q.Wait, q.Value = "order", true, r.plan.Longest, []byte{byte(rng.IntN(256))}
+		q.Class, q.Write, q.Wait, q.Value = "order", true, r.plan.Longest, soakValue(q.ID, byte(rng.IntN(256)))
 		q.Repeatable = r.plan.Window > 0
 	case 1:
 		q.Class, q.After = "own", time.Now().Add(r.plan.Skew-time.Duration(rng.IntN(300))*time.Millisecond)
@@ -617,6 +626,7 @@
 	case reply.Row:
 		r.served.Add(1)
 		r.ledger.Answered(q.ID, rules.Served)
+		r.ledger.ServedWith(q.ID, reply.Value)
 	case reply.Code == pg.CodeTooMany || reply.Code == pg.CodeCannotConnectNow:
 		r.ledger.Answered(q.ID, rules.Refused)
 	case reply.Code != "":
--- a/internal/testbed/hosts/cluster.go
+++ b/internal/testbed/hosts/cluster.go
@@ -365,6 +365,9 @@
 		for _, other := range copies {
 			other.put(s.Key, x)
 		}
+		if h.Ledger != nil {
+			h.Ledger.Made(s.ID, value)
+		}
 		// Commits are told rounded up: a millisecond later nothing of this one is missing.
 		return h.answer(pg.Value{Data: value, Format: 1}, s.Tag(), standing{Leader, at.Add(time.Millisecond)})
 	}
@@ -386,6 +389,9 @@
 		}
 	}
 	c.mu.Unlock()
+	if h.Ledger != nil {
+		h.Ledger.Made(s.ID, value)
+	}
 	return h.answer(pg.Value{Data: value, Format: 1}, s.Tag(), now)
 }
 
--- a/internal/testbed/rules/rules.go
+++ b/internal/testbed/rules/rules.go
@@ -3,7 +3,9 @@
 package rules
 
 import (
+	"crypto/sha256"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -40,6 +42,7 @@
 	ran               int                    // how often it was begun at a host
 	out               map[string]func() bool // hosts where an attempt is out, and whether its connection is open; nil: it is
 	sent              map[string]time.Time   // by host, when the last attempt was written to a link; see SentTo
+	made              [][sha256.Size]byte    // sums of the values that hosts made for it
 }
 
 // Ledger is safe for concurrent use. Its zero value checks nothing but what needs no figures.
@@ -139,6 +142,23 @@
 	}
 }
 
+// Made says that a host has made a value for a request.
+func (l *Ledger) Made(id string, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.of(id)
+	r.made = append(r.made, sha256.Sum256(value))
+}
+
+// ServedWith says which value a request was served with, where hosts say what they made.
+func (l *Ledger) ServedWith(id string, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Contains(l.of(id).made, sha256.Sum256(value)) {
+		l.breaks("%s is served with %d bytes that no host made for it", id, len(value))
+	}
+}
+
 // Left says that a client has gone away, or was cut off, without an answer.
 func (l *Ledger) Left(id string) {
 	l.mu.Lock()
