Look for a repeated answer right before a query is written, not only before a hold-up

Callers saw: a request was served with the value of another, where a host sent an answer once more while the gateway was held up between taking the connection and writing the next query.

Cause: what lies unread on a connection was looked for when it was taken. The clock is read three times and the query made between that and the write.

Evidence: TestWhatIsThereBeforeAQueryIsNoAnswerToIt, held up at each reading: three of four served the first request's value to the second.

Change: exchange, and a conversation before it begins, look once more. A connection that is not quiet is closed and the attempt takes another one: nothing of it has gone out, so no rule on repeats is met. A host that closed its end meanwhile costs no reset any more either. On a new connection nothing can be left over, so the look (one call that does not wait) is made on used ones only.

Result: the test passes and fails without the look.

--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -184,6 +184,13 @@
 }
 
 func (t *attempt) run() {
+	for again := true; again; {
+		again = t.try()
+	}
+}
+
+// try carries out the attempt on one connection. again: nothing of it has gone out there, and another may serve.
+func (t *attempt) try() (again bool) {
 	result := func(r balance.Result) { t.end(exchange.Outcome{Outcome: balance.Outcome{Result: r}}) }
 	c, err := t.b.take(t.opening, t.Server, t.Until)
 	for end := t.Sent + t.b.cfg.Wait; errors.Is(err, errNoRoom); c, err = t.b.take(t.opening, t.Server, t.Until) {
@@ -197,7 +204,7 @@
 	}
 	if err != nil {
 		result(connectResult(err))
-		return
+		return false
 	}
 	now := t.b.cfg.Clock.Now()
 	talk, converses := t.Command.(Conversation)
@@ -219,13 +226,16 @@
 		t.mu.Unlock()
 		t.b.put(t.Server, c)
 		result(balance.NotSent)
-		return
+		return false
 	}
 	t.conn, t.begun, t.awaits, t.converses = c, true, large == nil && !converses, converses
 	t.mu.Unlock()
 	if converses {
+		if !c.unspoken() {
+			return t.leave(c)
+		}
 		t.converse(c, talk)
-		return
+		return false
 	}
 	var r reply
 	if large != nil {
@@ -233,9 +243,12 @@
 	} else {
 		r = c.roundTrip(query, command.Tag(), limits{t.Until, t.WriteBy})
 	}
+	if r.result == balance.NotSent {
+		return t.leave(c)
+	}
 	if r.stream != nil {
 		t.stream(r)
-		return
+		return false
 	}
 	made := t.b.observe(t.Server, &r, now, t.Keyed)
 	t.mu.Lock()
@@ -251,6 +264,21 @@
 		o.Value = r.value
 	}
 	t.end(o)
+	return false
+}
+
+// leave gives up a connection on which nothing of the attempt has gone out. again: the attempt has not ended.
+func (t *attempt) leave(c *conn) (again bool) {
+	t.mu.Lock()
+	t.conn, t.begun, t.awaits, t.converses = nil, false, false, false
+	canceled, ended := t.canceled, t.ended
+	t.mu.Unlock()
+	c.clean = false
+	t.b.put(t.Server, c)
+	if canceled {
+		t.end(exchange.Outcome{}) // as canceled
+	}
+	return !canceled && !ended
 }
 
 // due says whether the attempt may still begin: its time, its host's drain and the evidence that it was decided on allow it.
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -35,6 +35,7 @@
 	key          pg.Key        // that a cancel names
 	link         *pooling.Link // what it has been set up with; nil: nothing
 	clean        bool          // nothing is out on it and nothing is left over
+	used         bool          // it has carried a query before: the answer to that may come once more
 	closing      sync.Once
 	follows      func() // is called as soon as the host has said that it is no primary; nil: nobody is
 }
@@ -90,6 +91,10 @@
 // alive says whether the host has neither closed an idle connection nor written to it.
 func (c *conn) alive() bool { return c.in.Buffered() == 0 && socket.Quiet(c) }
 
+// unspoken says that nothing has come on the connection that would pass for the answer to a query which is about to be written: the
+// process may have been held up since the connection was taken. On a new one nothing can come that is left of another.
+func (c *conn) unspoken() bool { return !c.used || c.alive() }
+
 // reply is what a query came to. Its positions are by the fleet's clock.
 type reply struct {
 	result   balance.Result
@@ -180,6 +185,9 @@
 	if l.set(c, large) != nil {
 		return reply{result: balance.NoConnection}
 	}
+	if !c.unspoken() {
+		return reply{result: balance.NotSent}
+	}
 	if err := write(); err != nil {
 		// Broken, or stuck, before the last byte: the host never starts what it has not got whole.
 		return reply{result: balance.NoConnection}
--- a/internal/wire/backend/dial.go
+++ b/internal/wire/backend/dial.go
@@ -69,7 +69,7 @@
 	}
 	clean := c.clean && h != nil && h.address == c.address && b.ctx.Err() == nil
 	keep := b.pools.Put(b.cfg.Clock.Now(), server, c.id, clean)
-	b.conns[c.id] = c
+	b.conns[c.id], c.used = c, true
 	if !keep {
 		b.closeLocked([]int{c.id})
 	}
--- a/internal/wire/backend/probe.go
+++ b/internal/wire/backend/probe.go
@@ -59,7 +59,9 @@
 				p.Made = b.observe(server, &answer, sent, false)
 				p.Report = answer.report
 			}
-			if r.result != balance.Reset && r.result != balance.NoConnection {
+			switch r.result {
+			case balance.Reset, balance.NoConnection, balance.NotSent:
+			default:
 				return nil
 			}
 		}
--- a/internal/wire/backend/repeated_answer_test.go
+++ b/internal/wire/backend/repeated_answer_test.go
@@ -1,11 +1,15 @@
 package backend
 
 import (
+	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"yokemast/balance"
 	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/socket"
 )
 
 func TestAnAnswerThatComesTwiceServesNoOtherRequest(t *testing.T) {
@@ -29,3 +33,50 @@
 		}
 	}
 }
+
+// An answer that comes once more while the process is held up, on its way to write the next query, is there before that query.
+func TestWhatIsThereBeforeAQueryIsNoAnswerToIt(t *testing.T) {
+	for reading := range int64(4) {
+		t.Run(fmt.Sprint("held up at reading ", reading+1), func(t *testing.T) {
+			answer := func(value string) []byte {
+				return append(role("leader"), pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte(value)}, ""))...)
+			}
+			hosts := make(chan net.Conn, 2)
+			r := newRig(t, func(c net.Conn, n int64) {
+				hosts <- c
+				_, _ = c.Write(answer([]string{"first", "second"}[n]))
+			})
+			r.send("first", balance.Grounds{})
+			wait(t, r.outcomes, "the first outcome")
+			host := wait(t, hosts, "the first query")
+			var kept *conn
+			for kept == nil {
+				r.b.mu.Lock()
+				for _, c := range r.b.conns {
+					kept = c
+				}
+				r.b.mu.Unlock()
+			}
+			time.Sleep(DefaultRest + 10*time.Millisecond) // the connection may be used again
+			var readings atomic.Int64
+			held := r.clock.Held(func() {
+				if readings.Add(1) != reading+1 {
+					return
+				}
+				_, _ = host.Write(answer("first"))
+				for socket.Quiet(kept) {
+					time.Sleep(time.Millisecond)
+				}
+			})
+			r.b.cfg.Clock, kept.clock = held, held
+			r.send("second", balance.Grounds{})
+			o := wait(t, r.outcomes, "the second outcome")
+			if o.Result != balance.OK || string(o.Value.(pg.Value).Data) != "second" {
+				t.Errorf("the second request ends with %+v", o)
+			}
+			if readings.Load() <= reading {
+				t.Error("the process was not held up")
+			}
+		})
+	}
+}
