Serve no primary's answer that proves to be older than its query

Callers saw: where a host sent an answer once more after the next query had been written, that query's request was served with the value of the one before.

Cause: answers hold no id.

Evidence: TestAPrimarysAnswerThatIsOlderThanItsQueryIsNotServed, "of an earlier query".

Change: on a connection that was used before, a primary's whole answer whose position lies over 26 ms before its query's sending by the tightest that is known of the clock ends as garbled, and the connection is closed: what became of the query is not known, so it goes again where its class allows. Not while the clock is in doubt or unbounded: a primary that does stand still, or a clock that was stepped, costs one answer and puts the clock in doubt as before. Not for keyed writes, whose answer may be an earlier write's, and not for replicas, which may lag.

--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -237,6 +237,12 @@
 	return Interval{b.least, b.most}.after(now)
 }
 
+// Predates says that a primary's position shows, as the clock is known and not doubted, that its answer was made before the query was
+// sent by more than so much.
+func (b Bounds) Predates(o Observation, by time.Duration) bool {
+	return b.Told && b.Bounded && !b.Doubted && o.Present > 0 && o.Proves().Most+by < b.At(o.Received).Least
+}
+
 // Width is how much is not known, as of the last change.
 func (b Bounds) Width() time.Duration { return b.most - b.least }
 
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -250,7 +250,11 @@
 		t.stream(r)
 		return false
 	}
+	repeated := t.repeated(c, &r, now)
 	made := t.b.observe(t.Server, &r, now, t.Keyed)
+	if repeated { // what became of the query is not known
+		r, c.clean = r.broken(balance.Garbled), false
+	}
 	t.mu.Lock()
 	t.conn, t.awaits = nil, false
 	if t.ended || t.canceled {
--- a/internal/wire/backend/position.go
+++ b/internal/wire/backend/position.go
@@ -24,14 +24,7 @@
 func (b *Backend) observe(server string, r *reply, sent time.Duration, keyed bool) balance.Made {
 	clock := b.cfg.Clock
 	received := clock.Now()
-	told := fleetclock.Observation{Host: server, Position: r.position, Sent: sent, Received: received}
-	if r.report.Has {
-		told.Position = max(told.Position, r.report.Position)
-	}
-	if r.role == balance.Primary && r.result == balance.OK && !keyed { // of what it turned away its log may stand elsewhere
-		told.Present = r.position
-	}
-	clock.Observe(told)
+	clock.Observe(r.observation(server, sent, received, keyed))
 	if r.role == balance.Unknown && r.report.Role == balance.Replica {
 		b.followsNow(server)
 	}
@@ -46,6 +39,28 @@
 	return made
 }
 
+// observation is what an answer tells of the fleet's clock.
+func (r *reply) observation(server string, sent, received time.Duration, keyed bool) fleetclock.Observation {
+	told := fleetclock.Observation{Host: server, Position: r.position, Sent: sent, Received: received}
+	if r.report.Has {
+		told.Position = max(told.Position, r.report.Position)
+	}
+	if r.role == balance.Primary && r.result == balance.OK && !keyed { // of what it turned away its log may stand elsewhere
+		told.Present = r.position
+	}
+	return told
+}
+
+// repeatedAge is by how much the answer to an earlier query is older than the next one on its connection, which rests between them;
+// the rest of DefaultRest is for a host whose clock is read a little early.
+const repeatedAge = DefaultRest * 2 / 3
+
+// repeated says that an answer proves to be that to an earlier query on its connection, come once more.
+func (t *attempt) repeated(c *conn, r *reply, sent time.Duration) bool {
+	clock := t.b.cfg.Clock
+	return c.used && clock.Bounds().Predates(r.observation(t.Server, sent, clock.Now(), t.Keyed), repeatedAge)
+}
+
 // leadsNow notes that a whole answer named a host the primary.
 func (b *Backend) leadsNow(server string) {
 	b.mu.Lock()
--- a/internal/wire/backend/repeated_answer_test.go
+++ b/internal/wire/backend/repeated_answer_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"yokemast/balance"
+	"yokemast/internal/control/fleetclock"
+	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
 	"yokemast/internal/wire/socket"
 )
@@ -80,3 +82,48 @@
 		})
 	}
 }
+
+// A primary sits at the present: an answer of its that is older than its query is that to an earlier one.
+func TestAPrimarysAnswerThatIsOlderThanItsQueryIsNotServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		role         string
+		age          time.Duration // of the second answer's position
+		known, keyed bool
+		want         balance.Result
+	}{
+		"of its query":               {"leader", 0, true, false, balance.OK},
+		"of a host's moment before":  {"leader", 10 * time.Millisecond, true, false, balance.OK},
+		"of an earlier query":        {"leader", 2 * DefaultRest, true, false, balance.Garbled},
+		"of a replica that lags":     {"follower", 2 * DefaultRest, true, false, balance.OK},
+		"of an earlier keyed write":  {"leader", 2 * DefaultRest, true, true, balance.OK},
+		"while the clock is unknown": {"leader", 2 * DefaultRest, false, false, balance.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r *rig
+			r = newRig(t, func(conn net.Conn, n int64) {
+				position := (r.clock.Now() - time.Duration(n)*c.age).Milliseconds()
+				name := c.role
+				if n == 0 && !c.known { // a first primary's answer would make it known
+					name = "follower"
+				}
+				notes := pg.Append(role(name), pg.ParameterStatus, fmt.Appendf(nil, "replay_position\x00%d\x00", position))
+				_, _ = conn.Write(append(notes, row()...))
+			})
+			if c.known {
+				r.clock.Inherit(r.clock.Now(), fleetclock.Interval{})
+			}
+			for n, id := range []string{"first", "second"} {
+				now := r.clock.Now()
+				r.b.Send(exchange.Attempt{ID: id, Server: "s", Command: outcomes(nil), Sent: now, Until: now + soon, Keyed: c.keyed})
+				want := balance.OK
+				if n == 1 {
+					want = c.want
+				}
+				if o := wait(t, r.outcomes, id); o.Result != want {
+					t.Errorf("the %s request ends with %v, want %v", id, o.Result, want)
+				}
+				time.Sleep(DefaultRest + 10*time.Millisecond) // the connection may be used again
+			}
+		})
+	}
+}
