Tests: rounding and a cached clock in an answer's proof, and the word of a keyed write's answer

Three guards of docs/freshness.md could be taken out with the tests of balance, fleetclock, exchange and backend green (trial on a scratch copy): the millisecond of rounding, the 5 ms by which a host may have read its clock before, and that the answer to a keyed write is not dated by its position.

Change: one test of what an answer proves, and one more step in TestAPrimarysWordIsDatedByItsPositionOnceTheClockIsBounded. Each fails with its guard out.

--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -337,3 +337,11 @@
 		p.check(t, "a position that stands still", true)
 	}
 }
+
+func TestAnAnswerAllowsForRoundingAndForAClockThatWasReadBefore(t *testing.T) {
+	for _, told := range []time.Duration{-5*ms - ms, ms} {
+		if i := (Observation{Host: "a", Present: start + told, Sent: start, Received: start}).Proves(); i.Least > 0 || i.Most < 0 {
+			t.Errorf("a present told as %s proves %+v where the clock is right", told, i)
+		}
+	}
+}
--- a/internal/wire/backend/position_test.go
+++ b/internal/wire/backend/position_test.go
@@ -70,6 +70,10 @@
 	if made := b.observe("s", &r, now-10*time.Second, false); made.NotBefore < now-20*time.Millisecond || made.NotBefore > clock.Now() {
 		t.Errorf("it is dated %s after", made.NotBefore-now)
 	}
+	sent := clock.Now() - 10*time.Second
+	if made := b.observe("s", &r, sent, true); made.NotBefore != sent {
+		t.Errorf("the answer to a keyed write, which may be that of the one before, is dated %s after its query", made.NotBefore-sent)
+	}
 }
 
 func TestReport(t *testing.T) {
