Model: replicas that stall right after an answer, and hold-ups before half of the writes

Two stalls of a host that overlapped left its log standing for good.

Change: in a fifth of the worlds a replica's answer is often followed by a stall; a third of the gateways are held up before half of the writes; a host that stalls is not stalled again.

--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -50,6 +50,7 @@
 	heldTo   time.Duration
 	loopTo   time.Duration // the event loop is busy until then
 	holdUps  bool
+	held     float64 // part of the writes that a hold-up comes before
 	reports  bool
 	lies     bool // one answer of each process tells a primary's position that is too old
 	lied     bool
@@ -93,6 +94,7 @@
 	}
 	g.often = w.chance(0.3)
 	g.holdUps, g.reports = w.chance(0.5), w.chance(0.7)
+	g.held = []float64{0.03, 0.03, 0.5}[w.rng.IntN(3)]
 	g.gap = []time.Duration{40 * ms, 60 * ms, 300 * ms, 900 * ms}[w.rng.IntN(4)]
 	g.settings = balance.Settings{Routers: 1, Tick: ms, TokensCarried: true, Probes: w.chance(0.8), Cancel: true, RetryAfter: true,
 		MaxRetryAfter: time.Second, MaxAttempts: 6, DrainGrace: time.Second, HoldUp: modelHoldUp, OverloadFactor: 4, ColdShare: 0.25,
@@ -415,7 +417,7 @@
 		return
 	}
 	held := time.Duration(0)
-	if g.holdUps && g.w.chance(0.03) { // between the look and the write
+	if g.holdUps && g.w.chance(g.held) { // between the look and the write
 		held = g.w.between(0, modelHoldUp)
 		g.heldTo = max(g.heldTo, g.w.now+held)
 	}
@@ -458,6 +460,9 @@
 		return
 	}
 	s := w.standing(h)
+	if w.stalls && !s.leads && w.chance(0.3) {
+		w.stall(h, w.between(300*ms, 2*time.Second))
+	}
 	result := balance.OK
 	commit := time.Duration(0)
 	switch {
--- a/balance/model_world_test.go
+++ b/balance/model_world_test.go
@@ -84,6 +84,7 @@
 	roleLag   time.Duration
 	startLag  time.Duration
 	twoLeads  bool          // the list may name two leaders for a while
+	stalls    bool          // replicas' logs often stand still right after an answer told where they are
 	lastWrite time.Duration // commit of the session's last answered write
 	gateway   *modelGateway
 	trace     []string
@@ -360,6 +361,7 @@
 		lags = w.between(100*ms, 3*time.Second)
 	}
 	lateReports := w.chance(0.3)
+	w.stalls = w.chance(0.2)
 	for i := range 3 + w.rng.IntN(3) {
 		h := &modelHost{id: fmt.Sprint("h", i), alive: true, lag: lags, speed: 1 + 4*w.rng.Float64(), since: epoch, applied: epoch - lags}
 		h.list = balance.Member{Server: h.id, Weight: 1}
@@ -412,8 +414,11 @@
 
 // stall keeps a host's log where it stands for a while; the others' go on.
 func (w *world) stall(h *modelHost, d time.Duration) {
-	w.standing(h)
 	speed := h.speed
+	if speed == 0 {
+		return
+	}
+	w.standing(h)
 	w.note("%s's log stands still for %s", h.id, d)
 	h.speed = 0
 	w.after(d, func() { w.standing(h); h.speed = speed })
