Fleet's clock: an answer that contradicts itself bounds nothing from above

Cause: Proves gave a lower bound above its upper one, and the hull of such an interval with the known one leaves the lower bound out.

Evidence: TestAnAnswerThatContradictsItselfBoundsNothingFromAbove fails without the change (bounds -6 to 11 ms, offset 1 s).

Change: where the two cross, the answer proves the lower bound only.

--- a/internal/control/fleetclock/fleetclock.go
+++ b/internal/control/fleetclock/fleetclock.go
@@ -84,6 +84,9 @@
 	if o.Present > 0 {
 		i.Most = o.Present + rounding + presentAge - o.Sent + drift(o.Received-o.Sent)
 	}
+	if i.Most < i.Least { // it contradicts itself: its present is no bound
+		i.Most = unbounded
+	}
 	return i
 }
 
--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -345,3 +345,13 @@
 		}
 	}
 }
+
+func TestAnAnswerThatContradictsItselfBoundsNothingFromAbove(t *testing.T) {
+	p := newPlay(0)
+	p.present("a")
+	p.present("b")
+	p.now += apart + 10*ms
+	p.offset = time.Second // it told its present before the clock was set, and its report after
+	p.Observe(Observation{Host: "a", Present: p.now - 5*ms, Position: p.now + p.offset, Sent: p.now - 10*ms, Received: p.now})
+	p.check(t, "contradicted", false)
+}
