--- a/internal/memory/exchange/evidence_test.go
+++ b/internal/memory/exchange/evidence_test.go
@@ -107,8 +107,14 @@
 	}
 	x.noticeClock()
 	// What was dated before is handled after.
-	x.handle(now, learning{balance.Heard{Server: "r", Result: balance.OK, Role: balance.Primary}, balance.Made{NotBefore: now,
-		NotAfter: now, Epoch: x.clockEpoch - 1}, balance.Report{}})
+	dated := clock.Now() // after all that r said
+	x.handle(dated, learning{balance.Heard{Server: "r", Result: balance.OK, Role: balance.Primary}, balance.Made{NotBefore: dated,
+		NotAfter: dated, Epoch: x.clockEpoch - 1}, balance.Report{}})
+	x.router.Look(clock.Now(), func(s balance.Seen) {
+		if s.Leads > 0 {
+			t.Errorf("%s leads by a word that the wrong clock dated", s.Server)
+		}
+	})
 	if a := h.ask(x, "view", 0); a != nil && a.Grounds.Kind != balance.Excused {
 		t.Errorf("a read goes to %s on %+v", a.Server, a.Grounds)
 	}
