--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -4,6 +4,7 @@
 // internal/memory/exchange, a clock that is off, and a process that is held up.
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -50,6 +51,7 @@
 	heldTo   time.Duration
 	loopTo   time.Duration // the event loop is busy until then
 	holdUps  bool
+	held     float64 // part of the writes that a hold-up comes before
 	reports  bool
 	lies     bool // one answer of each process tells a primary's position that is too old
 	lied     bool
@@ -93,6 +95,7 @@
 	}
 	g.often = w.chance(0.3)
 	g.holdUps, g.reports = w.chance(0.5), w.chance(0.7)
+	g.held = []float64{0.03, 0.03, 0.5}[w.rng.IntN(3)]
 	g.gap = []time.Duration{40 * ms, 60 * ms, 300 * ms, 900 * ms}[w.rng.IntN(4)]
 	g.settings = balance.Settings{Routers: 1, Tick: ms, TokensCarried: true, Probes: w.chance(0.8), Cancel: true, RetryAfter: true,
 		MaxRetryAfter: time.Second, MaxAttempts: 6, DrainGrace: time.Second, HoldUp: modelHoldUp, OverloadFactor: 4, ColdShare: 0.25,
@@ -108,8 +111,11 @@
 	return g
 }
 
-func (g *modelGateway) local() time.Duration {
-	return g.w.now - g.offset - time.Duration(g.drift*float64(g.w.now-epoch))
+func (g *modelGateway) local() time.Duration { return g.w.now - g.ahead() }
+
+// ahead is what the fleet's clock shows more than the machine's.
+func (g *modelGateway) ahead() time.Duration {
+	return g.offset + time.Duration(g.drift*float64(g.w.now-epoch))
 }
 
 // stepBy takes note of a step of the fleet's clock.
@@ -415,7 +421,7 @@
 		return
 	}
 	held := time.Duration(0)
-	if g.holdUps && g.w.chance(0.03) { // between the look and the write
+	if g.holdUps && g.w.chance(g.held) { // between the look and the write
 		held = g.w.between(0, modelHoldUp)
 		g.heldTo = max(g.heldTo, g.w.now+held)
 	}
@@ -458,6 +464,9 @@
 		return
 	}
 	s := w.standing(h)
+	if w.stalls && !s.leads && w.chance(0.3) {
+		w.stall(h, w.between(300*ms, 2*time.Second))
+	}
 	result := balance.OK
 	commit := time.Duration(0)
 	switch {
@@ -538,13 +547,18 @@
 	g.ended(t, o)
 }
 
-// observe lets the process learn of the fleet's clock.
+// observe lets the process learn of the fleet's clock, and checks that what it knows holds.
 func (g *modelGateway) observe(o fleetclock.Observation) {
-	if b := g.clock.Bounds(); g.unshown && (!b.Bounded || o.Proves().Least > b.At(g.local()).Most) {
+	if b := g.clock.Bounds(); g.unshown && b.Bounded && o.Proves().Least > b.At(g.local()).Most {
 		g.unshown, g.shownAt = false, g.w.now
 		g.w.note("the step is shown by %s", o.Host)
 	}
 	g.clock.Observe(o)
+	b, ahead := g.clock.Bounds(), g.ahead()
+	if i := b.At(g.local()); !g.unshown && (b.Told && i.Least > ahead || b.Bounded && i.Most < ahead) {
+		g.broke = append(g.broke, fmt.Sprintf("the fleet's clock is ahead by %s, and taken to be by %+v", ahead, i))
+		g.w.note("BROKEN: %s", g.broke[len(g.broke)-1])
+	}
 }
 
 // heardFollower is what the host side notes as soon as a host says that it follows.
--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -337,3 +337,21 @@
 		p.check(t, "a position that stands still", true)
 	}
 }
+
+func TestAnAnswerAllowsForRoundingAndForAClockThatWasReadBefore(t *testing.T) {
+	for _, told := range []time.Duration{-5*ms - ms, ms} {
+		if i := (Observation{Host: "a", Present: start + told, Sent: start, Received: start}).Proves(); i.Least > 0 || i.Most < 0 {
+			t.Errorf("a present told as %s proves %+v where the clock is right", told, i)
+		}
+	}
+}
+
+func TestAnAnswerThatContradictsItselfBoundsNothingFromAbove(t *testing.T) {
+	p := newPlay(0)
+	p.present("a")
+	p.present("b")
+	p.now += apart + 10*ms
+	p.offset = time.Second // it told its present before the clock was set, and its report after
+	p.Observe(Observation{Host: "a", Present: p.now - 5*ms, Position: p.now + p.offset, Sent: p.now - 10*ms, Received: p.now})
+	p.check(t, "contradicted", false)
+}
