--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -28,7 +28,7 @@
 			l.Read("h", "a", time.Now(), time.Now().Add(-time.Second), 0)
 		},
 		"no host made for it": func(l *Ledger) { l.Made("a", []byte("v")); l.Made("b", []byte("w")); l.ServedWith("a", []byte("w")) },
-		"after it was told": func(l *Ledger) { l.Told("h", false); time.Sleep(1100 * time.Millisecond); l.Arrived("h", "a", 0) },
+		"after it was told":   func(l *Ledger) { l.Told("h", false); time.Sleep(1100 * time.Millisecond); l.Arrived("h", "a", 0) },
 		"client stopped waiting": func(l *Ledger) {
 			l.Asked("a", false, true, soon())
 			time.Sleep(1100 * time.Millisecond)
