An older list of an agent that was left and asked again ends no drain

Callers: after moves of discovery there and back requests may go to a host that drains past the grace.

Cause: what was used of an address is forgotten once nothing is out to it, so that an older list of the same agent counts after the way there and back, and ended the drain which that agent had told.

Evidence: the rows "older" of TestOnlyALaterWordEndsADrain and TestAnotherAgentsListEndsNoDrainUnlessItTellsALaterStart (3 cases) fail without the comparison.

Change: a drain keeps the revision of the list that told it, also over a handover; the same agent ends it in a list that is no older only.

Run: internal/control/draining, internal/memory/exchange, internal/disk/handover, internal/wire/discovery, internal/lifecycle, internal/wire/backend -run 'Drain|Grace|List', cmd/yokemast -run 'Drain|Upgrade|SIGHUP|Discovery|List|ProofPooling' pass.

--- a/internal/control/draining/draining.go
+++ b/internal/control/draining/draining.go
@@ -7,7 +7,7 @@
 //
 // A host keeps the time of its first notification while it goes from draining to gone. It is forgotten when the host serves again. The list
 // of another agent of discovery may be behind that of the agent which told the drain, so its word that the host serves ends nothing, unless
-// it tells a later start, or is the one that told the drain last.
+// it tells a later start, or is the one that told the drain last, in a list that is no older.
 package draining
 
 import "time"
@@ -59,7 +59,8 @@
 	// Since is when the gateway, or an earlier process of it, was notified, if that is known to be earlier; 0: it is not.
 	Since time.Duration
 	// Agent of discovery that told it; "": not known, and its word that a host serves ends no drain.
-	Agent string
+	Agent    string
+	Revision int64 // of the agent's list
 	// Unlisted says that the host is gone only in that a whole list lacks it. A list that is behind may not have it yet.
 	Unlisted bool
 	Started  time.Duration // the host's start as lists tell it, by the fleet's clock; 0: long ago, or not told
@@ -70,12 +71,13 @@
 	notifiedAt time.Duration
 	drained    bool   // it was listed as draining
 	agent      string // that told so last
+	revision   int64  // of its list
 	started    time.Duration
 }
 
 // endedBy says that a host which serves by this word does so after the drain: the word is later than what told the drain.
 func (h host) endedBy(w Word) bool {
-	return w.Agent != "" && (w.Agent == h.agent || w.Started > h.started)
+	return w.Agent != "" && (w.Agent == h.agent && w.Revision >= h.revision || w.Started > h.started)
 }
 
 // Tracker is the state of all hosts that drain or are gone. It is not safe for concurrent use.
@@ -103,7 +105,7 @@
 		h.notifiedAt = min(h.notifiedAt, w.Since)
 	}
 	if !known || !w.Unlisted {
-		h.agent = w.Agent
+		h.agent, h.revision = w.Agent, w.Revision
 	}
 	h.state, h.drained, h.started = w.State, h.drained || w.State == Draining, max(h.started, w.Started)
 	t.hosts[w.Server] = h
@@ -113,8 +115,12 @@
 // State gives the state that holds of a host.
 func (t *Tracker) State(server string) State { return t.hosts[server].state }
 
-// Agent gives the agent of discovery that told last that a host drains or is gone; "": it serves, or the agent is not known.
-func (t *Tracker) Agent(server string) string { return t.hosts[server].agent }
+// ToldBy gives the agent of discovery that told last that a host drains or is gone, and the revision of its list; "": it serves, or the agent
+// is not known.
+func (t *Tracker) ToldBy(server string) (agent string, revision int64) {
+	h := t.hosts[server]
+	return h.agent, h.revision
+}
 
 // Retune puts other rules in force, also for hosts that were notified before, and gives the bounds that hold now.
 func (t *Tracker) Retune(rules Rules) []Bound {
--- a/internal/control/draining/draining_test.go
+++ b/internal/control/draining/draining_test.go
@@ -67,13 +67,14 @@
 // Of two agents of discovery either may be behind the other.
 func TestOnlyALaterWordEndsADrain(t *testing.T) {
 	const start = 10 * time.Second
-	drain := Word{State: Draining, Agent: "a", Started: 7}
+	drain := Word{State: Draining, Agent: "a", Revision: 43, Started: 7}
 	for name, c := range map[string]struct {
 		before []Word
 		serves Word
 		want   State
 	}{
-		"the agent that told it":             {[]Word{drain}, Word{Agent: "a", Started: 7}, Serving},
+		"the agent that told it":             {[]Word{drain}, Word{Agent: "a", Revision: 43, Started: 7}, Serving},
+		"an older list of the same agent":    {[]Word{drain}, Word{Agent: "a", Revision: 42, Started: 7}, Draining},
 		"another agent":                      {[]Word{drain}, Word{Agent: "b", Started: 7}, Draining},
 		"another agent, of an earlier start": {[]Word{drain}, Word{Agent: "b", Started: 3}, Draining},
 		"another agent, of a later start":    {[]Word{drain}, Word{Agent: "b", Started: 8}, Serving},
--- a/internal/disk/handover/handover.go
+++ b/internal/disk/handover/handover.go
@@ -48,6 +48,7 @@
 	Alive           bool          // not set aside
 	NotifiedFor     time.Duration // since the gateway was notified that it drains, at the time of the handover; 0: it does not
 	ToldBy          string        // agent of discovery that told so last; "": not known
+	ToldIn          int64         // the revision of its list
 }
 
 // Knowledge is all that is handed over.
@@ -88,6 +89,7 @@
 	Alive    bool    `json:"alive"`
 	Notified int64   `json:"notified_for"`
 	ToldBy   string  `json:"told_by"`
+	ToldIn   int64   `json:"told_in"`
 }
 
 // down and up round to milliseconds, also what is below zero.
@@ -109,7 +111,7 @@
 		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least + back), Most: up(k.Ahead.Most + back)}
 	for _, h := range k.Hosts {
 		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(moved(h.Started, -back)),
-			down(moved(h.Leads, -back)), up(moved(h.Follows, -back)), down(h.Position), h.Alive, up(h.NotifiedFor), h.ToldBy})
+			down(moved(h.Leads, -back)), up(moved(h.Follows, -back)), down(h.Position), h.Alive, up(h.NotifiedFor), h.ToldBy, h.ToldIn})
 	}
 	text, err := json.Marshal(b)
 	if err != nil {
@@ -179,7 +181,8 @@
 			State: balance.State(e.Get("state").Int()), Listed: e.Get("listed").Bool(), Weight: e.Get("weight").Num,
 			Started: of(e.Get("started").Int()), Leads: of(e.Get("leads").Int()), Follows: of(e.Get("follows").Int()),
 			Position: of(e.Get("position").Int()), Alive: e.Get("alive").Bool(),
-			NotifiedFor: of(e.Get("notified_for").Int()), ToldBy: e.Get("told_by").Str}
+			NotifiedFor: of(e.Get("notified_for").Int()), ToldBy: e.Get("told_by").Str,
+			ToldIn: e.Get("told_in").Int()}
 		if headVersion(b) != version {
 			h.Position, h.Leads = 0, 0 // by a clock that may have been off
 			if headVersion(b) == earlier && balance.Role(e.Get("role").Int()) == balance.Replica {
--- a/internal/disk/handover/handover_test.go
+++ b/internal/disk/handover/handover_test.go
@@ -19,7 +19,7 @@
 		{Server: "s-1", Address: "127.0.0.9:5432", Group: 3, Listed: true, Weight: 1, Leads: now - 5*ms, Follows: now - time.Minute,
 			Position: now - 9*ms, Alive: true},
 		{Server: "s-2", Address: "127.0.0.8:5432", State: balance.Draining, Weight: 0.5, Started: now - time.Second, Follows: now - ms,
-			NotifiedFor: 300 * ms, ToldBy: "b"}}, ClockKnown: true, Ahead: fleetclock.Interval{Least: -30 * ms, Most: 2 * time.Second}}
+			NotifiedFor: 300 * ms, ToldBy: "b", ToldIn: 40}}, ClockKnown: true, Ahead: fleetclock.Interval{Least: -30 * ms, Most: 2 * time.Second}}
 }
 
 func TestThereAndBack(t *testing.T) {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -231,7 +231,7 @@
 // run starts the parts.
 func (g *gateway) run() {
 	if len(g.c.Known.Members) > 0 {
-		g.x.Members(exchange.List{Agent: g.c.Discovery, At: g.begun, Whole: true, Hosts: g.c.Known.Members})
+		g.x.Members(exchange.List{Agent: g.c.Discovery, Revision: g.c.Known.Revision, At: g.begun, Whole: true, Hosts: g.c.Known.Members})
 	}
 	known, inherited := g.inherited()
 	if inherited {
--- a/internal/memory/exchange/first_list_test.go
+++ b/internal/memory/exchange/first_list_test.go
@@ -21,26 +21,29 @@
 // The list of another agent of discovery may be behind that which told a drain, to this process or to the one before it.
 func TestAnotherAgentsListEndsNoDrainUnlessItTellsALaterStart(t *testing.T) {
 	drained := func(x *Exchange) {
-		x.Members(List{Agent: "a", At: x.begunAt - time.Minute, Whole: true, Hosts: only(balance.Draining).list})
+		x.Members(List{Agent: "a", Revision: 43, At: x.begunAt - time.Minute, Whole: true, Hosts: only(balance.Draining).list})
 	}
 	inherited := func(x *Exchange) {
 		x.Inherit(x.begunAt, handover.Knowledge{Agent: "b", Hosts: []handover.Host{
-			{Server: "s", Address: "h:1", Group: 1, State: balance.Draining, NotifiedFor: time.Minute, ToldBy: "a"}}})
+			{Server: "s", Address: "h:1", Group: 1, State: balance.Draining, NotifiedFor: time.Minute, ToldBy: "a", ToldIn: 43}}})
 	}
 	for name, c := range map[string]struct {
-		told    func(*Exchange)
-		agent   string
-		started time.Duration
-		serves  bool
+		told     func(*Exchange)
+		agent    string
+		revision int64
+		started  time.Duration
+		serves   bool
 	}{
-		"the agent that told it":                     {drained, "a", 0, true},
-		"another":                                    {drained, "b", 0, false},
-		"another, with a later start":                {drained, "b", 1, true},
-		"the agent that told the process before":     {inherited, "a", 0, true},
-		"another than told the process before":       {inherited, "b", 0, false},
-		"another, that tells an inherited one anew":  {inherited, "b", 1, true},
-		"what the process before knew, of a file's":  {drained, "", 0, false},
-		"what the process before knew, with a start": {drained, "", 1, false},
+		"the agent that told it":                     {drained, "a", 43, 0, true},
+		"an older list of the agent that told it":    {drained, "a", 42, 0, false},
+		"an older one, of an inherited drain":        {inherited, "a", 42, 0, false},
+		"another":                                    {drained, "b", 44, 0, false},
+		"another, with a later start":                {drained, "b", 44, 1, true},
+		"the agent that told the process before":     {inherited, "a", 43, 0, true},
+		"another than told the process before":       {inherited, "b", 44, 0, false},
+		"another, that tells an inherited one anew":  {inherited, "b", 44, 1, true},
+		"what the process before knew, of a file's":  {drained, "", 0, 0, false},
+		"what the process before knew, with a start": {drained, "", 0, 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x, h, ask := fresh(t)
@@ -49,7 +52,7 @@
 			if host.Started = c.started; c.agent == "" {
 				x.Inherit(x.begunAt, handover.Knowledge{Agent: "a", Hosts: []handover.Host{{Server: "s", Address: "h:1", Group: 1, Listed: true, Weight: 1, Started: c.started}}})
 			} else {
-				x.Members(List{Agent: c.agent, At: x.begunAt, Whole: true, Hosts: []Member{host}})
+				x.Members(List{Agent: c.agent, Revision: c.revision, At: x.begunAt, Whole: true, Hosts: []Member{host}})
 			}
 			for _, p := range x.queue {
 				x.handle(p.at, p.ev)
--- a/internal/memory/exchange/handover.go
+++ b/internal/memory/exchange/handover.go
@@ -37,9 +37,9 @@
 	if k.ClockKnown {
 		x.cfg.Clock.Inherit(k.At, k.Ahead)
 	}
-	l := List{Agent: k.Agent, At: x.cfg.Clock.Now(), Whole: true, Hosts: make([]Member, 0, len(k.Hosts)), inherited: true}
+	l := List{Agent: k.Agent, Revision: k.Revision, At: x.cfg.Clock.Now(), Whole: true, Hosts: make([]Member, 0, len(k.Hosts)), inherited: true}
 	for _, h := range k.Hosts {
-		m := Member{Address: h.Address, ToldBy: h.ToldBy, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
+		m := Member{Address: h.Address, ToldBy: h.ToldBy, ToldIn: h.ToldIn, Member: balance.Member{Server: h.Server, Group: h.Group, State: h.State,
 			Primary: h.Listed, Weight: h.Weight}}
 		if h.Started > 0 {
 			m.Started = x.cfg.Clock.fleetAtMost(h.Started)
@@ -67,7 +67,8 @@
 		h := handover.Host{Server: s.Server, Address: m.Address, Group: m.Group, State: m.State, Listed: m.Primary,
 			Weight: m.Weight, Started: s.Started, Leads: s.Leads, Follows: s.Follows, Position: s.Position, Alive: s.Usable || s.Primary}
 		if at, ok := x.bounds.notifiedAt(s.Server); ok {
-			h.NotifiedFor, h.ToldBy = now-at, x.bounds.toldBy(s.Server)
+			h.NotifiedFor = now - at
+			h.ToldBy, h.ToldIn = x.bounds.toldBy(s.Server)
 		}
 		k.Hosts = append(k.Hosts, h)
 	})
--- a/internal/memory/exchange/members.go
+++ b/internal/memory/exchange/members.go
@@ -19,14 +19,16 @@
 	// NotifiedAt is when an earlier process of this gateway was notified that it drains or is gone; 0: not known.
 	NotifiedAt time.Duration
 	ToldBy     string // agent of discovery that told that earlier process so; "": not known
+	ToldIn     int64  // the revision of its list
 }
 
 // List is what an agent of discovery told: all hosts, or entries that changed.
 type List struct {
-	Agent string        // its address
-	At    time.Duration // when it arrived, or earlier, where the gateway counts as notified since then
-	Whole bool
-	Hosts []Member
+	Agent    string // its address
+	Revision int64
+	At       time.Duration // when it arrived, or earlier, where the gateway counts as notified since then
+	Whole    bool
+	Hosts    []Member
 
 	inherited bool // it is what an earlier process knew, with starts that were rounded up
 }
@@ -78,7 +80,8 @@
 	}
 	for server, started := range b.known {
 		if !named[server] {
-			b.tellLocked(b.drains.Set(draining.Word{Server: server, State: draining.Gone, At: l.At, Agent: l.Agent, Unlisted: true, Started: started}))
+			b.tellLocked(b.drains.Set(draining.Word{Server: server, State: draining.Gone, At: l.At, Agent: l.Agent, Revision: l.Revision, Unlisted: true,
+				Started: started}))
 		}
 	}
 	return e
@@ -86,7 +89,8 @@
 
 // wordLocked is what a list tells of a host. Of an earlier process's, that a host serves ends no drain: what another list told may be later.
 func (b *bounds) wordLocked(l List, m Member) draining.Word {
-	w := draining.Word{Server: m.Server, State: drainStates[m.State], At: l.At, Since: m.NotifiedAt, Agent: l.Agent, Started: m.Started}
+	w := draining.Word{Server: m.Server, State: drainStates[m.State], At: l.At, Since: m.NotifiedAt, Agent: l.Agent, Revision: l.Revision,
+		Started: m.Started}
 	latest, known := b.known[m.Server]
 	if !known {
 		w.At = min(l.At, b.begunAt)
@@ -98,7 +102,7 @@
 		latest = max(latest, m.Started)
 	}
 	if b.known[m.Server] = latest; l.inherited {
-		w.Agent = m.ToldBy
+		w.Agent, w.Revision = m.ToldBy, m.ToldIn
 		return w
 	}
 	b.agent = l.Agent
@@ -135,11 +139,11 @@
 	return b.drains.Until(server)
 }
 
-// toldBy is the agent of discovery that told last that a host drains or is gone.
-func (b *bounds) toldBy(server string) string {
+// toldBy is the agent of discovery that told last that a host drains or is gone, and the revision of its list.
+func (b *bounds) toldBy(server string) (agent string, revision int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.drains.Agent(server)
+	return b.drains.ToldBy(server)
 }
 
 // lastAgent is the agent of discovery whose list was taken last; "": none was.
@@ -173,8 +177,9 @@
 	e := x.bounds.take(l)
 	for i, m := range e.list {
 		if l.Hosts[i].State == balance.Active && m.State != balance.Active {
+			toldBy, _ := x.bounds.toldBy(m.Server)
 			x.cfg.Log.Info("host kept out: the list may be behind the one that told its drain", zap.String("host", m.Server),
-				zap.String("agent", l.Agent), zap.String("told_by", x.bounds.toldBy(m.Server)))
+				zap.String("agent", l.Agent), zap.String("told_by", toldBy))
 		}
 	}
 	x.post(e)
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -194,7 +194,7 @@
 	if r.list.Complete || len(r.list.Members) > 0 {
 		s.Log.Info("hosts listed", zap.Bool("whole", r.list.Complete), zap.Int64("revision", r.list.Revision), zap.Int("entries", len(r.list.Members)),
 			zap.String("agent", r.call.Address), zap.Duration("handled_after", now-r.at), zap.Duration("notified_before", r.at-notified))
-		s.Members(exchange.List{Agent: s.agent(r.call), At: notified, Whole: r.list.Complete, Hosts: r.list.Members})
+		s.Members(exchange.List{Agent: s.agent(r.call), Revision: r.list.Revision, At: notified, Whole: r.list.Complete, Hosts: r.list.Members})
 	}
 	s.revision.Store(s.decisions.Revision())
 	if !s.answered {
