A process that was never ready says no while it ends

Callers: a process that gets SIGTERM before it is ready says yes at its second address, and an upgrade or a front takes it for one that serves.

Cause: service.View answered yes at the end unless the process was drained, whether or not it had ever been ready.

Evidence: row "SIGTERM before it was ready" of TestWhatHolds, which fails without the change.

Change: it has to have been ready.

Run: internal/control/service, internal/lifecycle pass.

--- a/internal/control/service/service.go
+++ b/internal/control/service/service.go
@@ -203,7 +203,7 @@
 	case Ending:
 		// Without an heir nobody takes this gateway's place so soon: clients are served as before, on the connections that
 		// they have, and the front's question as well.
-		v.Yes = !s.drained
+		v.Yes = s.ready && !s.drained
 		v.Last = s.endAt + s.times.LastAnswer
 		shed := next(s.endAt + s.times.Shed)
 		v.Shed = shed || s.drained && next(s.since+s.times.FrontAway)
