An heir asks the discovery that a SIGHUP has moved its elder to

Callers: after a SIGHUP that moves discovery and an upgrade, the new process sends to hosts that drain for as long as it runs.

Cause: the platform starts an heir with all else the same, so that ROUTER_DISCOVERY names the agent of the first start, and the environment stands over the file. A reload takes the file's word for that reason; an heir did not.

Evidence: TestAnHeirAsksTheDiscoveryThatSIGHUPMovedTo fails with the condition taken out: the heir's list comes from the agent of before.

Change: an elder tells whom it asks, and an heir whose file names that agent asks it too. Where they differ, or the elder is of an earlier version or gone, the environment holds as before. Not taken: the file over the environment at every start, as the environment may be the newer word.

Run: internal/disk/handover, internal/lifecycle, internal/wire/discovery, cmd/yokemast -run 'AnHeirAsks|Upgrade|SIGHUP|Signal|Start' pass.

--- a/cmd/yokemast/upgrade_test.go
+++ b/cmd/yokemast/upgrade_test.go
@@ -11,7 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/discovery"
 	"yokemast/internal/testbed/hosts"
 	"yokemast/internal/wire/pg"
 )
@@ -165,6 +168,23 @@
 	}
 }
 
+// The platform starts an heir with the environment of the first start. Since then SIGHUP may have moved discovery.
+func TestAnHeirAsksTheDiscoveryThatSIGHUPMovedTo(t *testing.T) {
+	h := newHost(t, "h1", "leader", nil)
+	old, _ := upgradable(t, h)
+	moved := discovery.New(h.Entry("SERVING"))
+	t.Cleanup(moved.Close)
+	text, _ := os.ReadFile(old.path)
+	old.reload(strings.Replace(string(text), gjson.GetBytes(text, "discovery").Str, moved.Listener.Addr().String(), 1))
+	old.waitLog(`"agent":"` + moved.Listener.Addr().String() + `"`)
+	heir, admin := old.next()
+	heir.waitReady(admin)
+	heir.waitLog(`"agent":"`)
+	if strings.Contains(heir.log.String(), `"agent":"`+old.agent.Listener.Addr().String()+`"`) {
+		t.Errorf("the heir asks the discovery of before: %s", heir.log)
+	}
+}
+
 func TestUpgradesThatGoWrong(t *testing.T) {
 	t.Run("the heir dies once it serves", func(t *testing.T) {
 		old, _ := upgradable(t, newHost(t, "h1", "leader", nil))
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -26,6 +26,7 @@
 	Peers                   Peers
 	Settings                settings.Settings
 	shape                   *settings.Shape
+	inFile                  string // the discovery that the file names
 }
 
 // Peers is where gateways meet. It is empty where they may not, or where there is only one.
@@ -73,6 +74,7 @@
 	c := Config{Name: root.Get("name").Str, Listen: root.Get("listen").Str, Discovery: root.Get("discovery").Str,
 		Admin: root.Get("admin").Str, Cores: root.Get("limits.cores").Num, MemoryMB: int(root.Get("limits.memory_mb").Int()),
 		Sockets: int(root.Get("limits.sockets").Int())}
+	c.inFile = c.Discovery
 	if err := c.Override("", "", "", ""); err != nil {
 		return c, err
 	}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -230,10 +230,14 @@
 
 // run starts the parts.
 func (g *gateway) run() {
+	known, inherited := g.inherited()
+	if inherited && known.Discovery == g.c.inFile { // the environment may still name that of the elder's start
+		g.c.Discovery = g.c.inFile
+		g.watcher.Move(g.c.Discovery)
+	}
 	if len(g.c.Known.Members) > 0 {
 		g.x.Members(exchange.List{Agent: g.c.Discovery, Revision: g.c.Known.Revision, At: g.begun, Whole: true, Hosts: g.c.Known.Members})
 	}
-	known, inherited := g.inherited()
 	if inherited {
 		g.x.Inherit(g.upgrade.asked, known)
 	}
--- a/internal/wire/discovery/watch.go
+++ b/internal/wire/discovery/watch.go
@@ -82,7 +82,8 @@
 	}
 }
 
-func (w *Watcher) current() string {
+// Address is that of the agent that is asked.
+func (w *Watcher) Address() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.address
@@ -114,7 +115,7 @@
 // Run watches from the revision on until the context ends.
 func (w *Watcher) Run(ctx context.Context, revision int64) error {
 	s := &session{Watcher: w, ctx: ctx, results: make(chan result), cancels: map[int]context.CancelFunc{},
-		decisions: listwatch.New(w.current(), revision, w.seed),
+		decisions: listwatch.New(w.Address(), revision, w.seed),
 		transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connectWithin}).DialContext, MaxIdleConns: 1, DisableCompression: true}}
 	defer s.transport.CloseIdleConnections()
 	defer s.calls.Wait()
@@ -127,7 +128,7 @@
 			return nil
 		case <-timer.C:
 		case <-w.wake:
-			s.decisions.Move(w.Clock.Now(), w.current())
+			s.decisions.Move(w.Clock.Now(), w.Address())
 			w.revision.Store(s.decisions.Revision())
 		case r := <-s.results:
 			s.ended(r)
