A client has 3 s to take its last answer before its connection is closed

Callers saw: an answer broke off with a reset, where its client stalled for over half a second, the connection ended meanwhile (a drain, or it gave way) and something the client had sent lay unread.

Cause: part waited lingerFor, 0.5 s, for the client to take all that was written; a close over unread bytes then resets the connection and takes what lies in the socket along. And a connection counted as one that can give way as soon as its answer had been written.

Evidence: TestTheLastAnswerSurvivesARequestThatCrossesTheEnd, "a long time after the close".

Change: takeWithin, 3 s from when the answer was written (the protocol counts deadlines as 3 s at most); of the connections that may give way those go first whose clients have taken all.

--- a/internal/wire/frontend/frontend.go
+++ b/internal/wire/frontend/frontend.go
@@ -38,7 +38,9 @@
 	// overflow is how many connections over the limit may be closing: told that there is no room, made to
 	// give way, or cut off for what they sent.
 	overflow  = 24
-	lingerFor = 500 * time.Millisecond // for a client to read why it is cut off, or what it was told last
+	lingerFor = 500 * time.Millisecond // for a client to read why it is cut off
+	// takeWithin is how long a client may take for its last answer, from when that was written: as long as clients wait for one.
+	takeWithin = 3 * time.Second
 	// unsentPause is between two looks whether a client has taken all that was written.
 	unsentPause = 2 * time.Millisecond
 	// mayClose is how long a connection may have nothing open before it can be closed; soonClose is the same while the
@@ -339,6 +341,9 @@
 	_, idle, pressed := s.idlers()
 	spared := len(s.sessions) - s.closing - s.cfg.KeepIdle
 	for _, i := range idle[:max(0, min(spared, len(idle)))] {
+		if !s.taken(i) {
+			continue
+		}
 		if pressed {
 			s.cfg.Counters.ClientsPressed.Add(1)
 		}
@@ -351,11 +356,18 @@
 // once and hold their connection, or connect and say nothing, would otherwise keep all others out.
 func (s *Server) evictIdle() bool {
 	silent, idle, _ := s.idlers()
-	if list := append(silent, idle...); len(list) > 0 {
-		s.evict(list[0].c)
-		return true
+	list := append(silent, idle...)
+	if len(list) == 0 {
+		return false
 	}
-	return false
+	first := max(0, slices.IndexFunc(list, func(i idler) bool { return s.taken(i) }))
+	s.evict(list[first].c)
+	return true
+}
+
+// taken says that a client has taken its last answer, or has had its time for that.
+func (s *Server) taken(i idler) bool {
+	return s.cfg.Clock.Now()-i.since >= takeWithin || socket.Unsent(i.c.conn) == 0
 }
 
 // note logs why a client's connection ends that the client did not end.
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -362,7 +362,11 @@
 	if socket.Unsent(c.conn) == 0 || c.conn.CloseWrite() != nil {
 		return
 	}
-	for end := time.Now().Add(lingerFor); socket.Unsent(c.conn) > 0 && time.Now().Before(end); {
+	c.mu.Lock()
+	written := c.idleSince
+	c.mu.Unlock()
+	left := max(lingerFor, takeWithin-(c.s.cfg.Clock.Now()-written))
+	for end := time.Now().Add(left); socket.Unsent(c.conn) > 0 && time.Now().Before(end); {
 		time.Sleep(unsentPause)
 	}
 }
--- a/internal/wire/frontend/session_test.go
+++ b/internal/wire/frontend/session_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -17,6 +18,7 @@
 
 	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
+	"yokemast/internal/wire/socket"
 )
 
 const patience = 20 * time.Second
@@ -125,7 +127,7 @@
 // A client that is slow to take its answer writes its next request just as the connection ends: it must get the answer whole.
 func TestTheLastAnswerSurvivesARequestThatCrossesTheEnd(t *testing.T) {
 	value := bytes.Repeat([]byte("v"), 60<<10)
-	for _, when := range []string{"before the close", "after the close"} {
+	for _, when := range []string{"before the close", "after the close", "a long time after the close"} {
 		s, f, address := serving(t)
 		n, in := client(t, address)
 		_, _ = n.Write(query(1))
@@ -135,8 +137,11 @@
 		await(t, "the answer is written", func() bool { return !c.waits() })
 		s.Drain(nil)
 		await(t, "the connection ends", c.ended)
-		if when == "after the close" {
+		switch when {
+		case "after the close":
 			time.Sleep(20 * time.Millisecond) // a close without more ado would have come by now
+		case "a long time after the close":
+			time.Sleep(2 * lingerFor) // its client stalls
 		}
 		_, _ = n.Write(query(2))
 		time.Sleep(20 * time.Millisecond) // the crossing request has arrived before the client reads on
@@ -331,3 +336,37 @@
 	}
 	<-f.taken
 }
+
+// Who has not taken its last answer yet does not give way while another can.
+func TestWhoHasTakenItsAnswerGivesWayFirst(t *testing.T) {
+	s, f, address := serving(t)
+	s.mu.Lock()
+	s.cfg.MaxConns = 2
+	s.mu.Unlock()
+	var held []*session
+	for id, size := range []int{1 << 20, 10} {
+		n, _ := client(t, address)
+		_, _ = n.Write(query(id))
+		r := <-f.taken
+		r.Answer <- exchange.Answer{Kind: exchange.Served, Value: pg.Value{Data: make([]byte, size), Format: 1}}
+		s.mu.Lock()
+		for c := range s.sessions {
+			if !slices.Contains(held, c) {
+				held = append(held, c)
+			}
+		}
+		s.mu.Unlock()
+		c := held[id]
+		await(t, "the answer is written", func() bool { return !c.waits() })
+		c.mu.Lock()
+		c.idleSince -= 2*soonClose - time.Duration(id)*soonClose/2 // the first for longest
+		c.mu.Unlock()
+	}
+	await(t, "the second has taken its answer", func() bool { return socket.Unsent(held[1].conn) == 0 })
+	client(t, address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held[0].closing || !held[1].closing {
+		t.Errorf("who has not taken its answer gives way: %t, who has: %t", held[0].closing, held[1].closing)
+	}
+}
