--- a/balance/model_gateway_test.go
+++ b/balance/model_gateway_test.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	modelSlack  = 50 * ms  // that every bound is longer by on sockets
-	modelHoldUp = 150 * ms // how long a process may be held up
-	knownAfter  = 100 * ms // after an answer was written it counts as known
-	modelDrift  = 0.0009   // of a machine's clock against the fleet's, at most
+	modelSlack      = 50 * ms  // that every bound is longer by on sockets
+	modelHoldUp     = 150 * ms // how long a process may be held up
+	knownAfter      = 100 * ms // after an answer was written it counts as known
+	modelPresentAge = 5 * ms   // of the clock's reading by which a primary answers, at most
+	modelDrift      = 0.0009   // of a machine's clock against the fleet's, at most
 )
 
 type modelAttempt struct {
@@ -467,6 +468,9 @@
 	if w.stalls && !s.leads && w.chance(0.3) {
 		w.stall(h, w.between(300*ms, 2*time.Second))
 	}
+	if s.leads { // it may have read its clock before it got the query
+		s.tells -= w.between(0, modelPresentAge)
+	}
 	result := balance.OK
 	commit := time.Duration(0)
 	switch {
