What discovery has counts as told from before the configuration is read

Callers: a process whose start takes long (a slow disk, a long list in its file, little of a core) sends to a host that drains by as much later than the grace allows.

Cause: the process's first moment was read behind the configuration.

Change: the moment is that at which the program's packages are set up.

--- a/cmd/yokemast/moments_test.go
+++ b/cmd/yokemast/moments_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"yokemast/internal/testbed/clients"
 	"yokemast/internal/testbed/discovery"
 	"yokemast/internal/testbed/hosts"
@@ -389,6 +392,43 @@
 }
 
 // A gateway is ready soon, whatever discovery does, and serves by the list that it was given.
+// What discovery's agent has counts as told from the process's first moment, before it has read its configuration.
+func TestTheFirstListCountsFromBeforeTheConfigurationIsRead(t *testing.T) {
+	const reading = 300 * time.Millisecond
+	h := newHost(t, "s-1", "leader", nil)
+	agent := discovery.New(h.Entry("SERVING"))
+	t.Cleanup(agent.Close)
+	path := config(t, agent.Known(), agent.Listener.Addr().String(), nil)
+	agent.Set(h.Entry("DRAINING"))
+	text, _ := os.ReadFile(path)
+	pipe := path + ".pipe"
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g := &gateway{t: t, log: &logged{}}
+	g.cmd = program(t.Context(), "serve", "--config", pipe)
+	g.cmd.Stderr = g.log
+	if err := g.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = g.cmd.Process.Kill(); _ = g.cmd.Wait() }()
+	w, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns once the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(reading) // that the file takes
+	_, _ = w.Write(text)
+	_ = w.Close()
+	g.waitLog(`"msg":"hosts listed"`)
+	for line := range strings.Lines(g.log.String()) {
+		if before := gjson.Get(line, "notified_before"); before.Exists() {
+			if d, err := time.ParseDuration(before.Str); err != nil || d < reading {
+				t.Errorf("the first list counts as told %s before it arrived (%v)", before.Raw, err)
+			}
+		}
+	}
+}
+
 func TestReadyWhateverDiscoveryDoes(t *testing.T) {
 	for name, trouble := range troubles {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -55,6 +55,10 @@
 	user, database        = "backend", "store"
 )
 
+// began is the process's first moment, as near as a package can tell it: what discovery has counts as told from then on, however long the
+// configuration takes to read.
+var began = time.Now()
+
 // gateway is a running one: its parts, and what joins them.
 type gateway struct {
 	c      Config
@@ -96,7 +100,7 @@
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
 	g := &gateway{c: c, own: own, log: log, clock: exchange.NewClock().Watched(log, counts), counts: counts, ctx: ctx, group: group}
-	g.begun = g.clock.Now()
+	g.begun = g.clock.Now() - time.Since(began)
 	defer g.logCounters()
 	g.duty = newController(g.clock, c.Settings.Balance.Classes, log, counts)
 	g.join()
