A module that takes a panicked one's place knows that sessions have written

Callers: where sessions do not carry their last write, a session's read may miss its own write after the decision module has panicked.

Cause: exchange.restart starts a module with what is known of hosts, but without a floor for the writes that the other one remembered, as an heir gets one.

Evidence: TestAnOwnReadAfterAPanicSeesWhatWasWrittenBefore: without the change the read goes to a replica that is 1 ms behind the write.

Change: the last write of any session is the new module's floor, as it is over a handover.

--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -355,6 +355,9 @@
 	known := x.recall()
 	s := x.cfg.Settings
 	s.Restarted = true
+	if !s.TokensCarried { // what each session wrote is lost
+		s.Floor = max(s.Floor, x.newest)
+	}
 	x.router, _ = balance.New(s, x.cfg.Seed) // New took these settings before
 	x.cfg.Counters.Timers.Add(-int64(len(x.timers)))
 	x.timers = nil
--- a/internal/memory/exchange/ownread_test.go
+++ b/internal/memory/exchange/ownread_test.go
@@ -8,6 +8,24 @@
 	"yokemast/internal/control/fleetclock"
 )
 
+// A module that takes the place of one that panicked has no memory of what sessions wrote.
+func TestAnOwnReadAfterAPanicSeesWhatWasWrittenBefore(t *testing.T) {
+	x, h := pair(t, known())
+	s := x.cfg.Settings
+	s.TokensCarried = false
+	x.retune(s)
+	x.settle(x.cfg.Clock.Now() + 2*SettleAfter)
+	learn(x, "p", balance.Primary, x.cfg.Clock.Now())
+	write := h.ask(x, "order", 0)
+	x.handle(x.cfg.Clock.Now(), Outcome{Outcome: balance.Outcome{ID: write.ID, Server: "p", Result: balance.OK, Role: balance.Primary,
+		Position: x.cfg.Clock.Now(), Final: true}})
+	learn(x, "r", balance.Replica, x.newest-time.Millisecond)
+	x.restart()
+	if read := h.ask(x, "own", 0); read == nil || read.Server != "p" {
+		t.Errorf("a read of the session is sent as %+v, want one to the primary", read)
+	}
+}
+
 // The first answer of a primary was slow on its way back, so that positions seem to lie ahead of this clock.
 func TestAnOwnReadIsNotServedByAReplicaBehindItAfterASlowFirstAnswer(t *testing.T) {
 	for name, way := range map[string]time.Duration{"a slow answer": 40 * time.Millisecond, "a quick answer": 0} {
