--- a/cmd/yokemast/moments_test.go
+++ b/cmd/yokemast/moments_test.go
@@ -391,7 +391,6 @@
 	}
 }
 
-// A gateway is ready soon, whatever discovery does, and serves by the list that it was given.
 // What discovery's agent has counts as told from the process's first moment, before it has read its configuration.
 func TestTheFirstListCountsFromBeforeTheConfigurationIsRead(t *testing.T) {
 	const reading = 300 * time.Millisecond
@@ -429,6 +428,7 @@
 	}
 }
 
+// A gateway is ready soon, whatever discovery does, and serves by the list that it was given.
 func TestReadyWhateverDiscoveryDoes(t *testing.T) {
 	for name, trouble := range troubles {
 		t.Run(name, func(t *testing.T) {
