--- a/internal/testbed/linkfault/conn.go
+++ b/internal/testbed/linkfault/conn.go
@@ -25,6 +25,7 @@
 	ended   bool
 	asked   string // the query that is out; "": none
 	idle    *time.Timer
+	lost    bool // it has been forgotten
 	queries framer
 	answers framer
 	answer  Answer // the one that is coming
@@ -207,6 +208,15 @@
 
 // passQuery writes to the host what the gateway sent; false: nothing more is passed on.
 func (c *conn) passQuery(k chunk, f Fault) bool {
+	c.mu.Lock()
+	lost := c.lost
+	c.mu.Unlock()
+	if lost {
+		if c.link.draw(2) == 0 {
+			c.reset()
+		}
+		return true
+	}
 	if k.query && f.Kind == ResetsQuery && c.link.draw(oneIn) == 0 {
 		_, _ = c.host.Write(k.data[:c.link.draw(int64(len(k.data)))])
 		c.reset()
@@ -265,13 +275,21 @@
 	return err == nil
 }
 
-// rest closes the connection once it has idled for long enough, where the fault says so.
+// rest closes or forgets the connection once it has idled for long enough, where the fault says so.
 func (c *conn) rest(f Fault) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopIdle()
-	if f.Kind == ClosesIdle && c.asked == "" && !c.ended {
+	switch {
+	case c.asked != "" || c.ended:
+	case f.Kind == ClosesIdle:
 		c.idle = time.AfterFunc(f.Most, func() { c.end(c.link.draw(2) == 0) })
+	case f.Kind == ForgetsIdle:
+		c.idle = time.AfterFunc(f.Most, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.lost = c.asked == ""
+		})
 	}
 }
 
--- a/internal/testbed/linkfault/linkfault.go
+++ b/internal/testbed/linkfault/linkfault.go
@@ -26,13 +26,14 @@
 	ResetsAnswer  Kind = "resets answer"  // some are reset in the middle of an answer
 	ResetsLater   Kind = "resets later"   // some are reset up to Most after a query began
 	ClosesIdle    Kind = "closes idle"    // connections that have idled for Most are closed or reset
+	ForgetsIdle   Kind = "forgets idle"   // what is sent on connections that have idled for Most resets them, or is swallowed
 	ComesUpLate   Kind = "comes up late"  // a third of the new connections come up late, by up to Most
 	HalfCloses    Kind = "half-closes"    // the host's side of some is shut in the middle of an answer
 )
 
 // Kinds are all of them.
 var Kinds = []Kind{DelaysQueries, DelaysAnswers, Pieces, HoldsAnswers, Silent, ResetsQuery, ResetsAnswer, ResetsLater, ClosesIdle,
-	ComesUpLate, HalfCloses}
+	ForgetsIdle, ComesUpLate, HalfCloses}
 
 // Fault is what a link does to its traffic.
 type Fault struct {
@@ -113,7 +114,7 @@
 	case Silent:
 		l.listen(0)
 		_ = l.listener.SetDeadline(time.Unix(1, 0))
-	case ClosesIdle:
+	case ClosesIdle, ForgetsIdle:
 		for c := range l.conns {
 			c.rest(f)
 		}
--- a/internal/testbed/linkfault/linkfault_test.go
+++ b/internal/testbed/linkfault/linkfault_test.go
@@ -116,6 +116,7 @@
 		up     time.Duration // until the session was open
 		asked  time.Duration // until the query was answered
 		rested error         // what comes on the connection later
+		again  error         // what then becomes of another query
 	}
 	for kind, strikes := range map[Kind]func(seen) bool{
 		DelaysQueries: func(s seen) bool { return s.asked >= most/2 },
@@ -125,6 +126,7 @@
 		ResetsAnswer:  func(s seen) bool { return reset(s.err) && len(s.answer) > 0 },
 		ResetsLater:   func(s seen) bool { return reset(s.err) || reset(s.rested) },
 		ClosesIdle:    func(s seen) bool { return s.err == nil && (s.rested == io.EOF || reset(s.rested)) },
+		ForgetsIdle:   func(s seen) bool { return s.err == nil && s.rested == nil && (reset(s.again) || isTimeout(s.again)) },
 		ComesUpLate:   func(s seen) bool { return s.up >= most/4 },
 		HalfCloses:    func(s seen) bool { return s.err == io.EOF },
 	} {
@@ -143,6 +145,11 @@
 					_ = c.SetReadDeadline(time.Now().Add(2 * most))
 					_, s.rested = c.Read(make([]byte, 1))
 				}
+				if kind == ForgetsIdle {
+					time.Sleep(2 * most)
+					_ = c.SetDeadline(time.Now().Add(most))
+					_, _, s.again = ask(c)
+				}
 				if c.Close(); strikes(s) {
 					return
 				}
--- a/internal/testbed/soak/plan.go
+++ b/internal/testbed/soak/plan.go
@@ -302,7 +302,7 @@
 		switch e.Fault.Kind {
 		case linkfault.ComesUpLate:
 			e.Fault.Most = lateUpMost
-		case linkfault.ClosesIdle:
+		case linkfault.ClosesIdle, linkfault.ForgetsIdle:
 			e.Fault.Most = between(10*time.Millisecond, 300*time.Millisecond)
 		case linkfault.ResetsLater:
 			e.Fault.Most = between(100*time.Millisecond, 3*time.Second)
