Test: a role stands against the report beside it

Without it a new primary whose report is from before counts as deposed.

Change: a row in TestTheListIsBelievedOnlyOfWhoIsSilent, which fails with the guard out.

--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -153,6 +153,10 @@
 			g.know("a", Replica, 0)
 			g.do(ProbeResult{Server: "a", Result: OK, Report: Report{Has: true, Role: Primary, Position: g.now - ms, NotBefore: g.now - ms}})
 		}, "p"},
+		"it leads, beside a report from before": {func(g *rig) {
+			g.do(Outcome{ID: "none", Server: "a", Result: OK, Role: Primary, Position: g.now, Made: Made{NotBefore: g.now, NotAfter: g.now},
+				Report: Report{Has: true, Role: Replica, Position: g.now - ms, NotBefore: g.now - ms}})
+		}, "a"},
 		"it left long ago, after it had said that it follows": {func(g *rig) {
 			g.know("p", Replica, 0)
 			g.do(Members{List: []Member{{Server: "p", State: Left}}})
