Look at the client's socket right before an attempt's first byte

Callers saw: an attempt could begin over 0.1 s (0.15 s with the protocol's slack) after its client had closed its connection, where the process was held up for 0.15 s between the attempt's last look and its write: the close was known to the kernel only, or its Withdraw came after the attempt counted as begun.

Cause: that a client has left is known once its reader, the exchange and Withdraw have run, and a Withdraw was not heeded from the moment the connection was taken.

Evidence: TestNothingIsWrittenForAClientThatHasLeft: both a statement and a conversation went out.

Change: Attempt.Left peeks at the client's socket (one call that does not wait); exchange asks it, and whether the attempt was withdrawn, as the last thing before the write. Nothing has gone out then: it ends as not sent, and the connection serves others. A client that has more unread than its end is seen by its reader as before.

--- a/internal/memory/exchange/exchange.go
+++ b/internal/memory/exchange/exchange.go
@@ -404,7 +404,7 @@
 	if o == nil {
 		return
 	}
-	t := Attempt{ID: a.ID, Number: o.attempts, Server: a.Server, Command: o.Command, Sent: now, Until: o.deadline}
+	t := Attempt{ID: a.ID, Number: o.attempts, Server: a.Server, Command: o.Command, Left: o.Left, Sent: now, Until: o.deadline}
 	o.attempts++
 	o.out, o.sentAt = true, now
 	x.cfg.Counters.Sent.Add(1)
--- a/internal/memory/exchange/exchange_test.go
+++ b/internal/memory/exchange/exchange_test.go
@@ -54,7 +54,7 @@
 		n++
 		c := make(chan Answer, 1)
 		x.handle(x.cfg.Clock.Now(), &Request{ID: string(rune('a' + n)), Class: class, Group: 1, Write: class != "view",
-			Arrived: x.cfg.Clock.Now(), Answer: c})
+			Left: func() bool { return false }, Arrived: x.cfg.Clock.Now(), Answer: c})
 		return c
 	}
 }
@@ -80,7 +80,7 @@
 	list(x, balance.Draining)
 	told := x.cfg.Clock.Now()
 	ask("order")
-	if len(h.sent) != 3 {
+	if len(h.sent) != 3 || h.sent[0].Left == nil {
 		t.Fatalf("sent %v", h.sent)
 	}
 	write, excused, draining := h.sent[1].StartBy, h.sent[0], h.sent[2].StartBy
--- a/internal/memory/exchange/types.go
+++ b/internal/memory/exchange/types.go
@@ -17,6 +17,7 @@
 	After              time.Duration // position that the read must see, by the fleet's clock; 0: none
 	Over               time.Duration // above 0: more than its front lets it have; refused, to come back after as long
 	Lease              time.Duration // it keeps its host until its client is through, for so long at most; 0: it does not
+	Left               func() bool   // says, without waiting, whether its client has left; nil: that is not known before Gone
 	Command            any           // for the host side: what to run
 	Answer             chan<- Answer // takes the one answer; must have room for it
 }
@@ -47,6 +48,7 @@
 	Number  int
 	Server  string
 	Command any
+	Left    func() bool   // as the request's
 	Sent    time.Duration // when it was decided on
 	Until   time.Duration // the gateway stops waiting then
 	StartBy time.Duration // it must not go out any later; 0: no such bound
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -231,7 +231,7 @@
 	t.conn, t.begun, t.awaits, t.converses = c, true, large == nil && !converses, converses
 	t.mu.Unlock()
 	if converses {
-		if !c.unspoken() {
+		if c.clean = c.unspoken(); !c.clean || t.calledOff() {
 			return t.leave(c)
 		}
 		t.converse(c, talk)
@@ -239,9 +239,9 @@
 	}
 	var r reply
 	if large != nil {
-		r = c.exchange(func() error { return t.writeLarge(c, large, now) }, true, command.Tag(), limits{t.Until, t.WriteBy})
+		r = c.exchange(func() error { return t.writeLarge(c, large, now) }, true, command.Tag(), limits{t.Until, t.WriteBy, t.calledOff})
 	} else {
-		r = c.roundTrip(query, command.Tag(), limits{t.Until, t.WriteBy})
+		r = c.roundTrip(query, command.Tag(), limits{t.Until, t.WriteBy, t.calledOff})
 	}
 	if r.result == balance.NotSent {
 		return t.leave(c)
@@ -271,18 +271,27 @@
 	return false
 }
 
+// calledOff says that nothing of the attempt is to go out any more: it was withdrawn, or its client has left, as far as can be seen.
+func (t *attempt) calledOff() bool {
+	t.mu.Lock()
+	off := t.withdrawn || t.ended
+	t.mu.Unlock()
+	return off || t.Left != nil && t.Left()
+}
+
 // leave gives up a connection on which nothing of the attempt has gone out. again: the attempt has not ended.
 func (t *attempt) leave(c *conn) (again bool) {
 	t.mu.Lock()
 	t.conn, t.begun, t.awaits, t.converses = nil, false, false, false
 	canceled, ended := t.canceled, t.ended
 	t.mu.Unlock()
-	c.clean = false
+	c.clean = c.clean && !canceled && !ended
 	t.b.put(t.Server, c)
-	if canceled {
-		t.end(exchange.Outcome{}) // as canceled
+	if canceled || !ended && t.calledOff() {
+		t.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.NotSent}}) // or as canceled
+		return false
 	}
-	return !canceled && !ended
+	return !ended
 }
 
 // due says whether the attempt may still begin: its time, its host's drain and the evidence that it was decided on allow it.
--- a/internal/wire/backend/cancel_test.go
+++ b/internal/wire/backend/cancel_test.go
@@ -64,3 +64,23 @@
 	}
 	t.Logf("%d served, %d canceled, %d not sent", served, canceled, unsent)
 }
+
+// A client may have left while the process was held up on its way to the write: nothing begins for it, and the connection serves others.
+func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
+	r := newRig(t, func(c net.Conn, _ int64) { _, _ = c.Write(row()) })
+	for name, command := range map[string]any{"statement": plain{outcomes(nil)}, "conversation": bulky{}} {
+		now := r.clock.Now()
+		r.b.Send(exchange.Attempt{ID: name, Server: "s", Command: command, Sent: now, Until: now + soon, Left: func() bool { return true }})
+		if o := wait(t, r.outcomes, name); o.Result != balance.NotSent {
+			t.Errorf("%s: it ended with %v", name, o.Result)
+		}
+	}
+	now := r.clock.Now()
+	r.b.Send(exchange.Attempt{ID: "stays", Server: "s", Command: outcomes(nil), Sent: now, Until: now + soon, Left: func() bool { return false }})
+	if o := wait(t, r.outcomes, "the last outcome"); o.Result != balance.OK || r.queries.Load() != 1 {
+		t.Errorf("for a client that stays it ended with %v, after %d queries", o.Result, r.queries.Load())
+	}
+	if hosts, _, _ := r.b.Stats(); hosts["s"].Open == 0 {
+		t.Error("no connection was kept")
+	}
+}
--- a/internal/wire/backend/conn.go
+++ b/internal/wire/backend/conn.go
@@ -158,8 +158,9 @@
 
 // limits bound a query's way to a host and back.
 type limits struct {
-	until   time.Duration // its answer is waited for
-	writeBy time.Duration // its last byte may be written; 0: no other bound
+	until     time.Duration // its answer is waited for
+	writeBy   time.Duration // its last byte may be written; 0: no other bound
+	calledOff func() bool   // says, right before the first byte, that it is not to be written; nil: it is
 }
 
 // set puts them in force on a connection.
@@ -185,7 +186,11 @@
 	if l.set(c, large) != nil {
 		return reply{result: balance.NoConnection}
 	}
-	if !c.unspoken() {
+	switch {
+	case !c.unspoken():
+		return reply{result: balance.NotSent}
+	case l.calledOff != nil && l.calledOff():
+		c.clean = true
 		return reply{result: balance.NotSent}
 	}
 	if err := write(); err != nil {
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -362,7 +362,7 @@
 		}
 	}
 	g.answers = make(chan exchange.Answer, 1)
-	r.Command, r.Answer = l, g.answers
+	r.Command, r.Answer, r.Left = l, g.answers, c.gone
 	g.request = r
 	g.hold(l)
 	c.s.x.Submit(r)
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -118,6 +118,9 @@
 	}
 }
 
+// gone says that the client has left, also where its reader has not come to that yet.
+func (c *session) gone() bool { return c.left() || socket.Ended(c.conn) }
+
 // handOver passes the connection on if another process goes on with those that are at rest. Here it is closed in any case.
 func (c *session) handOver() bool {
 	c.s.mu.Lock()
@@ -572,7 +575,8 @@
 	st := cmd.statement
 	// Its client's wait runs from when it was sent, also while others of this connection are answered before it.
 	r := &exchange.Request{ID: st.ID, User: c.user, Tenant: st.Tenant, Class: st.Class, Session: st.Key, Group: st.Group, Write: st.Write,
-		Retry: st.Retry, Arrived: cmd.arrived, Wait: st.Wait, After: st.After, Command: st, Answer: answer}
+		Retry: st.Retry, Arrived: cmd.arrived, Wait: st.Wait, After: st.After, Left: c.gone,
+		Command: st, Answer: answer}
 	c.s.x.Submit(r)
 	select {
 	case a := <-answer:
--- a/internal/wire/frontend/session_test.go
+++ b/internal/wire/frontend/session_test.go
@@ -181,7 +181,11 @@
 	if _, err := idle.Read(make([]byte, 1)); err == nil {
 		t.Fatal("the drain left an idle connection")
 	}
+	if r.Left() {
+		t.Error("its client is said to have left")
+	}
 	_ = n.Close()
+	await(t, "its request says that the client has left", r.Left)
 	select {
 	case got := <-f.gone:
 		if got != r {
--- a/internal/wire/socket/socket.go
+++ b/internal/wire/socket/socket.go
@@ -30,6 +30,22 @@
 	return err == nil && quiet
 }
 
+// Ended says whether the other end of a connection has ended its sending, or reset it, and nothing unread lies before that. It does not
+// wait.
+func Ended(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = err == nil && n == 0 || err != nil && !Transient(err)
+	})
+	return err != nil || ended
+}
+
 // Waiting says whether a connection waits to be accepted at a listener. It does not wait, whatever the deadline.
 func Waiting(l syscall.Conn) bool {
 	raw, err := l.SyscallConn()
