--- a/internal/memory/exchange/evidence_test.go
+++ b/internal/memory/exchange/evidence_test.go
@@ -194,3 +194,20 @@
 		t.Errorf("told %+v, %v", heard, err)
 	}
 }
+
+// A process that follows takes an interval for proven: one in doubt is not handed over.
+func TestAClockInDoubtIsNotHandedOver(t *testing.T) {
+	clock := known()
+	x, _ := pair(t, clock)
+	if !x.survey().ClockKnown {
+		t.Fatal("a clock that is known is not handed over")
+	}
+	now := clock.Now()
+	clock.Observe(fleetclock.Observation{Host: "p", Present: now - time.Second, Sent: now, Received: now})
+	if b := clock.Bounds(); !b.Bounded || !b.Doubted {
+		t.Fatalf("bounds %+v", b)
+	}
+	if x.survey().ClockKnown {
+		t.Error("a doubted one is")
+	}
+}
