--- a/internal/memory/exchange/evidence_test.go
+++ b/internal/memory/exchange/evidence_test.go
@@ -147,7 +147,7 @@
 	if first == nil || first.Server != "p" {
 		t.Fatalf("it goes to %+v", first)
 	}
-	learn(x, "r", balance.Replica, wrote-time.Millisecond)
+	learn(x, "r", balance.Replica, wrote) // a commit is told rounded up: its log may end before
 	if a := h.ask(x, "own", wrote); a != nil && a.Server == "r" {
 		t.Error("it goes to a replica that lacks the write")
 	}
@@ -156,7 +156,7 @@
 	if a := h.ask(x, "own", wrote); a != nil && a.Server == "r" {
 		t.Error("it goes to a replica that lacks the write once the clock is known")
 	}
-	learn(x, "r", balance.Replica, wrote+time.Millisecond) // a commit is told rounded up
+	learn(x, "r", balance.Replica, wrote+time.Millisecond)
 	if a := h.ask(x, "own", wrote); a == nil || a.Server != "r" {
 		t.Errorf("it goes to %+v, not to the replica that has the write", a)
 	}
