--- a/internal/control/fleetclock/fleetclock_test.go
+++ b/internal/control/fleetclock/fleetclock_test.go
@@ -355,3 +355,13 @@
 	p.Observe(Observation{Host: "a", Present: p.now - 5*ms, Position: p.now + p.offset, Sent: p.now - 10*ms, Received: p.now})
 	p.check(t, "contradicted", false)
 }
+
+func TestDataIsAsOldAsTheUpperEndMakesItLessTheSlack(t *testing.T) {
+	for most, want := range map[time.Duration]time.Duration{10 * ms: -ms, 100 * ms: 55 * ms} {
+		e := New(start)
+		e.Inherit(start, Interval{-ms, most})
+		if got := e.Bounds().Ages(start); got != want {
+			t.Errorf("with an upper end of %s a position's age is moved by %s, want %s", most, got, want)
+		}
+	}
+}
