After a move there and back only a whole list takes discovery's calls on

Callers: after SIGHUPs in quick succession (to another agent and back) a host that the agent has dropped may get requests for as long as the gateway runs, and others that serve get none.

Cause: a watch of before the moves counted as the present agent's answer to them. The list of the other agent, used in between, may be behind: what it has and the present one has not was never asked for again.

Evidence: row "changes that an agent tells once it was left and asked again do not stand for its whole list" of TestCalls: without the change the call for the whole list is dropped.

Change: such an answer is used, as one of the agent before is, and the whole list is waited for. TestAChangeIsKnownInTime holds with moves.

Run: internal/control/listwatch passes.

--- a/internal/control/listwatch/listwatch.go
+++ b/internal/control/listwatch/listwatch.go
@@ -160,7 +160,7 @@
 	}
 	c := w.calls[i]
 	w.calls = slices.Delete(w.calls, i, i+1)
-	if c.Address != w.address {
+	if c.Address != w.address || w.moved && c.Revision != Whole { // of before the move: another agent's list may have been used since
 		return !w.answered && w.newer(c.Call, revision)
 	}
 	w.failures = 0
