A conversation's writes are not bound by the statement before on its connection

Callers saw: a general session lost its batch, as one that may have run, on a connection over which a statement of more than 4 KiB had gone before, once that statement's time was over.

Cause: such a statement leaves its write deadline on the connection. Other statements move it (conn.writeLimited); a conversation set a deadline for reading only and met one that had passed.

Evidence: TestAConversationIsNotBoundByTheStatementBefore: it ended with a reset, nothing written.

Change: converse clears it.

--- a/internal/wire/backend/lease.go
+++ b/internal/wire/backend/lease.go
@@ -161,6 +161,10 @@
 		_ = c.SetReadDeadline(c.deadline(t.Until))
 	}
 	t.mu.Unlock()
+	if c.writeLimited { // by a statement before
+		_ = c.SetWriteDeadline(time.Time{})
+		c.writeLimited = false
+	}
 	c.incoming.drain = true
 	end := talk.Converse(h)
 	c.incoming.drain = false
--- a/internal/wire/backend/write_by_test.go
+++ b/internal/wire/backend/write_by_test.go
@@ -79,3 +79,66 @@
 		})
 	}
 }
+
+// long is a command whose query may get stuck, so that its write has a deadline.
+type long struct{ outcomes }
+
+func (long) AppendQuery(out []byte, _ time.Duration) []byte {
+	return pg.AppendQuery(out, string(make([]byte, 2*readBuffer)))
+}
+
+// short is a conversation of one query.
+type short struct{}
+
+func (short) Converse(h *Host) Ending {
+	if h.Write(pg.AppendQuery(nil, "x")) != nil {
+		return Ending{Result: balance.Reset}
+	}
+	for {
+		kind, length, err := h.Head()
+		if err != nil {
+			return Ending{Result: balance.Reset}
+		}
+		if _, _ = h.Body(length, length); kind == pg.ReadyForQuery {
+			return Ending{Result: balance.OK, Clean: true}
+		}
+	}
+}
+
+// The deadline of a long statement's write ends with the statement: a conversation on the same connection may come later.
+func TestAConversationIsNotBoundByTheStatementBefore(t *testing.T) {
+	r := newRig(t, nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		n, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer n.Close()
+		in := bufio.NewReader(n)
+		_, _, _ = pg.ReadStartup(in)
+		_, _ = n.Write(pg.AppendWelcome(nil, pg.StartSession))
+		for {
+			if _, _, err := pg.Read(in, 1<<20); err != nil {
+				return
+			}
+			_, _ = n.Write(row())
+		}
+	}()
+	r.b.Members([]exchange.Member{{Member: balance.Member{Server: "one"}, Address: l.Addr().String()}})
+	first := r.clock.Now()
+	r.b.Send(exchange.Attempt{ID: "first", Server: "one", Command: long{}, Sent: first, Until: first + 200*time.Millisecond})
+	if o := wait(t, r.outcomes, "the first outcome"); o.Result != balance.OK {
+		t.Fatalf("the first attempt ended with %v", o.Result)
+	}
+	time.Sleep(first + 220*time.Millisecond - r.clock.Now()) // its deadline has passed
+	now := r.clock.Now()
+	r.b.Send(exchange.Attempt{ID: "second", Server: "one", Command: short{}, Sent: now, Until: now + soon})
+	if o := wait(t, r.outcomes, "the second outcome"); o.Result != balance.OK {
+		t.Errorf("the conversation ended with %v", o.Result)
+	}
+}
