An heir that is started with another discovery than its elder was asks that one

Callers: an heir whose environment was changed to name another discovery asked its elder's; seen in a test only.

Cause: took the elder's discovery wherever the heir's file names it too, also where the environment is newer than the elder's start.

Change: an elder tells whom it was started with too; only an heir that is started with the same, so that its environment is that of before, takes whom the elder asks. TestAnHeirAsksTheDiscoveryThatSIGHUPMovedTo holds.

Run: internal/disk/handover, internal/lifecycle, cmd/yokemast -run 'AnHeirAsks|Upgrade' pass.

--- a/internal/disk/handover/handover.go
+++ b/internal/disk/handover/handover.go
@@ -56,10 +56,11 @@
 	At       time.Duration // when it was put together; decoded, the earliest that this may have been
 	Revision int64         // of the list; below 0: none
 	Agent    string        // of discovery, that told the list; "": not known
-	// Discovery is the agent that is asked, which may not have answered yet; "": not known.
-	Discovery string
-	Newest    time.Duration // of the writes of sessions that were remembered; 0: none were
-	Hosts     []Host
+	// Discovery is the agent that is asked, which may not have answered yet, and FirstDiscovery the one that the process was started with;
+	// "": not known.
+	Discovery, FirstDiscovery string
+	Newest                    time.Duration // of the writes of sessions that were remembered; 0: none were
+	Hosts                     []Host
 
 	ClockKnown bool                // Ahead is
 	Ahead      fleetclock.Interval // what the fleet's clock shows more than that of At
@@ -71,6 +72,7 @@
 	Revision  int64  `json:"revision"`
 	Agent     string `json:"agent"`
 	Discovery string `json:"discovery"`
+	First     string `json:"first_discovery"`
 	Newest    int64  `json:"newest"`
 	Hosts     []host `json:"hosts"`
 	Clock     bool   `json:"clock"`
@@ -110,7 +112,7 @@
 func Encode(k Knowledge) ([]byte, error) {
 	at := down(k.At)
 	back := k.At - of(at) // by this much the clock is set back
-	b := body{At: at, Revision: k.Revision, Agent: k.Agent, Discovery: k.Discovery, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
+	b := body{At: at, Revision: k.Revision, Agent: k.Agent, Discovery: k.Discovery, First: k.FirstDiscovery, Newest: up(k.Newest), Hosts: make([]host, 0, len(k.Hosts)),
 		Clock: k.ClockKnown, Ahead: down(k.Ahead.Least + back), Most: up(k.Ahead.Most + back)}
 	for _, h := range k.Hosts {
 		b.Hosts = append(b.Hosts, host{h.Server, h.Address, h.Group, int(h.State), h.Listed, h.Weight, up(moved(h.Started, -back)),
@@ -171,7 +173,8 @@
 		return Knowledge{}, fmt.Errorf("%w: length or checksum", ErrTorn)
 	}
 	root := gjson.ParseBytes(text)
-	k := Knowledge{At: of(root.Get("at").Int()), Revision: root.Get("revision").Int(), Agent: root.Get("agent").Str, Discovery: root.Get("discovery").Str, Newest: of(root.Get("newest").Int())}
+	k := Knowledge{At: of(root.Get("at").Int()), Revision: root.Get("revision").Int(), Agent: root.Get("agent").Str, Discovery: root.Get("discovery").Str,
+		FirstDiscovery: root.Get("first_discovery").Str, Newest: of(root.Get("newest").Int())}
 	k.ClockKnown = root.Get("clock").Bool() && headVersion(b) == version // an earlier one took a clock for right that was nearly so
 	k.Ahead = fleetclock.Interval{Least: of(root.Get("ahead_least").Int()), Most: of(root.Get("ahead_most").Int())}
 	if headVersion(b) != version && k.Newest > 0 {
--- a/internal/disk/handover/handover_test.go
+++ b/internal/disk/handover/handover_test.go
@@ -15,7 +15,7 @@
 
 func known() Knowledge {
 	ms := time.Millisecond
-	return Knowledge{At: now - 3*ms, Revision: 41, Agent: "a", Discovery: "c", Newest: now - 200*ms, Hosts: []Host{
+	return Knowledge{At: now - 3*ms, Revision: 41, Agent: "a", Discovery: "c", FirstDiscovery: "d", Newest: now - 200*ms, Hosts: []Host{
 		{Server: "s-1", Address: "127.0.0.9:5432", Group: 3, Listed: true, Weight: 1, Leads: now - 5*ms, Follows: now - time.Minute,
 			Position: now - 9*ms, Alive: true},
 		{Server: "s-2", Address: "127.0.0.8:5432", State: balance.Draining, Weight: 0.5, Started: now - time.Second, Follows: now - ms,
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -61,12 +61,14 @@
 
 // gateway is a running one: its parts, and what joins them.
 type gateway struct {
-	c      Config
-	own    *operator.File // nil without one
-	log    *zap.Logger
-	clock  exchange.Clock
-	begun  time.Duration // the process's first moment
-	counts *counters.Set
+	c     Config
+	own   *operator.File // nil without one
+	log   *zap.Logger
+	clock exchange.Clock
+	begun time.Duration // the process's first moment
+	// firstDiscovery is the agent that the process was started with, by the environment where it names one.
+	firstDiscovery string
+	counts         *counters.Set
 
 	ctx   context.Context
 	group *errgroup.Group
@@ -235,7 +237,8 @@
 // run starts the parts.
 func (g *gateway) run() {
 	known, inherited := g.inherited()
-	if inherited && known.Discovery == g.c.inFile { // the environment may still name that of the elder's start
+	g.firstDiscovery = g.c.Discovery
+	if inherited && known.Discovery == g.c.inFile && known.FirstDiscovery == g.c.Discovery { // the environment is still that of the elder's start
 		g.c.Discovery = g.c.inFile
 		g.watcher.Move(g.c.Discovery)
 	}
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return e, err
 	}
-	k.Revision, k.Discovery = revision, g.watcher.Address()
+	k.Revision, k.Discovery, k.FirstDiscovery = revision, g.watcher.Address(), g.firstDiscovery
 	e.Knowledge, err = handover.Encode(k)
 	return e, err
 }
