Slow start: few routers use more of the overload factor for a cold host

Cause: the part of the factor that is kept for bursts is sized for hundreds of routers. Change: the spare part is one up to 60 routers and falls to a fifth at 300; never over 0.6 of the factor.

--- a/balance/cold_capacity_test.go
+++ b/balance/cold_capacity_test.go
@@ -23,7 +23,7 @@
 		{"the primary, overloaded before", "save", "p", 0, nil, []float64{1.05, 1.5, 3}},
 		{"the primary, in the moment of a burst", "save", "p", 0.7, nil, []float64{1.05, 1.5, 2}},
 	} {
-		for _, routers := range []int{300, 900} {
+		for _, routers := range []int{60, 300, 900} {
 			for _, load := range c.loads {
 				t.Run(fmt.Sprintf("%s, %d routers, load %v", c.name, routers, load), func(t *testing.T) {
 					t.Parallel()
--- a/balance/router.go
+++ b/balance/router.go
@@ -38,8 +38,9 @@
 	forgottenMost        = 10000   // members that left, remembered as having told a role
 	sessionLimit         = 20000   // remembered writes
 	fallbackPart         = 0.6     // of the primary's limit that reads a replica could serve may fill
-	coldMargin           = 0.55    // of the overload factor may be used, the rest is for retries
+	coldMargin           = 0.6     // of the overload factor may be used, the rest is for retries
 	coldSpare            = 0.2     // of what it has beyond 1, in case the member is warmer than it has to be; the rest is for bursts
+	coldSpareRouters     = 60.0    // few routers' own limits hold bursts back: so many use all of that
 	leastWeight          = 1e-9    // weights of nothing, all alike, still make a draw
 	tookMemory           = 16.0    // answers
 	guessFades           = 64      // answers, after which a first guess weighs less than 2 in 100
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -32,5 +32,6 @@
 	if factor == 0 {
 		return 1
 	}
-	return min(coldMargin*factor, 1+coldSpare*(factor-1))
+	spare := max(coldSpare, min(1, coldSpareRouters/float64(r.s.Routers)))
+	return min(coldMargin*factor, 1+spare*(factor-1))
 }
