socket: one peek behind Quiet and Ended

Cause: the same call stood twice, and only Quiet tried again where it failed for a moment. Change: peek has both.

--- a/internal/wire/socket/socket.go
+++ b/internal/wire/socket/socket.go
@@ -10,40 +10,40 @@
 // peeks is how often a connection is looked at while the call fails for a moment.
 const peeks = 5
 
-// Quiet says whether the other end of a connection has neither closed it nor written anything that is still unread.
-// It does not wait.
-func Quiet(c syscall.Conn) bool {
+// peek looks at what the other end of a connection has written that is still unread, at one byte of it, and does not wait: 0 without an
+// error means that it has ended its sending, syscall.EAGAIN that there is nothing.
+func peek(c syscall.Conn) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
+	failed := raw.Control(func(fd uintptr) {
 		var b [1]byte
 		for range peeks {
-			_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if quiet = err == syscall.EAGAIN; !Transient(err) || quiet {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			if err == syscall.EAGAIN || !Transient(err) {
 				return // else the call failed for a moment, which says nothing of the connection
 			}
 		}
 	})
-	return err == nil && quiet
+	if failed != nil {
+		return 0, failed
+	}
+	return n, err
+}
+
+// Quiet says whether the other end of a connection has neither closed it nor written anything that is still unread.
+// It does not wait.
+func Quiet(c syscall.Conn) bool {
+	_, err := peek(c)
+	return err == syscall.EAGAIN
 }
 
 // Ended says whether the other end of a connection has ended its sending, or reset it, and nothing unread lies before that. It does not
 // wait.
 func Ended(c syscall.Conn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
-	ended := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = err == nil && n == 0 || err != nil && !Transient(err)
-	})
-	return err != nil || ended
+	n, err := peek(c)
+	return err == nil && n == 0 || err != nil && !Transient(err)
 }
 
 // Waiting says whether a connection waits to be accepted at a listener. It does not wait, whatever the deadline.
