Tests: one set-up of a host that welcomes, and of a client that waits to be accepted

Cause: the same dozen lines stood in two or three tests. Change: listen, serve and waiting have them; what is checked is as it was. Result: with their guards taken out (the write deadline's two parts, the look for what waits) the tests fail as before.

--- a/internal/wire/backend/evidence_test.go
+++ b/internal/wire/backend/evidence_test.go
@@ -49,12 +49,33 @@
 }
 
 func newRig(t *testing.T, script func(c net.Conn, n int64)) *rig {
+	t.Helper()
+	r := &rig{recorder: &recorder{make(chan exchange.Outcome, 10), make(chan told, 10)}, clock: exchange.NewClock()}
+	address := listen(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, _, err := pg.Read(in, 1000); err != nil {
+				return
+			}
+			script(c, r.queries.Add(1)-1)
+		}
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	group := &errgroup.Group{}
+	r.b = New(ctx, group, Config{Clock: r.clock, Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 4, ConnectTimeout: time.Minute,
+		IdleTimeout: time.Minute}, r)
+	r.b.Members([]exchange.Member{{Member: balance.Member{Server: "s"}, Address: address}})
+	t.Cleanup(func() { stop(); _ = group.Wait() })
+	return r
+}
+
+// listen has a host that welcomes whoever connects, and then does what serve says.
+func listen(t *testing.T, serve func(c net.Conn, in *bufio.Reader)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{recorder: &recorder{make(chan exchange.Outcome, 10), make(chan told, 10)}, clock: exchange.NewClock()}
+	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -66,22 +87,17 @@
 				in := bufio.NewReader(c)
 				_, _, _ = pg.ReadStartup(in)
 				_, _ = c.Write(pg.AppendWelcome(nil, pg.StartSession))
-				for {
-					if _, _, err := pg.Read(in, 1000); err != nil {
-						return
-					}
-					script(c, r.queries.Add(1)-1)
-				}
+				serve(c, in)
 			}()
 		}
 	}()
-	ctx, stop := context.WithCancel(context.Background())
-	group := &errgroup.Group{}
-	r.b = New(ctx, group, Config{Clock: r.clock, Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 4, ConnectTimeout: time.Minute,
-		IdleTimeout: time.Minute}, r)
-	r.b.Members([]exchange.Member{{Member: balance.Member{Server: "s"}, Address: l.Addr().String()}})
-	t.Cleanup(func() { l.Close(); stop(); _ = group.Wait() })
-	return r
+	return l.Addr().String()
+}
+
+// serve has a host of a name do so.
+func (r *rig) serve(t *testing.T, server string, serve func(c net.Conn, in *bufio.Reader)) {
+	t.Helper()
+	r.b.Members([]exchange.Member{{Member: balance.Member{Server: server}, Address: listen(t, serve)}})
 }
 
 func (r *rig) send(id string, g balance.Grounds) {
--- a/internal/wire/backend/write_by_test.go
+++ b/internal/wire/backend/write_by_test.go
@@ -41,29 +41,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, nil)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			r.b.Members([]exchange.Member{{Member: balance.Member{Server: "slow"}, Address: l.Addr().String()}})
 			begun, over, whole := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
-			go func() {
-				n, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer n.Close()
-				in := bufio.NewReader(n)
-				_, _, _ = pg.ReadStartup(in)
-				_, _ = n.Write(pg.AppendWelcome(nil, pg.StartSession))
+			r.serve(t, "slow", func(_ net.Conn, in *bufio.Reader) {
 				_, _ = in.Peek(1)
 				close(begun)
 				<-over
 				_, length, _ := pg.Head(in)
-				_, err = io.CopyN(io.Discard, in, int64(length))
+				_, err := io.CopyN(io.Discard, in, int64(length))
 				whole <- length > 0 && err == nil
-			}()
+			})
 			bulkyQuery()
 			now := r.clock.Now()
 			window := now + 500*time.Millisecond
@@ -108,28 +94,14 @@
 // The deadline of a long statement's write ends with the statement: a conversation on the same connection may come later.
 func TestAConversationIsNotBoundByTheStatementBefore(t *testing.T) {
 	r := newRig(t, nil)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		n, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer n.Close()
-		in := bufio.NewReader(n)
-		_, _, _ = pg.ReadStartup(in)
-		_, _ = n.Write(pg.AppendWelcome(nil, pg.StartSession))
+	r.serve(t, "one", func(n net.Conn, in *bufio.Reader) {
 		for {
 			if _, _, err := pg.Read(in, 1<<20); err != nil {
 				return
 			}
 			_, _ = n.Write(row())
 		}
-	}()
-	r.b.Members([]exchange.Member{{Member: balance.Member{Server: "one"}, Address: l.Addr().String()}})
+	})
 	first := r.clock.Now()
 	r.b.Send(exchange.Attempt{ID: "first", Server: "one", Command: long{}, Sent: first, Until: first + 200*time.Millisecond})
 	if o := wait(t, r.outcomes, "the first outcome"); o.Result != balance.OK {
--- a/internal/wire/frontend/accept_end_test.go
+++ b/internal/wire/frontend/accept_end_test.go
@@ -5,9 +5,6 @@
 	"net"
 	"testing"
 	"time"
-
-	"yokemast/internal/memory/exchange"
-	"yokemast/internal/wire/pg"
 )
 
 func TestAStallAtTheEndOfAcceptingLosesNoConnection(t *testing.T) {
@@ -15,20 +12,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fake{make(chan *exchange.Request, 100), make(chan *exchange.Request, 100)}
-	s := newAcceptor(f)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); _ = s.Run(ctx) }()
-	s.Ready()
-	defer func() { l.Close(); stop(); <-done }()
-	n, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer n.Close()
-	_ = n.SetDeadline(time.Now().Add(patience))
-	_, _ = n.Write(pg.AppendQuery(pg.AppendStartup(nil, "backend", "store"), ""))
+	s, ctx, n := waiting(t, l)
 	_ = l.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Millisecond)) // as the process does at its end
 	time.Sleep(40 * time.Millisecond)                                           // it is held up
 	go func() {
--- a/internal/wire/frontend/accept_test.go
+++ b/internal/wire/frontend/accept_test.go
@@ -34,6 +34,26 @@
 		MaxBytes: 1 << 20, MaxLarge: 1 << 20, Yes: func() bool { return true }}, x)
 }
 
+// waiting makes a ready server, and a client at its listener that asks whether it serves and has not been accepted yet.
+func waiting(t *testing.T, l net.Listener) (s *Server, ctx context.Context, n net.Conn) {
+	t.Helper()
+	f := &fake{make(chan *exchange.Request, 100), make(chan *exchange.Request, 100)}
+	s = newAcceptor(f)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Run(ctx) }()
+	s.Ready()
+	t.Cleanup(func() { l.Close(); stop(); <-done })
+	n, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.Close() })
+	_ = n.SetDeadline(time.Now().Add(patience))
+	_, _ = n.Write(pg.AppendQuery(pg.AppendStartup(nil, "backend", "store"), ""))
+	return s, ctx, n
+}
+
 // A series of calls of accept that fail costs no connection that waits, also where the listener's deadline passes meanwhile.
 func TestAcceptThatFailsForAMoment(t *testing.T) {
 	for name, deadline := range map[string]time.Duration{"in service": time.Hour, "at the end": 10 * time.Millisecond} {
@@ -44,20 +64,7 @@
 			}
 			l := &failing{TCPListener: tcp.(*net.TCPListener)}
 			l.left.Store(10)
-			f := &fake{make(chan *exchange.Request, 100), make(chan *exchange.Request, 100)}
-			s := newAcceptor(f)
-			ctx, stop := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() { defer close(done); _ = s.Run(ctx) }()
-			s.Ready()
-			defer func() { l.Close(); stop(); <-done }()
-			n, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer n.Close()
-			_ = n.SetDeadline(time.Now().Add(patience))
-			_, _ = n.Write(pg.AppendQuery(pg.AppendStartup(nil, "backend", "store"), ""))
+			s, ctx, n := waiting(t, tcp)
 			_ = l.SetDeadline(time.Now().Add(deadline))
 			accepted := make(chan struct{})
 			go func() {
