Test: what part of the overload factor is used by few and by many routers

Cause: with the spare part held to a fifth for any fleet no test failed. Change: TestAColdMembersFactorLeavesRoomForBurstsWhereRoutersAreMany, which fails then.

--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -85,3 +86,15 @@
 		t.Errorf("%d held writes asked again within 0.9 s, %d within 3.1 s; want none and some", early, later)
 	}
 }
+
+func TestAColdMembersFactorLeavesRoomForBurstsWhereRoutersAreMany(t *testing.T) {
+	for _, c := range []struct {
+		routers      int
+		factor, want float64
+	}{{1, 0, 1}, {300, 0, 1}, {20, 1, 0.6}, {300, 1, 0.6}, {20, 4, 2.4}, {60, 4, 2.4}, {120, 4, 2.4}, {200, 4, 1.9}, {300, 4, 1.6}, {900, 4, 1.6}} {
+		g := newRig(t, func(s *Settings) { s.Routers, s.OverloadFactor = c.routers, c.factor })
+		if got := g.r.coldFactor(); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%d routers, a factor of %v: %v, want %v", c.routers, c.factor, got, c.want)
+		}
+	}
+}
