--- a/review/1/trial/main.go
+++ b/review/1/trial/main.go
@@ -1,10 +1,13 @@
-// Command trial: an answer that comes twice within a transaction.
+// Command trial: a primary fails some of its requests quickly while sessions of general SQL with settings of their own share its
+// connections.
 package main
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"regexp"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,67 +16,104 @@
 )
 
 const (
-	transactions = 8
-	reads        = 5
-	// doubledRead is the read whose answer comes a second time, in every second transaction.
-	doubledRead = 2
-	thinkTime   = 60 * time.Millisecond
+	sessions   = 6
+	quiet      = 2 * time.Second  // before the trouble, and after it
+	trouble    = 10 * time.Second // in which the primary fails a part of its requests
+	failedPart = 0.4
+	pause      = 60 * time.Millisecond // between two statements of a session
+	work       = 20 * time.Millisecond
+	ship       = 14 * time.Millisecond
 )
 
 var (
-	selectKV = regexp.MustCompile(`^SELECT content FROM kv WHERE name = '([^']*)'`)
-	record   *kit.Record
+	setReseller = regexp.MustCompile(`^SET app\.reseller TO '([^']*)'$`)
+	insert      = regexp.MustCompile(`^INSERT INTO listings \(item\) VALUES \('(reseller-\d+)/(\d+)'\)$`)
+	record      *kit.Record
 )
 
-func value(key string) string { return "record of " + key }
+// stack is the primary. A listing belongs to the reseller that the session of its INSERT has set, as a default or a policy of the
+// table does it.
+type stack struct {
+	mu          sync.Mutex
+	from, until time.Time
+	right       int
+	none        int      // listings that were stored for no reseller
+	foreign     []string // listings that were stored for another reseller
+}
 
-// shop is the primary. It serves BEGIN, COMMIT, ROLLBACK and SELECT content FROM kv.
-type shop struct {
-	mu   sync.Mutex
-	runs map[string]int // how often each key was read
+func (d *stack) fails() bool {
+	now := time.Now()
+	return kit.Trouble() && now.After(d.from) && now.Before(d.until) && rand.Float64() < failedPart
 }
 
-func (d *shop) run(s *kit.Session, statement string) {
-	record.Add("host %s, connection %d, runs: %s", s.Host.ID, s.Number, statement)
-	time.Sleep(20 * time.Millisecond)
-	switch m := selectKV.FindStringSubmatch(statement); {
-	case statement == "BEGIN":
-		s.Status = 'T'
-		_, _ = s.Write(s.Done("BEGIN"))
-	case statement == "COMMIT", statement == "ROLLBACK":
-		s.Status = 'I'
-		_, _ = s.Write(s.Done(statement))
-	case m != nil:
-		answer := s.Row(value(m[1]), "SELECT 1")
-		_, _ = s.Write(answer)
-		d.mu.Lock()
-		d.runs[m[1]]++
-		d.mu.Unlock()
-		var transaction, read int
-		if n, _ := fmt.Sscanf(m[1], "patient-%d-%d", &transaction, &read); n == 2 && kit.Trouble() && transaction%2 == 1 && read == doubledRead {
-			// Nothing else waits on the connection: the client asks again only after it has thought.
-			time.Sleep(2 * time.Millisecond)
-			_, _ = s.Write(answer)
-			record.Add("host %s, connection %d: the answer for %s once more", s.Host.ID, s.Number, m[1])
+func (d *stack) run(s *kit.Session, query string) {
+	if s.Host.Role != "leader" {
+		_, _ = s.Write(s.Error("25006", "not the primary"))
+		return
+	}
+	reseller, _ := s.State.(string)
+	if d.fails() {
+		record.Add("host %s, connection %d: fails at once (XX000): %s", s.Host.ID, s.Number, query)
+		_, _ = s.Write(s.Error("XX000", "failed"))
+		return
+	}
+	tag := ""
+	for statement := range strings.SplitSeq(query, "; ") {
+		if m := setReseller.FindStringSubmatch(statement); m != nil {
+			reseller, tag = m[1], "SET"
+		} else if statement == "RESET app.reseller" || statement == "RESET ALL" {
+			reseller, tag = "", "RESET"
+		} else if statement == "SELECT begin_day()" {
+			tag = "SELECT 1"
+		} else if m := insert.FindStringSubmatch(statement); m != nil {
+			time.Sleep(work)
+			d.mu.Lock()
+			switch tag = "INSERT 0 1"; reseller {
+			case m[1]:
+				d.right++
+			case "":
+				d.none++
+			default:
+				d.foreign = append(d.foreign, fmt.Sprintf("the listing %s/%s of the session of %s is stored for %s", m[1], m[2], m[1], reseller))
+			}
+			d.mu.Unlock()
+		} else {
+			_, _ = s.Write(s.Error("42601", "not known here"))
+			return
 		}
-	default:
-		_, _ = s.Write(s.Error("42601", "not known here"))
 	}
+	s.State = reseller
+	record.Add("host %s, connection %d, app.reseller %q: ran %s", s.Host.ID, s.Number, reseller, query)
+	_, _ = s.Write(s.Done(tag))
 }
 
-func main() {
-	kit.Main(trial)
-}
+// lagging is the position of a replica.
+func lagging() time.Time { return time.Now().Add(-ship) }
+
+func main() { kit.Main(trial) }
 
 func trial(r *kit.Record) (int, error) {
 	record = r
-	d := &shop{runs: map[string]int{}}
-	primary := kit.NewHost(&kit.Host{ID: "s-1", Role: "leader", Run: d.run})
-	agent := discovery.New(primary.Entry())
+	d := &stack{}
+	entries := []discovery.Entry{kit.NewHost(&kit.Host{ID: "s-1", Role: "leader", Run: d.run}).Entry()}
+	for i := range 3 { // the replicas of its stack
+		h := kit.NewHost(&kit.Host{ID: fmt.Sprintf("s-%d", i+2), Role: "follower", Run: d.run, Position: lagging})
+		entries = append(entries, h.Entry())
+	}
+	for i, role := range []string{"leader", "follower", "follower"} { // another stack, which nobody asks
+		h := &kit.Host{ID: fmt.Sprintf("s-%d", i+5), Role: role, Run: func(s *kit.Session, _ string) { _, _ = s.Write(s.Error("42601", "not known here")) }}
+		if role == "follower" {
+			h.Position = lagging
+		}
+		e := kit.NewHost(h).Entry()
+		e["cell"] = 2
+		entries = append(entries, e)
+	}
+	agent := discovery.New(entries...)
 	defer agent.Close()
 	folder := kit.Folder()
 	defer os.RemoveAll(folder)
-	config := kit.Config{Listen: kit.Address(), Discovery: agent.Listener.Addr().String(), Settings: kit.Kochi, Folder: folder, Operator: kit.Pool}
+	config := kit.Config{Listen: kit.Address(), Discovery: agent.Listener.Addr().String(), Settings: kit.Jawa, Folder: folder, Operator: kit.JawaPool}
 	if err := config.Write(); err != nil {
 		return kit.NotRun, err
 	}
@@ -85,46 +125,62 @@
 	if err := g.AwaitReady(20 * time.Second); err != nil {
 		return kit.NotRun, err
 	}
-	foreign, served, failed := 0, 0, 0
-	var c *kit.Client
-	ask := func(statement string) (kit.Answer, bool) {
-		a := c.Ask(statement)
-		record.Add("client: %s -> %s", statement, a)
-		return a, a.Err == nil && a.Code == ""
-	}
-	for t := range transactions {
-		if c, err = kit.Dial(config.Listen, "ordering"); err != nil {
-			return kit.NotRun, err
-		}
-		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-		if _, ok := ask("BEGIN"); ok {
-			for i := range reads {
-				time.Sleep(thinkTime)
-				key := fmt.Sprintf("patient-%d-%d", t, i)
-				a, ok := ask("SELECT content FROM kv WHERE name = '" + key + "'")
-				if !ok {
-					failed++
-					break
+	start := time.Now()
+	d.from, d.until = start.Add(quiet), start.Add(quiet+trouble)
+	end := start.Add(2*quiet + trouble)
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	done, failed := 0, 0
+	for n := range sessions {
+		clients.Go(func() {
+			c, err := kit.Dial(config.Listen, "ordering")
+			if err != nil {
+				record.Say("no session: %v", err)
+				return
+			}
+			defer c.Close()
+			_ = c.SetDeadline(end.Add(10 * time.Second))
+			name := fmt.Sprintf("reseller-%d", n)
+			record.Add("client %d: SELECT begin_day() -> %s", n, c.Ask("SELECT begin_day()"))
+			// Once, before the trouble: from its answer on the setting is the session's.
+			for a := (kit.Answer{}); a.Tag != "SET"; time.Sleep(pause) {
+				if a = c.Ask("SET app.reseller TO '" + name + "'"); a.Err != nil || time.Now().After(d.from) {
+					record.Say("client %d: no setting: %s", n, a)
+					return
 				}
-				if len(a.Values) != 1 || a.Values[0] != value(key) {
-					foreign++
-					record.Say("broken: asked for %q, served %v", key, a.Values)
+				record.Add("client %d: SET app.reseller TO '%s' -> %s", n, name, a)
+			}
+			for i := 0; time.Now().Before(end); i++ {
+				a := c.Ask(fmt.Sprintf("INSERT INTO listings (item) VALUES ('%s/%d')", name, i))
+				record.Add("client %d: INSERT of %s/%d -> %s", n, name, i, a)
+				mu.Lock()
+				if a.Tag == "INSERT 0 1" {
+					done++
 				} else {
-					served++
+					failed++
+				}
+				mu.Unlock()
+				if a.Err != nil {
+					return
 				}
+				time.Sleep(pause)
 			}
-			time.Sleep(thinkTime)
-			ask("COMMIT")
-		} else {
-			failed++
+		})
+	}
+	clients.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, what := range d.foreign {
+		if record.Add("broken: %s", what); i < 3 {
+			fmt.Println("broken:", what)
 		}
-		c.Close()
 	}
-	record.Say("reads served with their own value %d, with another's %d, failed %d", served, foreign, failed)
+	record.Say("INSERTs answered as done %d, failed or refused %d; run for their session's reseller %d, for another %d, for none %d",
+		done, failed, d.right, len(d.foreign), d.none)
 	switch {
-	case foreign > 0:
+	case len(d.foreign)+d.none > 0:
 		return kit.Broken, nil
-	case served == 0:
+	case d.right < 50:
 		return kit.NotRun, nil
 	}
 	return kit.Held, nil
