Pools: send a batch only after the host has confirmed its settings

What callers saw: where a host failed the SET or RESET that turns a connection from its last session's settings to this session's, the statement behind it ran under the other session's settings, or under none; most such clients were told 58000, some that the INSERT was done, which had then run twice.

Cause: batchExchange.buildQuery put the change of settings and the batch into one write. A host that fails a simple query goes on to the next message, so that closing the connection on the error came too late.

Change: backend.Host.ApplySettings runs the change and waits. Only one completion for each statement, no open transaction and nothing behind the answer count as confirmed; anything else closes the connection. After the wait the time limits, the drain, the grounds and the client are looked at again, since the host executes only what is written then. The new result SetupFailed tells the module that the host failed and that the request was not executed, so that it may go again in any class; a connection that breaks there is NoConnection. One conversation path serves all statements, so that the guard holds for both query protocols, transactions, pinned sessions and pools by session.

--- a/balance/api.go
+++ b/balance/api.go
@@ -261,16 +261,17 @@
 	Misdirected // refused by a member that is not the primary or lags too far; not executed
 	Garbled     // the answer could not be parsed; it shows only that the member is alive
 	Stale       // the answer shows that a read ran on data older than its class allows
+	SetupFailed // the member failed what prepares its connection for the request; not executed
 )
 
 // String returns the name of the result as it appears in logs and reports.
 func (x Result) String() string {
-	return [...]string{"ok", "error", "turned away", "timed out", "no connection", "reset", "canceled", "not sent", "miss", "garbled", "stale"}[x]
+	return [...]string{"ok", "error", "turned away", "timed out", "no connection", "reset", "canceled", "not sent", "miss", "garbled", "stale", "setup failed"}[x]
 }
 
 // NotExecuted reports whether the attempt was not executed and will not be.
 func (x Result) NotExecuted() bool {
-	return x == QueueFull || x == NoConnection || x == NotSent || x == Misdirected
+	return x == QueueFull || x == NoConnection || x == NotSent || x == Misdirected || x == SetupFailed
 }
 
 // Outcome reports the end of an attempt. Each Send gets exactly one.
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -186,7 +186,7 @@
 		if m.suspect = true; !r.probe(m) {
 			r.eject(m, false)
 		}
-	case Failed:
+	case Failed, SetupFailed:
 		q.failed = append(q.failed, m)
 		m.failures++
 	case TimedOut:
@@ -196,7 +196,7 @@
 		}
 	}
 	switch e.Result {
-	case OK, Failed, Garbled, QueueFull, Misdirected, Stale:
+	case OK, Failed, Garbled, QueueFull, Misdirected, Stale, SetupFailed:
 		r.recordAlive(m)
 	}
 	if q.possiblyExecutedAt == 0 && !e.Result.NotExecuted() {
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -352,5 +352,5 @@
 
 // completeAnswer reports whether a result comes from a complete answer.
 func completeAnswer(x Result) bool {
-	return x == OK || x == Failed || x == QueueFull || x == Misdirected || x == Stale
+	return x == OK || x == Failed || x == QueueFull || x == Misdirected || x == Stale || x == SetupFailed
 }
--- a/internal/control/pooling/connstate.go
+++ b/internal/control/pooling/connstate.go
@@ -37,15 +37,21 @@
 	return l
 }
 
-// SettingsQuery returns the shortest list of statements that changes the connection's settings to those of the
-// session, or "" if they are equal. They are to be run as one query before any statement of the session.
+// SettingsQuery returns the statements of SettingsStatements as one query, or "" if there are none.
 func (l *ConnState) SettingsQuery(s *Session) string {
+	return strings.Join(l.SettingsStatements(s), "; ")
+}
+
+// SettingsStatements returns the shortest list of statements that changes the connection's settings to those of the
+// session, which is empty if they are equal. They are to be run as one query, and the host has to confirm them all before
+// any statement of the session is sent: a host goes on to the next query after one that it fails.
+func (l *ConnState) SettingsStatements(s *Session) []string {
 	if l.settings == s.settings {
-		return ""
+		return nil
 	}
 	var reset, set []string
 	if s.settings.Len() == 0 && l.settings.Len() > 1 {
-		return "RESET ALL"
+		return []string{"RESET ALL"}
 	}
 	it := l.settings.Root().Iterator()
 	for name, _, ok := it.Next(); ok; name, _, ok = it.Next() {
@@ -67,10 +73,10 @@
 			set = append(set, "SET "+settingIdent(string(name))+" TO "+value)
 		}
 	}
-	return strings.Join(append(reset, set...), "; ")
+	return append(reset, set...)
 }
 
-// SettingsApplied records that the query which changes the settings to those of the session has been run.
+// SettingsApplied records that the host has confirmed the statements of SettingsStatements.
 func (l *ConnState) SettingsApplied(s *Session) { l.settings = s.settings }
 
 // settingIdent returns a setting's name in SQL, with its parts quoted where necessary.
--- a/internal/memory/counters/counters.go
+++ b/internal/memory/counters/counters.go
@@ -29,7 +29,7 @@
 	// Attempts sent, attempts canceled, and probes sent.
 	Sent, Canceled, Probes Count
 	// Outcomes counts attempts by result, in the order of balance.Result.
-	Outcomes [11]Count
+	Outcomes [12]Count
 	// Client connections: accepted, currently open, and refused because of the connection limit.
 	Clients, ClientsOpen, ClientsRefused Count
 	// Client connections that were closed immediately, evicted in favor of others, and closed as too slow.
@@ -61,6 +61,8 @@
 	GossipSent, GossipDropped, GossipReceived, GossipInvalid, GossipErrors Count
 	// Statements that were already prepared on the host connection, and those that had to be prepared.
 	PreparedHits, PreparedMisses Count
+	// SettingsChanged counts changes of a host connection's settings that a host confirmed.
+	SettingsChanged Count
 	// The admin address: calls, calls with a negative answer, and connections closed in favor of new ones.
 	Calls, CallsFailed, CallersDropped Count
 	// Client connections passed to the new process and adopted from the old one in a hot restart.
@@ -89,8 +91,8 @@
 }
 
 // outcomeNames are the names of Outcomes in the order of balance.Result.
-var outcomeNames = [11]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
-	"not_sent", "miss", "garbled", "stale"}
+var outcomeNames = [12]string{"ok", "error", "turned_away", "timed_out", "no_connection", "reset", "canceled",
+	"not_sent", "miss", "garbled", "stale", "setup_failed"}
 
 // groundsNames are the names of Grounds in the order of balance.GroundsKind.
 var groundsNames = [4]string{"none_needed", "position", "leader", "list"}
@@ -139,6 +141,7 @@
 		{"operators", &s.Operators}, {"operators_bad", &s.BadOperators},
 		{"requests_over", &s.OverQuota}, {"requests_denied", &s.Denied}, {"writes_held", &s.Held},
 		{"prepared_hits", &s.PreparedHits}, {"prepared_misses", &s.PreparedMisses},
+		{"settings_changed", &s.SettingsChanged},
 		{"peers_told", &s.GossipSent}, {"peers_untold", &s.GossipDropped}, {"peers_heard", &s.GossipReceived}, {"peers_bad", &s.GossipInvalid},
 		{"peer_errors", &s.GossipErrors},
 		{"calls", &s.Calls}, {"calls_no", &s.CallsFailed}, {"callers_dropped", &s.CallersDropped},
--- a/internal/memory/exchange/gossip.go
+++ b/internal/memory/exchange/gossip.go
@@ -15,8 +15,11 @@
 	if x.cfg.Gossip == nil || entry.Result == balance.Canceled || entry.Result == balance.NotSent {
 		return // caused by this gateway, so it carries no information about the host
 	}
-	if entry.Result == balance.Stale {
+	switch entry.Result { // into those that the format has
+	case balance.Stale:
 		entry.Result = balance.OK // the host itself is healthy
+	case balance.SetupFailed:
+		entry.Result = balance.Failed
 	}
 	now := x.cfg.Clock.Now()
 	if entry.At = now; timeBounds.NotAfter > 0 {
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -39,9 +39,12 @@
 	Log              func(format string, args ...any)
 	// General makes a host of a cluster serve a small SQL dialect with settings, prepared statements and transactions.
 	General     bool
-	AfterCommit func() bool   // called after each commit of a general host; true closes the connection without an answer
-	Ledger      *rules.Ledger // receives what the host observes, or nil
-	Skew        time.Duration // offset of the host's clock, by which it states times
+	AfterCommit func() bool // called after each commit of a general host; true closes the connection without an answer
+	// BeforeStatement is called before each statement of a general host, with the settings in force for it. An error fails
+	// the statement.
+	BeforeStatement func(text string, settings map[string]string) *pg.Error
+	Ledger          *rules.Ledger // receives what the host observes, or nil
+	Skew            time.Duration // offset of the host's clock, by which it states times
 	// Report returns the load report for probes and for every answer. If nil, each probe gets a new report and answers carry
 	// none.
 	Report func() string
--- a/internal/testbed/hosts/sql.go
+++ b/internal/testbed/hosts/sql.go
@@ -108,6 +108,11 @@
 	if s.host.Work > 0 {
 		time.Sleep(s.host.Work)
 	}
+	if f := s.host.BeforeStatement; f != nil {
+		if err := f(text, s.settings); err != nil {
+			return result{err: err}
+		}
+	}
 	if out, ok := s.runControl(text, words); ok {
 		return out
 	}
@@ -153,6 +158,9 @@
 		if first == "discard" {
 			s.prepared = map[string]string{}
 		}
+		if first == "reset" {
+			return completed("RESET"), true
+		}
 		return completed(strings.ToUpper(text)), true
 	case first == "reset":
 		delete(s.sessionSettings, words[1])
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -324,6 +324,12 @@
 	return attempt.Demand.Violated(r.role, r.position, written, attempt.b.cfg.Clock.ForModule())
 }
 
+// mayBegin reports whether what a host executes may still be sent on a connection that is ready for it.
+func (attempt *attempt) mayBegin() bool {
+	now := attempt.b.cfg.Clock.Now()
+	return !attempt.sendCanceled() && (attempt.WriteBy == 0 || now <= attempt.WriteBy) && attempt.mayStart(now)
+}
+
 // writeLarge writes a query that is not held in memory as a whole.
 func (attempt *attempt) writeLarge(c *conn, query Large, now time.Duration) error {
 	if err := query.WriteQuery(c, attempt.Deadline-now); err != nil {
--- a/internal/wire/relay/build.go
+++ b/internal/wire/relay/build.go
@@ -12,7 +12,6 @@
 	kind      byte               // of the message, or 0 if reply is the answer
 	reply     []byte             // answer of the gateway itself, or nil
 	hidden    bool               // the answer is not forwarded, as the gateway sent the message on its own
-	settings  bool               // the message applies the session's settings to the connection
 	statement *pooling.Statement // of a Parse or Bind, as prepared on the host
 	target    byte               // target of a Describe: 'S' for a statement
 	name      string             // the client's name of the statement
@@ -24,7 +23,6 @@
 
 // buildQuery translates the batch into the messages for the host and the answers expected to them.
 func (x *batchExchange) buildQuery() error {
-	connState := x.host.ConnState()
 	if x.checkout.skipping {
 		if x.batch.Complete && x.batch.Messages[len(x.batch.Messages)-1].Kind == pg.Sync {
 			x.checkout.skipping = false
@@ -33,10 +31,6 @@
 		}
 		return nil
 	}
-	if sql := connState.SettingsQuery(x.session); sql != "" {
-		x.query = pg.AppendQuery(x.query, sql)
-		x.expected = append(x.expected, expectation{kind: pg.Query, hidden: true, settings: true})
-	}
 	x.portals = map[string]*pooling.Statement{}
 	if x.checkout.streamedStatement != nil { // the portal of a Bind streamed before
 		x.portals[x.checkout.streamedPortal], x.checkout.streamedStatement = x.checkout.streamedStatement, nil
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -49,6 +49,11 @@
 // run sends the batch to the host and forwards its answer to the client.
 func (x *batchExchange) run() error {
 	x.session.StartBatch()
+	if !x.checkout.skipping {
+		if err := x.host.ApplySettings(x.session); err != nil {
+			return err
+		}
+	}
 	x.host.BeginBatch()
 	if err := x.buildQuery(); err != nil {
 		return err
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -79,7 +78,7 @@
 	}
 	switch kind {
 	case pg.ParameterStatus:
-		if x.host.HandleStatement(body) || e.settings {
+		if x.host.HandleStatement(body) {
 			return nil
 		}
 		x.out = pg.Append(x.out, kind, body)
@@ -143,16 +142,9 @@
 		case pg.CommandComplete:
 			ok = true
 			forward()
-			if !e.settings {
-				x.handleCompletion(e, pg.ReadTag(body))
-			}
+			x.handleCompletion(e, pg.ReadTag(body))
 		case pg.ReadyForQuery:
 			ok = len(body) == 1
-			if e.settings {
-				x.host.ConnState().SettingsApplied(x.session)
-				x.pop()
-				return nil
-			}
 			x.handleReady(body)
 			forward()
 			x.pop()
@@ -209,18 +201,12 @@
 	x.host.ConnState().AdoptSettings(x.session)
 }
 
-// errSettings reports that the host refused the session's settings on the connection.
-var errSettings = errors.New("the session's settings are refused")
-
 // handleError handles an error response of the host, after which the host skips all messages up to the end of the batch.
 func (x *batchExchange) handleError(e *expectation, body []byte) error {
 	failure := pg.ReadError(body)
 	if len(failure.Code) != 5 {
 		return &invalidAnswer{"an error without a code"}
 	}
-	if e.settings {
-		return fmt.Errorf("%w: %s", errSettings, failure.Message)
-	}
 	x.session.Failed()
 	if failure.Code == "26000" {
 		body = bytes.ReplaceAll(body, []byte(unknownStatement), []byte(e.name)) // the name that the client uses
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -222,6 +222,10 @@
 			*checkout.Session = saved
 			checkout.Session.RestorePrepared(exchange.statements)
 			end.Result = balance.NotSent
+			var setup *backend.SetupError
+			if errors.As(err, &setup) {
+				end.Result, end.Clean = setup.Result, setup.Reusable
+			}
 			return end
 		case err != nil && !exchange.relayed && batch == checkout.first:
 			// Package balance decides whether to retry, so the session's state is restored.
@@ -232,8 +236,6 @@
 			switch {
 			case errors.As(err, &invalid):
 				end.Result = balance.Garbled
-			case errors.Is(err, errSettings):
-				end.Result = balance.Failed
 			case errors.Is(err, errMisdirected):
 				end.Result, end.Clean = balance.Misdirected, h.InputEmpty()
 			case errors.Is(err, errStale):
--- /dev/null
+++ b/internal/wire/relay/settings_test.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"yokemast/balance"
+	"yokemast/internal/control/fleetclock"
+	"yokemast/internal/control/pooling"
+	"yokemast/internal/memory/counters"
+	"yokemast/internal/memory/exchange"
+	"yokemast/internal/wire/backend"
+	"yokemast/internal/wire/pg"
+)
+
+// recordingHost answers each query with the result of a function, and records the queries with the index of their connection.
+// A nil answer closes the connection.
+type recordingHost struct {
+	address string
+	mu      sync.Mutex
+	queries []string
+	conns   int
+}
+
+func startRecordingHost(t *testing.T, answer func(query string) []byte) *recordingHost {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	h := &recordingHost{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.conns++
+			h.mu.Unlock()
+			go h.serve(c, answer)
+		}
+	}()
+	return h
+}
+
+func (h *recordingHost) serve(c net.Conn, answer func(query string) []byte) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	_, _, _ = pg.ReadStartup(in)
+	_, _ = c.Write(pg.AppendStartupResponse(nil, pg.StartSession))
+	for {
+		_, body, err := pg.Read(in, 1000)
+		if err != nil {
+			return
+		}
+		query := strings.TrimSuffix(string(body), "\x00")
+		h.mu.Lock()
+		h.queries = append(h.queries, query)
+		h.mu.Unlock()
+		out := answer(query)
+		if out == nil {
+			return
+		}
+		_, _ = c.Write(out)
+	}
+}
+
+// received returns the queries received so far and the number of connections.
+func (h *recordingHost) received() (queries []string, conns int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.queries), h.conns
+}
+
+// Guards against a batch that is sent although the host did not confirm the session's settings, or after the wait for them
+// made it too late, and against a connection that is used again although its settings are unknown.
+func TestBatchIsSentOnlyAfterItsSettingsAreConfirmed(t *testing.T) {
+	complete := func(tags ...string) (out []byte) {
+		for _, tag := range tags {
+			out = pg.AppendComplete(out, tag)
+		}
+		return out
+	}
+	refusal := func(code string) []byte { return pg.AppendError(nil, &pg.Error{Code: code, Message: "no"}) }
+	const (
+		deadline = 2 * time.Second       // of the attempt
+		wait     = 50 * time.Millisecond // of a host before it confirms late
+	)
+	confirmed := pg.AppendReady(complete("SET", "SET"))
+	for name, c := range map[string]struct {
+		answer []byte // to the change of two settings
+		delay  time.Duration
+		edit   func(clock exchange.Clock, a *exchange.Attempt, b *backend.Backend)
+		want   balance.Result
+		reused bool // the connection may serve another attempt
+	}{
+		"confirmed":                    {answer: confirmed, want: balance.OK, reused: true},
+		"failed":                       {answer: pg.AppendReady(refusal("XX000")), want: balance.SetupFailed},
+		"failed, without its end":      {answer: refusal("57P01"), want: balance.TimedOut},
+		"failed, with the session":     {answer: pg.AppendError(nil, &pg.Error{Code: "57P01", Message: "no", Fatal: true}), want: balance.SetupFailed},
+		"failed after the first":       {answer: pg.AppendReady(append(complete("SET"), refusal("XX000")...)), want: balance.SetupFailed},
+		"failed behind both":           {answer: pg.AppendReady(append(complete("SET", "SET"), refusal("XX000")...)), want: balance.SetupFailed},
+		"refused by a replica":         {answer: pg.AppendReady(refusal(pg.CodeReadOnly)), want: balance.Misdirected},
+		"refused as too many":          {answer: pg.AppendReady(refusal(pg.CodeTooMany)), want: balance.QueueFull},
+		"one of two confirmed":         {answer: pg.AppendReady(complete("SET")), want: balance.NoConnection},
+		"three of two confirmed":       {answer: pg.AppendReady(complete("SET", "SET", "SET")), want: balance.NoConnection},
+		"another statement confirmed":  {answer: pg.AppendReady(complete("SET", "INSERT 0 1")), want: balance.NoConnection},
+		"no statement confirmed":       {answer: pg.AppendReady(nil), want: balance.NoConnection},
+		"empty":                        {answer: pg.AppendReady(pg.Append(nil, pg.EmptyQueryResponse)), want: balance.NoConnection},
+		"with a row":                   {answer: pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte("x")}, "SET")), want: balance.NoConnection},
+		"in an open transaction":       {answer: pg.AppendReadyAs(complete("SET", "SET"), 'T'), want: balance.NoConnection},
+		"in a failed transaction":      {answer: pg.AppendReadyAs(complete("SET", "SET"), 'E'), want: balance.NoConnection},
+		"twice":                        {answer: append(slices.Clone(confirmed), confirmed...), want: balance.NoConnection},
+		"an error without a code":      {answer: pg.AppendReady(pg.Append(nil, pg.ErrorResponse, []byte{0})), want: balance.NoConnection},
+		"no message":                   {answer: []byte("noise, not a message"), want: balance.NoConnection},
+		"closed":                       {answer: nil, want: balance.NoConnection},
+		"silent":                       {answer: []byte{}, want: balance.TimedOut},
+		"confirmed after the deadline": {answer: confirmed, delay: deadline * 3 / 2, want: balance.TimedOut},
+		"confirmed after the write limit": {answer: confirmed, delay: wait, want: balance.NotSent, reused: true,
+			edit: func(clock exchange.Clock, a *exchange.Attempt, _ *backend.Backend) { a.WriteBy = clock.Now() + wait/2 }},
+		"confirmed after the start limit": {answer: confirmed, delay: wait, want: balance.NotSent, reused: true,
+			edit: func(clock exchange.Clock, a *exchange.Attempt, _ *backend.Backend) { a.StartBy = clock.Now() + wait/2 }},
+		"confirmed after the host's drain": {answer: confirmed, delay: wait, want: balance.NotSent, reused: true,
+			edit: func(clock exchange.Clock, _ *exchange.Attempt, b *backend.Backend) {
+				b.SetSendDeadline("s", clock.Now()+wait/2)
+			}},
+		"confirmed after the client left": {answer: confirmed, delay: wait, want: balance.NotSent, reused: true,
+			edit: func(clock exchange.Clock, a *exchange.Attempt, _ *backend.Backend) {
+				left := clock.Now() + wait/2
+				a.ClientDisconnected = func() bool { return clock.Now() > left }
+			}},
+		"confirmed by what proves a replica": {answer: pg.AppendReady(append(complete("SET", "SET"), parameter("node_role", "follower")...)),
+			want: balance.NotSent, reused: true, edit: func(clock exchange.Clock, a *exchange.Attempt, _ *backend.Backend) {
+				a.Grounds = balance.Grounds{Kind: balance.PresumedPrimary}
+			}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := startRecordingHost(t, func(query string) []byte {
+				if strings.HasPrefix(query, "SET ") {
+					time.Sleep(c.delay)
+					return c.answer
+				}
+				return pg.AppendReady(complete("INSERT 0 1"))
+			})
+			clock := exchange.NewClock()
+			clock.Inherit(clock.Now(), fleetclock.Interval{})
+			ctx, stop := context.WithCancel(t.Context())
+			group, to := &errgroup.Group{}, make(outcomes, 2)
+			defer func() { stop(); _ = group.Wait() }()
+			b := backend.New(ctx, group, backend.Config{Clock: clock, Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 1,
+				ConnectTimeout: testTimeout, IdleTimeout: testTimeout}, to)
+			b.Members([]exchange.Member{{Member: balance.Member{Server: "s"}, Address: h.address}})
+			insert := "INSERT INTO kv (name, content) VALUES ('k', 'v')"
+			send := func(number int, settings pg.Parameters, edit func(clock exchange.Clock, a *exchange.Attempt, b *backend.Backend)) {
+				checkout := New(pooling.NewSession(settings), pooling.ByTransaction, func([]byte) error { return nil },
+					&Batch{Messages: []Message{{Kind: pg.Query, Body: []byte(insert + "\x00")}}, Complete: true, Commands: pooling.Scan(insert)})
+				a := exchange.Attempt{ID: "a", Number: number, Server: "s", Sent: clock.Now(), Deadline: clock.Now() + deadline, Command: checkout}
+				if edit != nil {
+					edit(clock, &a, b)
+				}
+				b.Send(a)
+			}
+			send(0, pg.Parameters{"a.one": "1", "a.two": "2"}, c.edit)
+			if o := <-to; o.Result != c.want {
+				t.Errorf("outcome %v, want %v", o.Result, c.want)
+			}
+			queries, _ := h.received()
+			if sent := slices.Contains(queries, insert); sent != (c.want == balance.OK) {
+				t.Errorf("the host received %q", queries)
+			}
+			b.SetSendDeadline("s", 0)
+			send(1, pg.Parameters{"a.one": "1", "a.two": "2"}, nil)
+			<-to
+			if _, conns := h.received(); (conns == 1) != c.reused {
+				t.Errorf("%d connections, want the first used again: %v", conns, c.reused)
+			}
+		})
+	}
+}
