Pools: close the connection of a client that leaves between Flush and Sync

What callers saw (in the test; no report of it exists): a client ran an INSERT in a pipeline, got its answer after a Flush and left without a Sync; the next session's first query committed that INSERT. Where the pipeline had failed, the host skipped all messages of the next session, which was answered 53300 after its time.

Cause: Checkout.Converse asked the transaction status of the last ReadyForQuery only. Between Flush and Sync the host holds an implicit transaction, or skips messages, and has sent no new status, so that the connection was taken as clean.

Change: a checkout whose last batch is not complete returns its connection as not clean; the host rolls back as it is closed. The stand-in's pipelines are now implicit transactions, as PostgreSQL's are: it committed each INSERT at once before.

--- a/cmd/yokemast/pooling_settings_test.go
+++ b/cmd/yokemast/pooling_settings_test.go
@@ -22,6 +22,7 @@
 	failures   int // number of statements that change a setting that still fail
 	seen       int // number of statements that name their session
 	violations []string
+	statements map[string]int // how often each statement has run
 }
 
 var namedSession = regexp.MustCompile(`'(\w+)/`)
@@ -30,6 +31,10 @@
 func (o *settingsObserver) beforeStatement(text string, settings map[string]string) *pg.Error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.statements == nil {
+		o.statements = map[string]int{}
+	}
+	o.statements[text]++
 	lower := strings.ToLower(text)
 	if o.failures > 0 && (strings.HasPrefix(lower, "set ") || strings.HasPrefix(lower, "reset ")) {
 		o.failures--
@@ -51,6 +56,13 @@
 	o.failures = n
 }
 
+// count returns how often a statement has run.
+func (o *settingsObserver) count(text string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.statements[text]
+}
+
 // check reports all violations since the last call.
 func (o *settingsObserver) check(t *testing.T) {
 	t.Helper()
--- /dev/null
+++ b/cmd/yokemast/pooling_state_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/wire/pg"
+)
+
+// These tests check what the gateway believes of a host connection after a failure or an unusual end.
+
+// insertText is an INSERT of the value text.
+func insertText(text string) string {
+	return "INSERT INTO kv (name, content) VALUES ('k', '" + text + "')"
+}
+
+// extended returns the messages that run statements by the extended query protocol, without the Sync or Flush at their end.
+func extended(statements ...string) (out []byte) {
+	for _, sql := range statements {
+		out = pg.AppendParse(out, pg.ParseMessage{Text: sql})
+		out = pg.AppendBind(out, "", "", make([]byte, 6))
+		out = pg.Append(out, pg.Execute, make([]byte, 5))
+	}
+	return out
+}
+
+// startClient connects as the user of the pool.
+func (p *pooled) startClient(t *testing.T) *clients.Client {
+	t.Helper()
+	c, err := clients.Start(p.address, "app", testTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// readUntil reads messages up to one of the given type, and returns the types of all.
+func readUntil(t *testing.T, c *clients.Client, until byte) (kinds string) {
+	t.Helper()
+	for {
+		kind, _, err := pg.Read(c.In, 1<<20)
+		if err != nil {
+			t.Fatalf("after messages of types %q: %v", kinds, err)
+		}
+		if kind != pg.ParameterStatus {
+			kinds += string(kind)
+		}
+		if kind == until {
+			return kinds
+		}
+	}
+}
+
+// Guards against a connection that goes to the next session with an open implicit transaction, or while the host skips
+// messages, because its client left between a Flush and the Sync.
+func TestClientLeavesBetweenFlushAndSync(t *testing.T) {
+	for name, c := range map[string]struct {
+		statement string
+		until     byte
+	}{
+		"after a write":    {insertText("left"), pg.CommandComplete},
+		"after a SET":      {"SET app.session = 'left'", pg.CommandComplete},
+		"after an error":   {"FAIL", pg.ErrorResponse},
+		"after a read":     {"SELECT 'left'", pg.CommandComplete},
+		"before an answer": {"SELECT pg_sleep(0.2)", pg.ParseComplete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+			left := p.startClient(t)
+			_, _ = left.Write(pg.Append(extended(c.statement), pg.Flush))
+			if c.until != pg.ParseComplete {
+				readUntil(t, left, c.until)
+			}
+			left.Close()
+			next := p.startClient(t)
+			for _, ask := range [][2]string{{"SHOW app.session", "row "}, {insertText("next"), "ready"}, {"FAIL", "22012"}} {
+				if got := next.Ask(ask[0]); got != ask[1] {
+					t.Errorf("%s is answered %q to the next session, want %q", ask[0], got, ask[1])
+				}
+			}
+			if ids := p.cluster.CommitsByID(); ids["left"] != 0 || ids["next"] != 1 {
+				t.Errorf("committed: %v", ids)
+			}
+		})
+	}
+}
+
--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -29,6 +29,7 @@
 	sessionSettings map[string]string // settings at session level
 	settings        map[string]string // settings in force, including those local to the transaction
 	savepoints      []savepoint       // states at BEGIN and at each savepoint; empty outside a transaction
+	implicit        *savepoint        // state before the implicit transaction of a pipeline, which its Sync commits; nil: none
 	failed          bool              // the open transaction is aborted
 	writes          []write           // of the open transaction
 	prepared        map[string]string
@@ -79,15 +80,16 @@
 			return
 		case kind == pg.Sync:
 			skipping = false
-			out = s.ready(out)
+			out = s.ready(s.endPipeline(out))
 		case skipping:
 		case kind == pg.Query:
-			out = s.ready(s.query(out, strings.TrimSuffix(string(body), "\x00")))
+			out = s.ready(s.endPipeline(s.query(out, strings.TrimSuffix(string(body), "\x00"))))
 		default:
 			var bad *pg.Error
 			if out, bad = s.extended(out, kind, body); bad != nil {
 				out = pg.AppendError(out, bad)
 				s.abortTransaction()
+				s.abortPipeline()
 				skipping = true
 			}
 		}
@@ -195,6 +197,25 @@
 	return out
 }
 
+// endPipeline commits the implicit transaction of a pipeline.
+func (s *session) endPipeline(out []byte) []byte {
+	if s.implicit == nil {
+		return out
+	}
+	s.implicit = nil
+	if err := s.commit(); err != nil {
+		return pg.AppendError(out, err)
+	}
+	return out
+}
+
+// abortPipeline rolls back the implicit transaction of a pipeline.
+func (s *session) abortPipeline() {
+	if s.implicit != nil {
+		s.sessionSettings, s.settings, s.writes, s.implicit = s.implicit.sessionSettings, s.implicit.settings, nil, nil
+	}
+}
+
 // textType is the OID of PostgreSQL's type text.
 const textType = 25
 
@@ -308,6 +329,9 @@
 	if p.text == "" {
 		return pg.Append(out, pg.EmptyQueryResponse), nil
 	}
+	if len(s.savepoints) == 0 && s.implicit == nil {
+		s.implicit = &savepoint{"", maps.Clone(s.sessionSettings), maps.Clone(s.settings), 0}
+	}
 	got := s.run(p.text, p.values)
 	if got.err != nil {
 		return out, got.err
--- a/internal/testbed/hosts/sql.go
+++ b/internal/testbed/hosts/sql.go
@@ -140,7 +140,11 @@
 	switch first := words[0]; {
 	case first == "begin" || first == "start":
 		if len(s.savepoints) == 0 {
-			s.savepoints = append(s.savepoints, savepoint{"", maps.Clone(s.sessionSettings), maps.Clone(s.settings), 0})
+			start := savepoint{"", maps.Clone(s.sessionSettings), maps.Clone(s.settings), 0}
+			if s.implicit != nil { // what the pipeline has done before becomes part of the transaction
+				start, s.implicit = *s.implicit, nil
+			}
+			s.savepoints = append(s.savepoints, start)
 		}
 		return completed("BEGIN"), true
 	case first == "commit" || first == "rollback" && (len(words) == 1 || words[1] != "to"):
@@ -186,9 +190,10 @@
 		if len(s.savepoints) > 0 {
 			s.sessionSettings = s.savepoints[0].sessionSettings
 		}
+		s.abortPipeline()
 		s.writes = nil
 	}
-	s.settings, s.savepoints, s.failed = maps.Clone(s.sessionSettings), nil, false
+	s.settings, s.savepoints, s.implicit, s.failed = maps.Clone(s.sessionSettings), nil, nil, false
 	if err := s.commit(); err != nil {
 		return result{err: err}
 	}
@@ -252,7 +257,7 @@
 		return failure(pg.CodeReadOnly, "cannot execute INSERT in a read-only transaction")
 	}
 	s.writes = append(s.writes, write{key, value})
-	if len(s.savepoints) == 0 {
+	if len(s.savepoints) == 0 && s.implicit == nil {
 		if err := s.commit(); err != nil {
 			return result{err: err}
 		}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -267,8 +267,9 @@
 		case <-idle:
 			ended = ErrIdle
 		}
-		pinned := checkout.Session.Pins() != 0 // pinned state cannot be removed from the connection
-		end.Result, end.Clean = balance.OK, exchange.rollback() && !pinned
+		// Neither pinned state nor the implicit transaction of a pipeline without its Sync can be removed from the connection.
+		removable := checkout.Session.Pins() == 0 && batch.Complete
+		end.Result, end.Clean = balance.OK, exchange.rollback() && removable
 		checkout.finish(Done{Err: ended})
 		return end
 	}
