Pools: an invalid message of a later batch no longer runs the first again

What callers saw (in the test; no report of it exists): a session in a transaction, pinned or of a pool by session sent a Parse, Bind, Describe, Execute or Close that could not be read; the first batch of its checkout, an INSERT for example, ran a second time, and its answer was given to the invalid message.

Cause: Converse returned NotSent for any batch of which nothing had been sent, also for a later one. The module took it for the whole request, sent that again, and Converse began with the first batch.

Change: only the first batch may end as not sent. A message that cannot be read ends the session with 08P01 (it was refused with 53300 in a first batch, and tried on each host before).

Result: TestInvalidMessageDoesNotRepeatFirstBatch fails before in all 15 cases ("the first batch ran 2 times") and passes now.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"yokemast/internal/testbed/clients"
 	"yokemast/internal/wire/pg"
@@ -88,3 +91,48 @@
 	}
 }
 
+// Guards against a first batch that runs again, on this or another connection, because a message of a later one cannot be
+// read.
+func TestInvalidMessageDoesNotRepeatFirstBatch(t *testing.T) {
+	for name, c := range map[string]struct {
+		operator string
+		first    string
+	}{
+		"in a transaction":    {fmt.Sprintf(onePool, 4), "BEGIN; " + insertText("first")},
+		"in a pinned session": {fmt.Sprintf(onePool, 4), "LISTEN x; " + insertText("first")},
+		"in session mode":     {strings.Replace(fmt.Sprintf(onePool, 4), `(user "app")`, `(user "app") (mode session)`, 1), insertText("first")},
+	} {
+		for kind, message := range map[string][]byte{
+			"Parse":    pg.Append(nil, pg.Parse, []byte("x")),
+			"Bind":     pg.Append(nil, pg.Bind, []byte("x")),
+			"Describe": pg.Append(nil, pg.Describe, []byte("x")),
+			"Execute":  pg.Append(nil, pg.Execute, []byte("x")),
+			"Close":    pg.Append(nil, pg.Close, []byte("x")),
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				t.Parallel()
+				p, o := startObserved(t, c.operator)
+				k := p.startClient(t)
+				_, _ = k.Write(pg.Append(slices.Clone(message), pg.Sync))
+				if got := k.Answer(); got != "08P01, closed" {
+					t.Errorf("the invalid message is answered %q in the first batch", got)
+				}
+				k = p.startClient(t)
+				if got := k.Ask(c.first); got != "ready" {
+					t.Fatal(got)
+				}
+				_, _ = k.Write(pg.Append(message, pg.Sync))
+				_ = k.SetReadDeadline(time.Now().Add(3 * time.Second))
+				got := k.Answer()
+				if got != "08P01, closed" {
+					t.Errorf("the invalid message is answered %q in a later batch", got)
+				}
+				k.Close()
+				time.Sleep(50 * time.Millisecond)
+				if n := o.count(insertText("first")); n != 1 {
+					t.Errorf("the first batch ran %d times", n)
+				}
+			})
+		}
+	}
+}
--- a/internal/wire/relay/build.go
+++ b/internal/wire/relay/build.go
@@ -44,7 +44,7 @@
 		case pg.Parse:
 			p, err := pg.ReadParse(m.Body)
 			if err != nil {
-				return err
+				return &invalidMessage{err}
 			}
 			statement := pooling.NewStatement(p.Text, p.Types)
 			if !x.session.Prepare(p.Name, statement) {
@@ -66,7 +66,7 @@
 			}
 			portal, name, rest, err := pg.ReadBind(m.Body)
 			if err != nil {
-				return err
+				return &invalidMessage{err}
 			}
 			statement, hostName := x.session.Prepared(name), unknownStatement
 			if statement != nil {
@@ -78,7 +78,7 @@
 		case pg.Describe:
 			kind, name, err := pg.ReadTarget(m.Body)
 			if err != nil {
-				return err
+				return &invalidMessage{err}
 			}
 			if kind == 'S' {
 				hostName := unknownStatement
@@ -94,7 +94,7 @@
 		case pg.Execute:
 			portal, err := pg.ReadExecute(m.Body)
 			if err != nil {
-				return err
+				return &invalidMessage{err}
 			}
 			e := expectation{kind: pg.Execute}
 			if statement := x.portals[portal]; statement != nil {
@@ -105,7 +105,7 @@
 		case pg.Close:
 			kind, name, err := pg.ReadTarget(m.Body)
 			if err != nil {
-				return err
+				return &invalidMessage{err}
 			}
 			if kind == 'S' {
 				x.session.Close(name)
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -118,7 +118,7 @@
 	// Body ends after the names; the six bytes stand for the three counts that ReadBind requires after them.
 	portal, name, _, err := pg.ReadBind(append(m.Body, make([]byte, 6)...))
 	if err != nil {
-		return err
+		return &invalidMessage{err}
 	}
 	statement, hostName := x.session.Prepared(name), unknownStatement
 	x.query = x.query[:0]
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -218,7 +218,13 @@
 		checkout.setRunning(nil)
 		end.Busy += time.Since(start)
 		switch {
-		case err != nil && !exchange.relayed && !exchange.sent:
+		case errors.As(err, new(*invalidMessage)): // no other host could run the batch
+			checkout.finish(Done{Err: err})
+			if end.Result = balance.OK; batch == checkout.first {
+				end.Result = balance.NotSent
+			}
+			return end
+		case err != nil && !exchange.relayed && !exchange.sent && batch == checkout.first:
 			*checkout.Session = saved
 			checkout.Session.RestorePrepared(exchange.statements)
 			end.Result = balance.NotSent
@@ -290,10 +296,21 @@
 
 func (b *invalidAnswer) Error() string { return "the host's answer can't be read: " + b.problem }
 
+// invalidMessage reports that a message of the client cannot be read.
+type invalidMessage struct{ err error }
+
+func (e *invalidMessage) Error() string { return e.err.Error() }
+
+func (e *invalidMessage) Unwrap() error { return e.err }
+
 // ConnectionError returns the error message for a client whose checkout ended early because of err.
 func ConnectionError(err error) *pg.Error {
-	if errors.Is(err, ErrIdle) {
+	var invalid *invalidMessage
+	switch {
+	case errors.Is(err, ErrIdle):
 		return &pg.Error{Code: codeIdleTimeout, Message: err.Error(), Fatal: true}
+	case errors.As(err, &invalid):
+		return &pg.Error{Code: pg.CodeProtocolViolation, Message: err.Error(), Fatal: true}
 	}
 	return &pg.Error{Code: codeConnectionFailure, Message: fmt.Sprintf("the connection to the host was lost: %v", err), Fatal: true}
 }
