Pools: an error behind a Flush undoes the SETs of the whole pipeline

What callers saw (in the test; no report of it exists): a SET, answered after a Flush, and then an error before the Sync: the host rolled the SET back, the gateway kept it for the session and took the connection as having it, so that the session had one value here and another on its next connection.

Cause: Session.StartBatch took the settings to return to anew at each part of a pipeline, as if a Flush ended the implicit transaction.

Change: they are kept from the pipeline's start until the host reports its end.

Result: TestErrorAfterFlushUndoesSet fails before ("the session reads row undone") and passes now.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -136,3 +136,25 @@
 		}
 	}
 }
+
+// Guards against a SET that the session keeps although the error behind it, in a later part of the same pipeline, has undone
+// it at the host.
+func TestErrorAfterFlushUndoesSet(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+	c := p.startClient(t)
+	if got := c.Ask("SET app.session = 'first'"); got != "ready" {
+		t.Fatal(got)
+	}
+	_, _ = c.Write(pg.Append(extended("SET app.session = 'undone'"), pg.Flush))
+	readUntil(t, c, pg.CommandComplete)
+	_, _ = c.Write(pg.Append(extended("FAIL"), pg.Sync))
+	readUntil(t, c, pg.ReadyForQuery)
+	for range 2 {
+		if got := c.Ask("SHOW app.session"); got != "row first" {
+			t.Errorf("the session reads %q", got)
+		}
+		if got := p.startClient(t).Ask("SHOW app.session"); got != "row " { // puts its own settings on the connection
+			t.Errorf("another session reads %q", got)
+		}
+	}
+}
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -81,6 +81,7 @@
 	Status        byte // transaction status last reported by the host: I, T or E
 	defaults      Settings
 	settings      Settings
+	batchOpen     bool        // the host has not yet reported the end of the batch
 	batchSettings Settings    // settings at the start of the batch, or after its last COMMIT
 	levels        []savepoint // the open transaction and its savepoints
 	statements    map[string]*Statement
@@ -161,11 +162,13 @@
 // Statements returns the number of prepared statements.
 func (s *Session) Statements() int { return len(s.statements) }
 
-// StartBatch records the start of a batch: a query, or a pipeline up to its Sync.
+// StartBatch records the start of a batch: a query, or a pipeline up to its Sync. It has no effect within a pipeline, whose
+// parts up to a Flush the host rolls back together.
 func (s *Session) StartBatch() {
-	if len(s.levels) == 0 {
+	if len(s.levels) == 0 && !s.batchOpen {
 		s.batchSettings, s.batchPins = s.settings, s.pins
 	}
+	s.batchOpen = true
 }
 
 // Completed records that a statement has run, with the command tag of its answer. The tag of a COMMIT in a
@@ -249,6 +252,7 @@
 // EndBatch records the end of a batch with the transaction status reported by the host. If the session has a
 // transaction open and the host has not, the host has rolled it back.
 func (s *Session) EndBatch(status byte) {
+	s.batchOpen = false
 	if s.Status = status; status == 'I' && len(s.levels) > 0 {
 		s.rollBack()
 		s.levels = nil
@@ -279,6 +283,6 @@
 func (s *Session) ConnectionLost() (carried bool) {
 	carried = s.pins == 0 && s.Status == 'I' && len(s.levels) == 0
 	s.rollBack()
-	s.levels, s.pins, s.Status = nil, 0, 'I'
+	s.levels, s.pins, s.Status, s.batchOpen = nil, 0, 'I', false
 	return carried
 }
