Pools: a RESET returns to the session's startup settings, not the connection's

Cause: the gateway's connections are opened without the sessions' startup settings, so that the host resets to its own default, and ConnState took the connection as having the session's.

Change: Session keeps which startup settings a RESET has taken off the connection; the connection is believed to lack them, and they are applied again before the next batch, confirmed like any change, also in a transaction. They wait where a query would break a pipeline, in a failed transaction, and behind SET LOCAL.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
+
 	"yokemast/internal/testbed/clients"
 	"yokemast/internal/wire/pg"
 )
@@ -158,3 +160,53 @@
 		}
 	}
 }
+
+// Guards against a session's startup settings that are lost by its RESET, and against those of another session that stay.
+func TestResetReturnsToStartupSettings(t *testing.T) {
+	for _, reset := range []string{"RESET app.session", "RESET ALL", "DISCARD ALL", "SET app.session TO DEFAULT"} {
+		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+			t.Run(fmt.Sprint(reset, ", ", mode), func(t *testing.T) {
+				t.Parallel()
+				p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+				config, err := pgx.ParseConfig("postgres://app@" + p.address + "/store?sslmode=disable&app.session=started")
+				if err != nil {
+					t.Fatal(err)
+				}
+				k, err := pgx.ConnectConfig(t.Context(), config)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer k.Close(t.Context())
+				for _, sql := range []string{"SET app.session = 'changed'", reset} {
+					if _, err := k.Exec(t.Context(), sql, mode); err != nil {
+						t.Fatal(sql, err)
+					}
+				}
+				tx, err := k.Begin(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, sql := range []string{"SET app.session = 'in the transaction'", strings.Replace(reset, "DISCARD", "RESET", 1)} {
+					if _, err := tx.Exec(t.Context(), sql, mode); err != nil {
+						t.Fatal(sql, err)
+					}
+				}
+				var got string
+				if err := tx.QueryRow(t.Context(), "SHOW app.session", mode).Scan(&got); got != "started" || err != nil {
+					t.Errorf("after %s in a transaction the session reads %q, %v", reset, got, err)
+				}
+				if err := tx.Rollback(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				for range 2 {
+					if got, err := queryText(t.Context(), k, "SHOW app.session", mode); got != "started" || err != nil {
+						t.Errorf("after %s the session reads %q, %v", reset, got, err)
+					}
+					if got := p.startClient(t).Ask("SHOW app.session"); got != "row " {
+						t.Errorf("after %s another session reads %q", reset, got)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/control/pooling/connstate.go
+++ b/internal/control/pooling/connstate.go
@@ -46,29 +46,30 @@
 // session, which is empty if they are equal. They are to be run as one query, and the host has to confirm them all before
 // any statement of the session is sent: a host goes on to the next query after one that it fails.
 func (l *ConnState) SettingsStatements(s *Session) []string {
-	if l.settings == s.settings {
+	wanted := s.settings.wanted
+	if l.settings == wanted {
 		return nil
 	}
 	var reset, set []string
-	if s.settings.Len() == 0 && l.settings.Len() > 1 {
+	if wanted.Len() == 0 && l.settings.Len() > 1 {
 		return []string{"RESET ALL"}
 	}
 	it := l.settings.Root().Iterator()
 	for name, _, ok := it.Next(); ok; name, _, ok = it.Next() {
-		if _, kept := s.settings.Get(name); !kept {
+		if _, kept := wanted.Get(name); !kept {
 			reset = append(reset, "RESET "+settingIdent(string(name)))
 		}
 	}
-	it = s.settings.Root().Iterator()
+	it = wanted.Root().Iterator()
 	for name, value, ok := it.Next(); ok; name, value, ok = it.Next() {
 		if old, had := l.settings.Get(name); !had || old != value {
 			set = append(set, "SET "+settingIdent(string(name))+" TO "+value)
 		}
 	}
 	// RESET ALL and setting everything again may need fewer statements.
-	if all := s.settings.Len() + 1; len(reset) > 1 && all < len(reset)+len(set) {
+	if all := wanted.Len() + 1; len(reset) > 1 && all < len(reset)+len(set) {
 		reset, set = []string{"RESET ALL"}, set[:0]
-		it = s.settings.Root().Iterator()
+		it = wanted.Root().Iterator()
 		for name, value, ok := it.Next(); ok; name, value, ok = it.Next() {
 			set = append(set, "SET "+settingIdent(string(name))+" TO "+value)
 		}
@@ -77,7 +78,9 @@
 }
 
 // SettingsApplied records that the host has confirmed the statements of SettingsStatements.
-func (l *ConnState) SettingsApplied(s *Session) { l.settings = s.settings }
+func (l *ConnState) SettingsApplied(s *Session) {
+	l.settings, s.settings.undone = s.settings.wanted, NoSettings()
+}
 
 // settingIdent returns a setting's name in SQL, with its parts quoted where necessary.
 func settingIdent(name string) string {
@@ -135,9 +138,9 @@
 		l.prepared.Purge()
 		l.evicted = l.evicted[:0]
 	}
-	l.settings = s.settings
+	l.settings = s.settings.onConnection()
 }
 
 // AdoptSettings records that the connection has the session's settings, as it has run all of the session's
 // statements.
-func (l *ConnState) AdoptSettings(s *Session) { l.settings = s.settings }
+func (l *ConnState) AdoptSettings(s *Session) { l.settings = s.settings.onConnection() }
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -9,6 +9,7 @@
 package pooling
 
 import (
+	"iter"
 	"slices"
 	"strings"
 
@@ -71,23 +72,69 @@
 // savepoint is a transaction or a savepoint, with the state to which a rollback returns.
 type savepoint struct {
 	name     string // name of the savepoint, or "" for the transaction itself
-	settings Settings
+	settings sessionSettings
 	pins     Pin
 }
 
+// sessionSettings are the settings of a session and how its connection differs from them.
+type sessionSettings struct {
+	wanted Settings
+	// undone has the startup settings that a RESET has taken off the connection: the host resets a setting to the connection's
+	// own default, which is not the session's. They are applied again before the next batch.
+	undone Settings
+}
+
+// onConnection returns the settings in force on the connection that has run all of the session's statements.
+func (s sessionSettings) onConnection() Settings {
+	out := s.wanted
+	for name := range keys(s.undone) {
+		out, _, _ = out.Delete(name)
+	}
+	return out
+}
+
+// with returns the settings after a SET.
+func (s sessionSettings) with(name, value string) sessionSettings {
+	s.wanted, _, _ = s.wanted.Insert([]byte(name), value)
+	s.undone, _, _ = s.undone.Delete([]byte(name))
+	return s
+}
+
+// reset returns the settings after a RESET of one of them.
+func (s sessionSettings) reset(name string, defaults Settings) sessionSettings {
+	value, ok := defaults.Get([]byte(name))
+	if !ok {
+		s.wanted, _, _ = s.wanted.Delete([]byte(name))
+		return s
+	}
+	s.wanted, _, _ = s.wanted.Insert([]byte(name), value)
+	s.undone, _, _ = s.undone.Insert([]byte(name), value)
+	return s
+}
+
+// keys returns an iterator over the names of settings.
+func keys(settings Settings) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		it := settings.Root().Iterator()
+		for name, _, ok := it.Next(); ok && yield(name); name, _, ok = it.Next() {
+		}
+	}
+}
+
 // Session is the state of one client's session. It does not track SET LOCAL, whose effect ends with the
 // transaction and so before the session can get another host connection.
 type Session struct {
-	Status        byte // transaction status last reported by the host: I, T or E
-	defaults      Settings
-	settings      Settings
-	batchOpen     bool        // the host has not yet reported the end of the batch
-	batchSettings Settings    // settings at the start of the batch, or after its last COMMIT
-	levels        []savepoint // the open transaction and its savepoints
+	Status        byte     // transaction status last reported by the host: I, T or E
+	defaults      Settings // of the startup message
+	settings      sessionSettings
+	batchOpen     bool            // the host has not yet reported the end of the batch
+	batchSettings sessionSettings // settings at the start of the batch, or after its last COMMIT
+	levels        []savepoint     // the open transaction and its savepoints
 	statements    map[string]*Statement
 	pins          Pin
 	batchPins     Pin
 	readOnly      bool
+	localSet      bool // the open transaction has run SET LOCAL, which a SET of the gateway could override
 }
 
 // listSettings are the settings that are lists of names, whose elements are quoted one by one.
@@ -104,7 +151,7 @@
 
 // NewSession returns a session with the settings of its startup message, which are the values RESET returns to.
 func NewSession(startup map[string]string) *Session {
-	s := &Session{Status: 'I', settings: NoSettings(), statements: map[string]*Statement{}}
+	s := &Session{Status: 'I', defaults: NoSettings(), statements: map[string]*Statement{}}
 	for name, value := range startup {
 		name = strings.ToLower(name)
 		switch name {
@@ -119,14 +166,17 @@
 			}
 			sql = strings.Join(parts, ", ")
 		}
-		s.settings, _, _ = s.settings.Insert([]byte(name), sql)
+		s.defaults, _, _ = s.defaults.Insert([]byte(name), sql)
 	}
-	s.defaults, s.batchSettings = s.settings, s.settings
+	s.settings = sessionSettings{s.defaults, NoSettings()}
+	s.batchSettings = s.settings
 	return s
 }
 
 // Setting returns the value of a setting; ok is false if the setting has its default value.
-func (s *Session) Setting(name string) (value string, ok bool) { return s.settings.Get([]byte(name)) }
+func (s *Session) Setting(name string) (value string, ok bool) {
+	return s.settings.wanted.Get([]byte(name))
+}
 
 // Pins returns the reasons why the session must keep its host connection.
 func (s *Session) Pins() Pin { return s.pins }
@@ -162,6 +212,10 @@
 // Statements returns the number of prepared statements.
 func (s *Session) Statements() int { return len(s.statements) }
 
+// CanChangeSettings reports whether settings can be changed on the session's connection: not within a pipeline, whose messages
+// a query would interrupt, not in a failed transaction, and not where it could override a SET LOCAL.
+func (s *Session) CanChangeSettings() bool { return !s.batchOpen && s.Status != 'E' && !s.localSet }
+
 // StartBatch records the start of a batch: a query, or a pipeline up to its Sync. It has no effect within a pipeline, whose
 // parts up to a Flush the host rolls back together.
 func (s *Session) StartBatch() {
@@ -198,19 +252,19 @@
 		if c.Kind == Rollback || tag == "ROLLBACK" {
 			s.rollBack()
 		}
-		s.levels, s.batchSettings, s.batchPins = nil, s.settings, s.pins
+		s.levels, s.localSet = nil, false
+		s.batchSettings, s.batchPins = s.settings, s.pins
 	case Set:
-		s.settings, _, _ = s.settings.Insert([]byte(c.Name), c.Value)
+		s.settings = s.settings.with(c.Name, c.Value)
+	case SetLocal:
+		s.localSet = len(s.levels) > 0
 	case Reset:
-		if v, ok := s.defaults.Get([]byte(c.Name)); ok {
-			s.settings, _, _ = s.settings.Insert([]byte(c.Name), v)
-		} else {
-			s.settings, _, _ = s.settings.Delete([]byte(c.Name))
-		}
+		s.settings = s.settings.reset(c.Name, s.defaults)
 	case ResetAll:
-		s.settings = s.defaults
+		s.settings = sessionSettings{s.defaults, s.defaults}
 	case DiscardAll:
-		s.settings, s.batchSettings = s.defaults, s.defaults
+		s.settings = sessionSettings{s.defaults, s.defaults}
+		s.batchSettings = s.settings
 		clear(s.statements)
 	case Deallocate:
 		delete(s.statements, c.Name)
@@ -255,14 +309,14 @@
 	s.batchOpen = false
 	if s.Status = status; status == 'I' && len(s.levels) > 0 {
 		s.rollBack()
-		s.levels = nil
+		s.levels, s.localSet = nil, false
 	}
 }
 
 // Reported records a setting's value that the host reported in a batch whose statements change no setting: a
 // function has changed it. Changes to settings that the host does not report are not noticed.
 func (s *Session) Reported(name, value string) {
-	s.settings, _, _ = s.settings.Insert([]byte(strings.ToLower(name)), Literal(value))
+	s.settings = s.settings.with(strings.ToLower(name), Literal(value))
 }
 
 // ChangesSettings reports whether any of the statements may change settings in a way that the session tracks from
@@ -283,6 +337,7 @@
 func (s *Session) ConnectionLost() (carried bool) {
 	carried = s.pins == 0 && s.Status == 'I' && len(s.levels) == 0
 	s.rollBack()
-	s.levels, s.pins, s.Status, s.batchOpen = nil, 0, 'I', false
+	s.levels, s.pins, s.Status = nil, 0, 'I'
+	s.batchOpen, s.localSet = false, false
 	return carried
 }
--- a/internal/testbed/hosts/sql.go
+++ b/internal/testbed/hosts/sql.go
@@ -116,7 +116,11 @@
 	if out, ok := s.runControl(text, words); ok {
 		return out
 	}
-	if m := set.FindStringSubmatch(text); m != nil {
+	if m := set.FindStringSubmatch(text); m != nil && strings.EqualFold(m[3], "default") {
+		delete(s.sessionSettings, strings.ToLower(m[2]))
+		delete(s.settings, strings.ToLower(m[2]))
+		return completed("SET")
+	} else if m != nil {
 		return s.set(strings.ToLower(m[2]), strings.Trim(m[3], "'"), strings.EqualFold(strings.TrimSpace(m[1]), "local"))
 	}
 	if m := sleep.FindStringSubmatch(text); m != nil {
--- a/internal/wire/backend/settings.go
+++ b/internal/wire/backend/settings.go
@@ -29,15 +29,15 @@
 
 // ApplySettings changes the connection's settings to those of a session and waits until the host has confirmed the change. A
 // host that fails it would run what follows under the settings that the connection has from another session. It returns a
-// *SetupError if the host did not confirm the change, or if the attempt must not go on after the wait. The connection must
-// be outside a transaction.
+// *SetupError if the host did not confirm the change, or if the attempt must not go on after the wait. Session.CanChangeSettings
+// must hold.
 func (h *Host) ApplySettings(s *pooling.Session) error {
 	state := h.ConnState()
 	statements := state.SettingsStatements(s)
 	if len(statements) == 0 {
 		return nil
 	}
-	err := h.conn.changeSettings(statements, func(body []byte) { h.HandleStatement(body) })
+	err := h.conn.changeSettings(statements, s.Status, func(body []byte) { h.HandleStatement(body) })
 	if err == nil && h.PastDeadline() {
 		err = os.ErrDeadlineExceeded
 	}
@@ -68,9 +68,9 @@
 }
 
 // changeSettings runs statements that set or reset settings as one query, and returns nil only if the answer confirms each of
-// them, leaves no transaction open and is followed by nothing. After an error the connection's settings are unknown.
+// them, states the given transaction status and is followed by nothing. After an error the connection's settings are unknown.
 // handleStatus is called with the body of each ParameterStatus. An error response is returned as *pg.Error.
-func (c *conn) changeSettings(statements []string, handleStatus func(body []byte)) error {
+func (c *conn) changeSettings(statements []string, status byte, handleStatus func(body []byte)) error {
 	if _, err := c.Write(pg.AppendQuery(nil, strings.Join(statements, "; "))); err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 			switch {
 			case refusal != nil:
 				return refusal
-			case confirmed < len(statements), string(body) != "I", !c.alive():
+			case confirmed < len(statements), string(body) != string(status), !c.alive():
 				return fmt.Errorf("%w: %d of %d statements confirmed, status %q", errMalformed, confirmed, len(statements), body)
 			}
 			return nil
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -48,12 +48,12 @@
 
 // run sends the batch to the host and forwards its answer to the client.
 func (x *batchExchange) run() error {
-	x.session.StartBatch()
-	if !x.checkout.skipping {
+	if x.session.CanChangeSettings() {
 		if err := x.host.ApplySettings(x.session); err != nil {
 			return err
 		}
 	}
+	x.session.StartBatch()
 	x.host.BeginBatch()
 	if err := x.buildQuery(); err != nil {
 		return err
