Pools: RESET ALL does not reset the role, which another session then had

What callers saw (in the model; no report of it exists): a session without settings got a connection whose last session had SET ROLE and another setting, and ran under that role. A session's "SET role = x" made its later changes of connection fail with a syntax error.

Cause: ConnState and Session took RESET ALL for a reset of everything; PostgreSQL leaves the role as it is (GUC_NO_RESET_ALL). DISCARD ALL resets it, with the session's authorization. parseSet took "= x" for the role's name.

Change: the role survives RESET ALL in both, and is set or reset by name. SettingsStatements is split, and the way of two settings or more is counted in one place. The model draws SET ROLE and keeps the role in RESET ALL.

--- a/internal/control/pooling/connstate.go
+++ b/internal/control/pooling/connstate.go
@@ -46,35 +46,44 @@
 // session, which is empty if they are equal. They are to be run as one query, and the host has to confirm them all before
 // any statement of the session is sent: a host goes on to the next query after one that it fails.
 func (l *ConnState) SettingsStatements(s *Session) []string {
-	wanted := s.settings.wanted
-	if l.settings == wanted {
+	if l.settings == s.settings.wanted {
 		return nil
 	}
-	var reset, set []string
-	if wanted.Len() == 0 && l.settings.Len() > 1 {
-		return []string{"RESET ALL"}
+	each, resets := changes(l.settings, s.settings.wanted)
+	if resets < 2 {
+		return each
 	}
-	it := l.settings.Root().Iterator()
-	for name, _, ok := it.Next(); ok; name, _, ok = it.Next() {
-		if _, kept := wanted.Get(name); !kept {
-			reset = append(reset, "RESET "+settingIdent(string(name)))
+	rest, _ := changes(afterResetAll(l.settings), s.settings.wanted)
+	if len(rest)+1 < len(each) {
+		return append([]string{"RESET ALL"}, rest...)
+	}
+	return each
+}
+
+// changes returns the statements that change each setting that differs, and how many of them are a RESET.
+func changes(from, to Settings) (out []string, resets int) {
+	for name := range keys(from) {
+		if _, kept := to.Get(name); !kept {
+			out = append(out, "RESET "+settingIdent(string(name)))
 		}
 	}
-	it = wanted.Root().Iterator()
+	resets = len(out)
+	it := to.Root().Iterator()
 	for name, value, ok := it.Next(); ok; name, value, ok = it.Next() {
-		if old, had := l.settings.Get(name); !had || old != value {
-			set = append(set, "SET "+settingIdent(string(name))+" TO "+value)
+		if old, had := from.Get(name); !had || old != value {
+			out = append(out, "SET "+settingIdent(string(name))+" TO "+value)
 		}
 	}
-	// RESET ALL and setting everything again may need fewer statements.
-	if all := wanted.Len() + 1; len(reset) > 1 && all < len(reset)+len(set) {
-		reset, set = []string{"RESET ALL"}, set[:0]
-		it = wanted.Root().Iterator()
-		for name, value, ok := it.Next(); ok; name, value, ok = it.Next() {
-			set = append(set, "SET "+settingIdent(string(name))+" TO "+value)
-		}
+	return out, resets
+}
+
+// afterResetAll returns the settings of a connection after RESET ALL, which leaves the role as it is.
+func afterResetAll(settings Settings) Settings {
+	out := NoSettings()
+	if role, ok := settings.Get(roleSetting); ok {
+		out, _, _ = out.Insert(roleSetting, role)
 	}
-	return append(reset, set...)
+	return out
 }
 
 // SettingsApplied records that the host has confirmed the statements of SettingsStatements.
--- a/internal/control/pooling/model_test.go
+++ b/internal/control/pooling/model_test.go
@@ -28,7 +28,20 @@
 	return &modelConn{defaults: defaults, session: clone(defaults), effective: clone(defaults), prepared: map[string]string{}}
 }
 
-func (s *modelConn) resetAll() { s.session, s.effective = clone(s.defaults), clone(s.defaults) }
+// resetAll models RESET ALL, which leaves the role as it is, and, with the role, DISCARD ALL.
+func (s *modelConn) resetAll(withRole bool) {
+	session, effective := s.session, s.effective
+	s.session, s.effective = clone(s.defaults), clone(s.defaults)
+	if withRole {
+		return
+	}
+	for now, before := range map[*map[string]string]map[string]string{&s.session: session, &s.effective: effective} {
+		delete(*now, "role")
+		if role, ok := before["role"]; ok {
+			(*now)["role"] = role
+		}
+	}
+}
 
 func clone(m map[string]string) map[string]string {
 	out := map[string]string{}
@@ -114,12 +127,12 @@
 			s.session[c.Name], s.effective[c.Name] = value, value
 		}
 	case ResetAll:
-		s.resetAll()
+		s.resetAll(false)
 	case DiscardAll:
 		if len(s.saved) > 0 {
 			return fail()
 		}
-		s.resetAll()
+		s.resetAll(true)
 		clear(s.prepared)
 	case DeallocateAll:
 		clear(s.prepared)
@@ -174,7 +187,7 @@
 		var conns []*sharedConn
 		for i := range rapid.IntRange(2, 5).Draw(t, "clients") {
 			startup, defaults := map[string]string{}, map[string]string{}
-			for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 2, rapid.ID).Draw(t, "startup settings") {
+			for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "role"}), 0, 2, rapid.ID).Draw(t, "startup settings") {
 				startup[name], defaults[name] = "started", "'started'"
 			}
 			clients = append(clients, &client{own: newModelConn(defaults), s: NewSession(startup), conn: -1, number: i})
@@ -182,7 +195,7 @@
 		for range rapid.IntRange(1, 3).Draw(t, "links") {
 			conns = append(conns, &sharedConn{newModelConn(nil), NewConnState(3), false})
 		}
-		names := []string{"a", "b", "c", "d"}
+		names := []string{"a", "b", "c", "d", "role"}
 		command := func(t *rapid.T) string {
 			name := rapid.SampledFrom(names).Draw(t, "name")
 			return rapid.SampledFrom([]string{"SET " + name + " = '" + rapid.StringMatching("[xyz]{1,2}").Draw(t, "value") + "'",
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -112,6 +112,23 @@
 	return s
 }
 
+// resetAll returns the settings after RESET ALL.
+func (s sessionSettings) resetAll(defaults Settings) sessionSettings {
+	out := sessionSettings{defaults, defaults}
+	if role, ok := s.wanted.Get(roleSetting); ok {
+		out.wanted, _, _ = out.wanted.Insert(roleSetting, role)
+	} else {
+		out.wanted, _, _ = out.wanted.Delete(roleSetting)
+	}
+	if _, ok := s.undone.Get(roleSetting); !ok {
+		out.undone, _, _ = out.undone.Delete(roleSetting)
+	}
+	return out
+}
+
+// roleSetting is the name of the setting that SET ROLE changes.
+var roleSetting = []byte("role")
+
 // keys returns an iterator over the names of settings.
 func keys(settings Settings) iter.Seq[[]byte] {
 	return func(yield func([]byte) bool) {
@@ -261,7 +278,7 @@
 	case Reset:
 		s.settings = s.settings.reset(c.Name, s.defaults)
 	case ResetAll:
-		s.settings = sessionSettings{s.defaults, s.defaults}
+		s.settings = s.settings.resetAll(s.defaults)
 	case DiscardAll:
 		s.settings = sessionSettings{s.defaults, s.defaults}
 		s.batchSettings = s.settings
--- a/internal/control/pooling/session_test.go
+++ b/internal/control/pooling/session_test.go
@@ -97,6 +97,11 @@
 		{"SET a = 1; SET b = 1; SET c = 1", "", "RESET ALL"},
 		{"SET a = 1; SET b = 1; SET c = 1; SET d = 1", "SET e = 1", "RESET ALL; SET e TO 1"},
 		{"SET a = 1", "SET b = 1", "RESET a; SET b TO 1"},
+		{"SET a = 1; SET b = 1; SET ROLE x", "", "RESET ALL; RESET role"},
+		{"SET a = 1; SET b = 1; SET ROLE x", "SET role TO x", "RESET ALL"},
+		{"SET ROLE x; RESET ALL", "", "RESET role"},
+		{"", "SET role = 'x'; RESET ALL", "SET role TO 'x'"},
+		{"SET ROLE x; DISCARD ALL", "", ""},
 	} {
 		l := NewConnState(0)
 		l.SettingsApplied(session(c.has))
--- a/internal/control/pooling/sql.go
+++ b/internal/control/pooling/sql.go
@@ -398,7 +398,7 @@
 		if c.Name, c.Value = "client_encoding", w.textFrom(sql, i+1); c.Value == "" {
 			c.Value = "default"
 		}
-	case w.isWord(i, "role"):
+	case w.isWord(i, "role") && !w.isWord(i+1, "to") && !(i+1 < len(w) && w[i+1].kind == '='):
 		c.Name, c.Value = "role", w.textFrom(sql, i+1)
 		if w.isWord(i+1, "none") {
 			c.Value = "'none'"
