Pools: a ROLLBACK TO a savepoint keeps the pins that outlive it

Cause: Session.Completed set the pins of the savepoint; only the rollback of a whole transaction kept those that outlive it.

Change: both keep outlastingPins.

Result: the row "advisory lock behind a savepoint that is rolled back to" of TestCarriedSettingsAndPins fails before (no pin) and passes now; a temporary table's pin still ends there.

--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -258,7 +258,7 @@
 		}
 	case RollbackTo:
 		if i := s.findSavepoint(c.Name); i > 0 {
-			s.settings, s.pins = s.levels[i].settings, s.levels[i].pins
+			s.settings, s.pins = s.levels[i].settings, s.levels[i].pins|s.pins&outlastingPins
 			s.levels = s.levels[:i+1]
 		}
 	case Release:
@@ -301,11 +301,14 @@
 	return 0
 }
 
+// outlastingPins are the reasons to pin that a rollback, also one to a savepoint, does not end: session-level advisory locks and
+// statements prepared in SQL outlive it, and untracked settings may.
+const outlastingPins = PinAdvisoryLock | PinSQLPrepare | PinUntracked
+
 // rollBack restores the settings and pins from before the transaction or, outside of one, before the batch. A
-// rollback ends reasons to pin that arose in what it undoes, such as temporary tables. Session-level advisory
-// locks and statements prepared in SQL outlive it, and untracked settings may, so these reasons stay.
+// rollback ends reasons to pin that arose in what it undoes, such as temporary tables, except for outlastingPins.
 func (s *Session) rollBack() {
-	kept := s.pins & (PinAdvisoryLock | PinSQLPrepare | PinUntracked)
+	kept := s.pins & outlastingPins
 	if len(s.levels) > 0 {
 		s.settings, s.pins = s.levels[0].settings, s.levels[0].pins|kept
 	} else {
--- a/internal/control/pooling/session_test.go
+++ b/internal/control/pooling/session_test.go
@@ -64,6 +64,12 @@
 			run(s, l, "BEGIN; SELECT pg_advisory_lock(1)", true, 'T')
 			run(s, l, "ROLLBACK", true, 'I')
 		}, "", PinAdvisoryLock},
+		{"advisory lock behind a savepoint that is rolled back to", func(s *Session, l *ConnState) {
+			run(s, l, "BEGIN; SAVEPOINT s; SELECT pg_advisory_lock(1); ROLLBACK TO s; COMMIT", true, 'I')
+		}, "", PinAdvisoryLock},
+		{"temporary table behind a savepoint that is rolled back to", func(s *Session, l *ConnState) {
+			run(s, l, "BEGIN; SAVEPOINT s; CREATE TEMP TABLE t (a int); ROLLBACK TO s; COMMIT", true, 'I')
+		}, "", 0},
 		{"cursor WITH HOLD", func(s *Session, l *ConnState) { run(s, l, "DECLARE c CURSOR WITH HOLD FOR SELECT 1", true, 'I') }, "", PinHoldCursor},
 		{"PREPARE in SQL", func(s *Session, l *ConnState) { run(s, l, "PREPARE p AS SELECT 1", true, 'I') }, "", PinSQLPrepare},
 		{"untracked setting", func(s *Session, l *ConnState) { run(s, l, "SELECT set_config('a', 'x', false)", true, 'I') }, "", PinUntracked},
