Pools: a SET that is not understood pins its session

What callers saw (in the test; no report of it exists): SET SCHEMA, SET XML OPTION and SET ... FROM CURRENT changed a setting at the host that the gateway took for unchanged, so that the next session on the connection ran under it and its own session lost it.

Cause: parseSet took any form that it could not read as invalid, and so as without effect.

Change: SET SCHEMA and SET XML OPTION are carried; any other unread form pins, as other untracked settings do, once the host has confirmed it.

Result: four of five new rows of TestCarriedSettingsAndPins fail before and pass now.

--- a/internal/control/pooling/session_test.go
+++ b/internal/control/pooling/session_test.go
@@ -72,6 +72,11 @@
 		}, "", 0},
 		{"cursor WITH HOLD", func(s *Session, l *ConnState) { run(s, l, "DECLARE c CURSOR WITH HOLD FOR SELECT 1", true, 'I') }, "", PinHoldCursor},
 		{"PREPARE in SQL", func(s *Session, l *ConnState) { run(s, l, "PREPARE p AS SELECT 1", true, 'I') }, "", PinSQLPrepare},
+		{"SET SCHEMA", func(s *Session, l *ConnState) { run(s, l, "SET SCHEMA 'a'", true, 'I') }, "SET search_path TO 'a'", 0},
+		{"SET XML OPTION", func(s *Session, l *ConnState) { run(s, l, "SET SESSION XML OPTION DOCUMENT", true, 'I') }, "SET xmloption TO DOCUMENT", 0},
+		{"SET FROM CURRENT", func(s *Session, l *ConnState) { run(s, l, "SET a FROM CURRENT", true, 'I') }, "", PinUntracked},
+		{"SET of an unknown form", func(s *Session, l *ConnState) { run(s, l, "SET a 'x'", true, 'I') }, "", PinUntracked},
+		{"SET of an unknown form that fails", func(s *Session, l *ConnState) { run(s, l, "SET a 'x'", false, 'I') }, "", 0},
 		{"untracked setting", func(s *Session, l *ConnState) { run(s, l, "SELECT set_config('a', 'x', false)", true, 'I') }, "", PinUntracked},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/control/pooling/sql.go
+++ b/internal/control/pooling/sql.go
@@ -394,6 +394,10 @@
 		if w.isWord(i+2, "local") {
 			c.Value = "default"
 		}
+	case w.isWord(i, "schema"):
+		c.Name, c.Value = "search_path", w.textFrom(sql, i+1)
+	case w.isWord(i, "xml") && w.isWord(i+1, "option"):
+		c.Name, c.Value = "xmloption", w.textFrom(sql, i+2)
 	case w.isWord(i, "names"):
 		if c.Name, c.Value = "client_encoding", w.textFrom(sql, i+1); c.Value == "" {
 			c.Value = "default"
@@ -410,7 +414,10 @@
 		c.Value = w.textFrom(sql, i+1)
 	}
 	if c.Name == "" || c.Value == "" {
-		*c = Command{Kind: Neutral} // invalid: the host returns the error
+		// Invalid, so that the host returns the error, or a form that is not known here.
+		if *c = (Command{Kind: Neutral, Pin: PinUntracked}); i > 1 && w.isWord(1, "local") {
+			c.Pin = 0 // ends with the transaction
+		}
 		return
 	}
 	if strings.EqualFold(c.Value, "default") {
