Backend: platform requests run under no pooled session's settings

Cause: both take connections from one pool, and only conversations compared the connection's settings with their own; attempt.tryConn and Backend.Probe wrote at once.

Change: conn.clearSettings resets what a session has left, confirmed like any change of settings; after the wait time limits, drain, grounds and client are looked at again. Where it fails, the connection is closed and another is tried. Connections without settings, all of them where no pool is configured, are as before.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -210,3 +210,31 @@
 		}
 	}
 }
+
+// Guards against a request of the platform that runs under the settings which a pooled session left on its connection.
+func TestPlatformRequestsRunWithoutSessionSettings(t *testing.T) {
+	p, o := startObserved(t, fmt.Sprintf(onePool, 1))
+	k := p.startClient(t)
+	platform, err := clients.Start(p.address, "backend", testTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer platform.Close()
+	for i, r := range []clients.Request{
+		{Class: "order", Key: "nobody/key", Wait: 2 * time.Second, Write: true, Value: []byte("x")},
+		{Class: "own", Key: "nobody/key", Wait: 2 * time.Second},
+		{Class: "view", Key: "nobody/key", Wait: 2 * time.Second},
+		{Class: "order", Key: "nobody/key", Wait: 2 * time.Second, Write: true, Value: make([]byte, pg.SmallValue+1)},
+	} {
+		if got := k.Ask(fmt.Sprintf("SET app.session = 'other%d'", i)); got != "ready" {
+			t.Fatal(got)
+		}
+		if got := platform.Do(r, nil); got.Code != "" {
+			t.Errorf("%s is answered %+v", r.Key, got)
+		}
+		if got := k.Ask(fmt.Sprintf("SELECT 'other%d/after'", i)); got != fmt.Sprintf("row other%d/after", i) {
+			t.Errorf("the session is answered %q", got)
+		}
+	}
+	o.check(t)
+}
--- a/internal/control/pooling/connstate.go
+++ b/internal/control/pooling/connstate.go
@@ -37,6 +37,9 @@
 	return l
 }
 
+// HasSettings reports whether any setting differs from the host's default.
+func (l *ConnState) HasSettings() bool { return l.settings.Len() > 0 }
+
 // SettingsQuery returns the statements of SettingsStatements as one query, or "" if there are none.
 func (l *ConnState) SettingsQuery(s *Session) string {
 	return strings.Join(l.SettingsStatements(s), "; ")
--- a/internal/wire/backend/attempt.go
+++ b/internal/wire/backend/attempt.go
@@ -217,18 +217,10 @@
 	}
 	now := attempt.b.cfg.Clock.Now()
 	conversation, converses := attempt.Command.(Conversation)
-	var command Command
-	var query []byte
 	large, _ := attempt.Command.(Large)
 	if large != nil && !large.Large() {
 		large = nil
 	}
-	if !converses {
-		command = attempt.Command.(Command)
-		if large == nil {
-			query = command.AppendQuery(nil, attempt.Deadline-now)
-		}
-	}
 	mayStart := attempt.mayStart(now)
 	attempt.mu.Lock()
 	if attempt.ended || attempt.mustNotStart || !mayStart {
@@ -246,10 +238,16 @@
 		attempt.converse(c, conversation)
 		return false
 	}
+	now, cleared, retry := attempt.clearSettings(c, now)
+	if !cleared {
+		return retry
+	}
+	command := attempt.Command.(Command)
 	var r reply
 	if large != nil {
 		r = c.exchange(func() error { return attempt.writeLarge(c, large, now) }, true, command.Tag(), limits{attempt.Deadline, attempt.WriteBy, attempt.sendCanceled})
 	} else {
+		query := command.AppendQuery(nil, attempt.Deadline-now)
 		r = c.roundTrip(query, command.Tag(), limits{attempt.Deadline, attempt.WriteBy, attempt.sendCanceled})
 	}
 	if r.result == balance.NotSent {
@@ -325,8 +323,7 @@
 }
 
 // mayBegin reports whether what a host executes may still be sent on a connection that is ready for it.
-func (attempt *attempt) mayBegin() bool {
-	now := attempt.b.cfg.Clock.Now()
+func (attempt *attempt) mayBegin(now time.Duration) bool {
 	return !attempt.sendCanceled() && (attempt.WriteBy == 0 || now <= attempt.WriteBy) && attempt.mayStart(now)
 }
 
--- a/internal/wire/backend/probe.go
+++ b/internal/wire/backend/probe.go
@@ -51,6 +51,11 @@
 				p.Result = balance.NotSent
 				return nil
 			}
+			if _, err := c.clearSettings(until); err != nil {
+				b.release(server, c)
+				p.Result = setupResult(err)
+				continue
+			}
 			sent := b.cfg.Clock.Now()
 			r := c.roundTrip(pg.AppendQuery(nil, "SHOW server_load"), "SHOW", limits{answerBy: until})
 			b.release(server, c)
--- a/internal/wire/backend/settings.go
+++ b/internal/wire/backend/settings.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"yokemast/balance"
 	"yokemast/internal/control/pooling"
+	"yokemast/internal/memory/exchange"
 	"yokemast/internal/wire/pg"
 )
 
@@ -32,26 +34,75 @@
 // *SetupError if the host did not confirm the change, or if the attempt must not go on after the wait. Session.CanChangeSettings
 // must hold.
 func (h *Host) ApplySettings(s *pooling.Session) error {
-	state := h.ConnState()
-	statements := state.SettingsStatements(s)
-	if len(statements) == 0 {
-		return nil
-	}
-	err := h.conn.changeSettings(statements, s.Status, func(body []byte) { h.HandleStatement(body) })
-	if err == nil && h.PastDeadline() {
-		err = os.ErrDeadlineExceeded
-	}
+	h.ConnState() // the session's statements will need it
+	changed, err := h.conn.applySettings(s, func(body []byte) { h.HandleStatement(body) })
 	if err != nil {
 		return &SetupError{Result: setupResult(err), err: err}
 	}
-	state.SettingsApplied(s)
+	if !changed {
+		return nil
+	}
 	h.attempt.b.cfg.Counters.SettingsChanged.Add(1)
-	if !h.attempt.mayBegin() {
+	if !h.attempt.mayBegin(h.conn.clock.Now()) {
 		return &SetupError{Result: balance.NotSent, Reusable: true, err: errMayNotBegin}
 	}
 	return nil
 }
 
+// clearSettings resets all settings that a pooled session has left on the connection, for a query that belongs to no session.
+// It reports whether there were any. After an error the query must not be written to this connection.
+func (c *conn) clearSettings(answerBy time.Duration) (changed bool, err error) {
+	if c.state == nil || !c.state.HasSettings() {
+		return false, nil
+	}
+	c.clean = false
+	if err := c.SetReadDeadline(c.deadline(answerBy)); err != nil {
+		return false, err
+	}
+	var r reply
+	if _, err := c.applySettings(pooling.NewSession(nil), func(body []byte) { r.parseStatement(body); c.reportReplica(&r) }); err != nil {
+		return false, err
+	}
+	c.clean = true
+	return true, nil
+}
+
+// clearSettings prepares a connection for a query of the platform. now is a time at which the attempt could start, and start
+// one at which it still can. If the query must not be written, it releases the connection and returns false; retry is then
+// the result of tryConn.
+func (attempt *attempt) clearSettings(c *conn, now time.Duration) (start time.Duration, cleared, retry bool) {
+	changed, err := c.clearSettings(attempt.Deadline)
+	if err == nil && !changed {
+		return now, true, false
+	}
+	if now = attempt.b.cfg.Clock.Now(); err == nil && attempt.mayBegin(now) {
+		return now, true, false
+	}
+	if retry = attempt.releaseUnsent(c); retry && timedOut(err) {
+		attempt.end(exchange.Outcome{Outcome: balance.Outcome{Result: balance.TimedOut}})
+		retry = false
+	}
+	return now, false, retry
+}
+
+// applySettings changes the connection's settings to those of a session. It reports whether a change was needed. After an
+// error the connection's settings are unknown.
+func (c *conn) applySettings(s *pooling.Session, handleStatus func(body []byte)) (changed bool, err error) {
+	statements := c.state.SettingsStatements(s)
+	if len(statements) == 0 {
+		return false, nil
+	}
+	err = c.changeSettings(statements, s.Status, handleStatus)
+	if err == nil && c.incoming.pastDeadline {
+		err = os.ErrDeadlineExceeded
+	}
+	if err != nil {
+		return false, err
+	}
+	c.state.SettingsApplied(s)
+	return true, nil
+}
+
 // setupResult returns the result of an attempt whose connection could not be prepared because of err.
 func setupResult(err error) balance.Result {
 	var refusal *pg.Error
