Pools: a connection with a cancel of unknown end is not used again

Cause: Host.Cancel waits for 1 s for the host to handle the request; when that passed, its error was dropped and the connection went back to the pool.

Change: a connection for which a cancel request was written and not confirmed by the host's closing is closed after its checkout. A cancel whose connection did not come up has no effect and closes nothing.

--- a/cmd/yokemast/pooling_failures_test.go
+++ b/cmd/yokemast/pooling_failures_test.go
@@ -180,6 +180,32 @@
 	}
 }
 
+// Guards against a cancel request that a host handles late, when its connection already serves another session.
+func TestLateCancelHitsNoOtherSession(t *testing.T) {
+	const handledAfter = 1500 * time.Millisecond // the gateway waits for 1 s
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, func(h *hosts.Host) { h.CancelDelay = handledAfter })
+	a, b := p.mustConnect(t), p.mustConnect(t)
+	ctx := t.Context()
+	first := make(chan error, 1)
+	go func() {
+		_, err := a.Exec(ctx, "SELECT pg_sleep(0.3)")
+		first <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	canceled := time.Now()
+	if err := a.PgConn().CancelRequest(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	for time.Since(canceled) < 2*handledAfter {
+		if _, err := b.Exec(ctx, "SELECT pg_sleep(0.05)"); err != nil {
+			t.Fatalf("another session's statement ends with %v, %v after the cancel", err, time.Since(canceled))
+		}
+	}
+}
+
 // A commit whose answer is lost is reported to the client as an error and is not sent again.
 func TestCommitWithLostAnswer(t *testing.T) {
 	var close atomic.Bool
--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -56,6 +56,7 @@
 func (h *Host) serveGeneral(c net.Conn, in *bufio.Reader, parameters pg.Parameters, kind pg.Startup) {
 	if kind == pg.StartCancel {
 		if key, ok := parameters.CancelKey(); ok {
+			time.Sleep(h.CancelDelay)
 			h.cancel(key)
 		}
 		return
--- a/internal/wire/backend/checkout.go
+++ b/internal/wire/backend/checkout.go
@@ -38,6 +38,9 @@
 	reply   reply         // the host's latest statements
 	writeBy time.Duration // limit for the first write; 0 if none
 
+	// unconfirmedCancels counts the cancel requests that the host is not known to have handled: they may hit a later statement.
+	unconfirmedCancels atomic.Int32
+
 	position time.Duration // position of the data behind the last batch; 0 if not yet stated
 	written  atomic.Int64  // when that batch had been written, in nanoseconds by the gateway's clock; 0 if it was not
 }
@@ -139,7 +142,7 @@
 func (h *Host) InputEmpty() bool { return h.conn.in.Buffered() == 0 }
 
 // Cancel sends a cancel request for the statement that runs on this connection, and waits until the host has
-// handled it, so that it cannot hit a later statement.
+// handled it, so that it cannot hit a later statement. If that is not known in time, the connection is not used again.
 func (h *Host) Cancel(ctx context.Context, timeout time.Duration) error {
 	if h.conn.key == (pg.Key{}) {
 		return errors.New("the host sent no cancel key")
@@ -153,11 +156,13 @@
 	}
 	defer n.Close()
 	_ = n.SetDeadline(time.Now().Add(timeout))
+	h.unconfirmedCancels.Add(1)
 	if _, err := n.Write(pg.AppendCancel(nil, h.conn.key)); err != nil {
 		return err
 	}
 	_, err = n.Read(make([]byte, 1)) // the host closes the connection once it has handled the request
 	if errors.Is(err, io.EOF) {
+		h.unconfirmedCancels.Add(-1)
 		return nil
 	}
 	return err
@@ -181,7 +186,7 @@
 	c.incoming.readLate = false
 	attempt.mu.Lock()
 	attempt.conn = nil
-	c.clean = end.Clean && !attempt.ended && !h.PastDeadline() && c.in.Buffered() == 0
+	c.clean = end.Clean && !attempt.ended && !h.PastDeadline() && h.unconfirmedCancels.Load() == 0 && c.in.Buffered() == 0
 	attempt.mu.Unlock()
 	attempt.b.release(attempt.Server, c)
 	h.reply.result = end.Result
