Pools: a batch that was given up no longer changes the session's state

Cause: Converse worked on the session itself and restored it after a failure, up to 1 s (the wait for cancels) after the client's session had been told of the end and had gone on.

Change: each batch runs on a copy of the session, which becomes the session's state only if the batch ends well and the session still waits for it. The restoring is gone; Converse is split (awaitNext, batchFailed). A connection in a transaction is not clean after a misdirected read either.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5"
 
 	"yokemast/internal/testbed/clients"
+	"yokemast/internal/testbed/hosts"
 	"yokemast/internal/wire/pg"
 )
 
@@ -238,3 +239,41 @@
 	}
 	o.check(t)
 }
+
+// Guards against a SET that is undone because an earlier batch of the session, already given up, ends after it.
+func TestBatchGivenUpDoesNotUndoLaterSet(t *testing.T) {
+	const (
+		giveUp      = 2 * time.Second
+		cancelAfter = 1700 * time.Millisecond // the gateway waits for 1 s for the end of a cancel, so until after giveUp
+		canceledBy  = 3 * time.Second
+	)
+	edit := func(config string) string {
+		return strings.Replace(config, `"effect":"fragile","group":"all","onTime":400000000,"giveUp":20000000000`,
+			fmt.Sprintf(`"effect":"fragile","group":"all","onTime":400000000,"giveUp":%d`, giveUp), 1)
+	}
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 4), edit, func(h *hosts.Host) {
+		h.CancelDelay = 2 * canceledBy
+		h.BeforeStatement = func(text string, _ map[string]string) *pg.Error {
+			if text == insertText("slow") {
+				time.Sleep(2 * canceledBy)
+			}
+			return nil
+		}
+	})
+	k, ctx, start := p.mustConnect(t), t.Context(), time.Now()
+	go func() {
+		time.Sleep(cancelAfter)
+		_ = k.PgConn().CancelRequest(ctx)
+	}()
+	_, err := k.Exec(ctx, insertText("slow"), pgx.QueryExecModeSimpleProtocol)
+	if took := time.Since(start); err == nil || took < cancelAfter || took > canceledBy {
+		t.Fatalf("the slow statement ended after %v with %v", took, err)
+	}
+	if _, err := k.Exec(ctx, "SET app.session = 'kept'", pgx.QueryExecModeSimpleProtocol); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(start.Add(canceledBy)))
+	if got, err := queryText(ctx, k, "SHOW app.session", pgx.QueryExecModeSimpleProtocol); got != "kept" || err != nil {
+		t.Errorf("the session reads %q, %v", got, err)
+	}
+}
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -10,6 +10,7 @@
 
 import (
 	"iter"
+	"maps"
 	"slices"
 	"strings"
 
@@ -220,11 +221,12 @@
 // Close removes a prepared statement.
 func (s *Session) Close(name string) { delete(s.statements, name) }
 
-// AllPrepared returns the prepared statements by name. The map belongs to the session and must not be changed.
-func (s *Session) AllPrepared() map[string]*Statement { return s.statements }
-
-// RestorePrepared replaces the prepared statements by an earlier copy, for requests that were not executed.
-func (s *Session) RestorePrepared(all map[string]*Statement) { s.statements = all }
+// Clone returns a copy of the session, on which a batch can be tried.
+func (s *Session) Clone() *Session {
+	out := *s
+	out.levels, out.statements = slices.Clone(s.levels), maps.Clone(s.statements)
+	return &out
+}
 
 // Statements returns the number of prepared statements.
 func (s *Session) Statements() int { return len(s.statements) }
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -13,20 +13,19 @@
 
 // batchExchange is the exchange of one batch with a host.
 type batchExchange struct {
-	checkout   *Checkout
-	host       *backend.Host
-	session    *pooling.Session
-	batch      *Batch
-	statements map[string]*pooling.Statement // the session's prepared statements before the batch
-	portals    map[string]*pooling.Statement
-	query      []byte
-	expected   []expectation
-	out        []byte
-	sent       bool          // something was sent to the host
-	relayed    bool          // something was sent to the client
-	lastKind   byte          // kind of the last message from the host
-	rowRead    bool          // the host has sent a row
-	wrote      time.Duration // as Done.Wrote
+	checkout *Checkout
+	host     *backend.Host
+	session  *pooling.Session // a copy, which becomes the client's session if the batch ends well
+	batch    *Batch
+	portals  map[string]*pooling.Statement
+	query    []byte
+	expected []expectation
+	out      []byte
+	sent     bool          // something was sent to the host
+	relayed  bool          // something was sent to the client
+	lastKind byte          // kind of the last message from the host
+	rowRead  bool          // the host has sent a row
+	wrote    time.Duration // as Done.Wrote
 }
 
 func (x *batchExchange) flush() error {
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"sync"
 	"time"
 
@@ -137,6 +136,7 @@
 
 	mu      sync.Mutex
 	ended   bool          // its last result was sent; it runs on no other host
+	givenUp bool          // the client's session no longer waits for it
 	running *backend.Host // host that runs a batch, or nil
 	cancels sync.WaitGroup
 
@@ -144,8 +144,12 @@
 	muted   bool
 }
 
-// Mute stops all further output of the checkout to the client: from now on the session writes its own messages.
+// Mute stops all further output of the checkout to the client, and all changes to its session: from now on the session writes
+// its own messages.
 func (checkout *Checkout) Mute() {
+	checkout.mu.Lock()
+	checkout.givenUp = true
+	checkout.mu.Unlock()
 	checkout.writeMu.Lock()
 	defer checkout.writeMu.Unlock()
 	checkout.muted = true
@@ -202,85 +206,115 @@
 // Converse implements backend.Conversation. It runs the first batch and, while the checkout continues, each
 // further one on the host.
 func (checkout *Checkout) Converse(h *backend.Host) (end backend.ConversationResult) {
-	checkout.mu.Lock()
-	finished := checkout.ended
-	checkout.mu.Unlock()
-	if finished {
-		return backend.ConversationResult{Result: balance.NotSent, Clean: true}
-	}
 	batch := checkout.first
 	for {
-		start := time.Now()
-		saved := *checkout.Session
-		exchange := &batchExchange{checkout: checkout, host: h, session: checkout.Session, batch: batch, statements: maps.Clone(checkout.Session.AllPrepared())}
+		start, session := time.Now(), checkout.cloneSession()
+		if session == nil && batch == checkout.first {
+			return backend.ConversationResult{Result: balance.NotSent, Clean: true}
+		}
+		if session == nil { // given up between two batches, maybe within a transaction
+			end.Result = balance.OK
+			return end
+		}
+		exchange := &batchExchange{checkout: checkout, host: h, session: session, batch: batch}
 		checkout.setRunning(h)
 		err := exchange.run()
 		checkout.setRunning(nil)
 		end.Busy += time.Since(start)
-		switch {
-		case errors.As(err, new(*invalidMessage)): // no other host could run the batch
-			checkout.finish(Done{Err: err})
-			if end.Result = balance.OK; batch == checkout.first {
-				end.Result = balance.NotSent
-			}
-			return end
-		case err != nil && !exchange.relayed && !exchange.sent && batch == checkout.first:
-			*checkout.Session = saved
-			checkout.Session.RestorePrepared(exchange.statements)
-			end.Result = balance.NotSent
-			var setup *backend.SetupError
-			if errors.As(err, &setup) {
-				end.Result, end.Clean = setup.Result, setup.Reusable
-			}
-			return end
-		case err != nil && !exchange.relayed && batch == checkout.first:
-			// Package balance decides whether to retry, so the session's state is restored.
-			*checkout.Session = saved
-			checkout.Session.RestorePrepared(exchange.statements)
-			end.Result = balance.Reset
-			var invalid *invalidAnswer
-			switch {
-			case errors.As(err, &invalid):
-				end.Result = balance.Garbled
-			case errors.Is(err, errMisdirected):
-				end.Result, end.Clean = balance.Misdirected, h.InputEmpty()
-			case errors.Is(err, errStale):
-				end.Result = balance.Stale
-			}
-			return end
-		case err != nil:
-			checkout.finish(Done{Err: err, Relayed: exchange.relayed})
-			end.Result = balance.Reset
+		if err != nil {
+			end.Result, end.Clean = checkout.batchFailed(exchange, err)
 			return end
 		}
-		keep := !batch.Complete || checkout.Session.InTransaction() || checkout.Session.Pins() != 0 || checkout.Mode == pooling.BySession
+		checkout.publishSession(session)
+		keep := !batch.Complete || session.InTransaction() || session.Pins() != 0 || checkout.Mode == pooling.BySession
 		if !keep {
 			checkout.finish(Done{Wrote: exchange.wrote})
 			end.Result, end.Clean = balance.OK, h.InputEmpty()
 			return end
 		}
 		checkout.done <- Done{Keep: true, Wrote: exchange.wrote}
-		var idle <-chan time.Time // only an open transaction may block other sessions
-		if checkout.Session.InTransaction() {
-			idle = time.After(checkout.MaxIdle)
-		}
-		var ended error
-		select {
-		case batch = <-checkout.next:
+		next, ended := checkout.awaitNext(session)
+		if next != nil {
+			batch = next
 			continue
-		case <-checkout.closed:
-			ended = errors.New("closed")
-		case <-idle:
-			ended = ErrIdle
 		}
 		// Neither pinned state nor the implicit transaction of a pipeline without its Sync can be removed from the connection.
-		removable := checkout.Session.Pins() == 0 && batch.Complete
+		removable := session.Pins() == 0 && batch.Complete
 		end.Result, end.Clean = balance.OK, exchange.rollback() && removable
 		checkout.finish(Done{Err: ended})
 		return end
 	}
 }
 
+// awaitNext waits for the next batch of a checkout that continues, and returns it or why the checkout has ended.
+func (checkout *Checkout) awaitNext(session *pooling.Session) (*Batch, error) {
+	var idle <-chan time.Time // only an open transaction may block other sessions
+	if session.InTransaction() {
+		idle = time.After(checkout.MaxIdle)
+	}
+	select {
+	case batch := <-checkout.next:
+		return batch, nil
+	case <-checkout.closed:
+		return nil, errors.New("closed")
+	case <-idle:
+		return nil, ErrIdle
+	}
+}
+
+// batchFailed handles the end of a batch that failed with err, without an answer of the host to relay. It returns the result
+// of the attempt, and whether its connection can be used again. After a first batch of which the client has seen nothing,
+// package balance decides whether to retry; any other failure ends the checkout.
+func (checkout *Checkout) batchFailed(x *batchExchange, err error) (result balance.Result, clean bool) {
+	var (
+		setup  *backend.SetupError
+		answer *invalidAnswer
+	)
+	first := x.batch == checkout.first
+	switch {
+	case errors.As(err, new(*invalidMessage)): // no other host could run the batch
+		checkout.finish(Done{Err: err})
+		if first {
+			return balance.NotSent, false
+		}
+		return balance.OK, false
+	case !first || x.relayed:
+		checkout.finish(Done{Err: err, Relayed: x.relayed})
+		return balance.Reset, false
+	case errors.As(err, &setup):
+		return setup.Result, setup.Reusable
+	case !x.sent:
+		return balance.NotSent, false
+	case errors.As(err, &answer):
+		return balance.Garbled, false
+	case errors.Is(err, errMisdirected):
+		return balance.Misdirected, x.host.InputEmpty() && !x.session.InTransaction()
+	case errors.Is(err, errStale):
+		return balance.Stale, false
+	}
+	return balance.Reset, false
+}
+
+// cloneSession returns a copy of the session on which the next batch runs, or nil if the checkout has ended or was given up.
+func (checkout *Checkout) cloneSession() *pooling.Session {
+	checkout.mu.Lock()
+	defer checkout.mu.Unlock()
+	if checkout.ended || checkout.givenUp {
+		return nil
+	}
+	return checkout.Session.Clone()
+}
+
+// publishSession makes the session's state after a batch that of the client's session, unless that has given the batch up and
+// may have gone on.
+func (checkout *Checkout) publishSession(session *pooling.Session) {
+	checkout.mu.Lock()
+	defer checkout.mu.Unlock()
+	if !checkout.givenUp {
+		*checkout.Session = *session
+	}
+}
+
 // finish sends the last result of the checkout, once.
 func (checkout *Checkout) finish(d Done) {
 	checkout.mu.Lock()
