Relay: a ReadyForQuery without its status is an invalid answer, no panic

What was seen (in the test): a host's ReadyForQuery with an empty body, to a simple query, made the attempt panic; it was caught, counted in panics and ended as a reset.

Cause: batchExchange.receive checked the length only after handleReady had read the status.

Change: the length is checked first.

Result: TestReadyWithoutStatusIsInvalid fails before (outcome reset) and passes now (garbled).

--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -144,10 +144,11 @@
 			forward()
 			x.handleCompletion(e, pg.ReadTag(body))
 		case pg.ReadyForQuery:
-			ok = len(body) == 1
-			x.handleReady(body)
-			forward()
-			x.pop()
+			if ok = len(body) == 1; ok {
+				x.handleReady(body)
+				forward()
+				x.pop()
+			}
 		}
 	case pg.Sync:
 		if ok = kind == pg.ReadyForQuery && len(body) == 1; ok {
--- a/internal/wire/relay/settings_test.go
+++ b/internal/wire/relay/settings_test.go
@@ -241,3 +241,14 @@
 		})
 	}
 }
+
+// Guards against a panic on a ReadyForQuery that lacks the transaction status.
+func TestReadyWithoutStatusIsInvalid(t *testing.T) {
+	h := startRecordingHost(t, func(string) []byte { return pg.Append(pg.AppendComplete(nil, "INSERT 0 1"), pg.ReadyForQuery) })
+	b, to, clock := startBackend(t, h.address)
+	checkout := New(pooling.NewSession(nil), pooling.ByTransaction, func([]byte) error { return nil }, queryBatch("INSERT"))
+	b.Send(exchange.Attempt{ID: "a", Server: "s", Sent: clock.Now(), Deadline: clock.Now() + testTimeout, Command: checkout})
+	if o := <-to; o.Result != balance.Garbled {
+		t.Errorf("outcome %v, want %v", o.Result, balance.Garbled)
+	}
+}
