Pools: the settings test has a value in pieces too

Cause: a Bind over 64 KiB is passed on in pieces and was no form of TestNoStatementRunsWhereItsSettingsFailed. Change: it is one now, and a long Query in the simple protocol.

--- a/cmd/yokemast/pooling_settings_test.go
+++ b/cmd/yokemast/pooling_settings_test.go
@@ -100,6 +100,15 @@
 			_, err := queryText(ctx, k, insert(name+"/returning")+" RETURNING content", mode)
 			return err
 		},
+		"large value": func(ctx context.Context, k *pgx.Conn, mode pgx.QueryExecMode, name string) error {
+			large := strings.Repeat("x", 3*pg.SmallValue)
+			if mode == pgx.QueryExecModeSimpleProtocol {
+				_, err := k.Exec(ctx, insert(name+"/"+large), mode)
+				return err
+			}
+			_, err := k.Exec(ctx, "INSERT INTO kv (name, content) VALUES ('"+name+"/large', $1)", mode, large)
+			return err
+		},
 		"transaction": func(ctx context.Context, k *pgx.Conn, mode pgx.QueryExecMode, name string) error {
 			tx, err := k.Begin(ctx)
 			if err != nil {
