Pools: a reported parameter that no SET can change is not carried

What callers would see (read, and shown in the test on Session): a host that is promoted reports in_hot_standby in the answer to a session's next statement; the gateway took it for a setting of the session, and every other connection then failed the SET, so that the session was refused for good.

Cause: Session.Reported took any ParameterStatus in a batch that sets nothing.

Change: the six parameters that PostgreSQL reports and SET cannot change are ignored.

Result: TestReportedReadOnlyParameterIsNotCarried asks for no statement; without the check the session carries all six.

--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -336,11 +336,19 @@
 }
 
 // Reported records a setting's value that the host reported in a batch whose statements change no setting: a
-// function has changed it. Changes to settings that the host does not report are not noticed.
+// function has changed it. Changes to settings that the host does not report are not noticed. What no SET can change is not
+// the session's and is ignored.
 func (s *Session) Reported(name, value string) {
-	s.settings = s.settings.with(strings.ToLower(name), Literal(value))
+	if name = strings.ToLower(name); !readOnlyParameters[name] {
+		s.settings = s.settings.with(name, Literal(value))
+	}
 }
 
+// readOnlyParameters are the parameters that PostgreSQL reports and that SET cannot change, or only changes with rights of its
+// own (documentation, 54.2.7 Asynchronous Operations).
+var readOnlyParameters = map[string]bool{"in_hot_standby": true, "integer_datetimes": true, "is_superuser": true,
+	"server_encoding": true, "server_version": true, "session_authorization": true}
+
 // ChangesSettings reports whether any of the statements may change settings in a way that the session tracks from
 // their text.
 func ChangesSettings(commands []Command) bool {
--- a/internal/control/pooling/session_test.go
+++ b/internal/control/pooling/session_test.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// Guards against a session that is refused on every other connection once its host has reported, as after a promotion, a
+// parameter that no SET can change.
+func TestReportedReadOnlyParameterIsNotCarried(t *testing.T) {
+	s := NewSession(nil)
+	for name := range readOnlyParameters {
+		s.Reported(name, "off")
+	}
+	if got := NewConnState(0).SettingsQuery(s); got != "" {
+		t.Errorf("another connection has to run %q", got)
+	}
+}
+
 func TestReportedSettingIsCarried(t *testing.T) {
 	s := NewSession(nil)
 	if ChangesSettings(Scan("SELECT prepare_me()")) || !ChangesSettings(Scan("SELECT 1; SET TIME ZONE 'UTC'")) {
