Pools: a reported list setting is carried element by element

Cause: Session.Reported quoted a reported search_path (PostgreSQL 18 reports it) as one name, so that the session had no schema on its next connection; NewSession quoted the elements of the same list. Change: both use valueInSet. Result: the new row of TestReportedSettingIsCarried fails before and passes now.

--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -167,6 +167,18 @@
 	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
 }
 
+// valueInSet returns the value of a setting as written in SET. The elements of a list are quoted one by one.
+func valueInSet(name, value string) string {
+	if !listSettings[name] {
+		return Literal(value)
+	}
+	parts := strings.Split(value, ",")
+	for i, p := range parts {
+		parts[i] = Literal(strings.Trim(strings.TrimSpace(p), `"`))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // NewSession returns a session with the settings of its startup message, which are the values RESET returns to.
 func NewSession(startup map[string]string) *Session {
 	s := &Session{Status: 'I', defaults: NoSettings(), statements: map[string]*Statement{}}
@@ -176,15 +188,7 @@
 		case "user", "database", "replication", "options":
 			continue
 		}
-		sql := Literal(value)
-		if listSettings[name] {
-			parts := strings.Split(value, ",")
-			for i, p := range parts {
-				parts[i] = Literal(strings.Trim(strings.TrimSpace(p), `"`))
-			}
-			sql = strings.Join(parts, ", ")
-		}
-		s.defaults, _, _ = s.defaults.Insert([]byte(name), sql)
+		s.defaults, _, _ = s.defaults.Insert([]byte(name), valueInSet(name, value))
 	}
 	s.settings = sessionSettings{s.defaults, NoSettings()}
 	s.batchSettings = s.settings
@@ -340,7 +344,7 @@
 // the session's and is ignored.
 func (s *Session) Reported(name, value string) {
 	if name = strings.ToLower(name); !readOnlyParameters[name] {
-		s.settings = s.settings.with(name, Literal(value))
+		s.settings = s.settings.with(name, valueInSet(name, value))
 	}
 }
 
--- a/internal/control/pooling/session_test.go
+++ b/internal/control/pooling/session_test.go
@@ -152,6 +152,11 @@
 	if got := NewConnState(0).SettingsQuery(s); got != "SET timezone TO 'Asia/Kolkata'" {
 		t.Errorf("another connection has to run %q", got)
 	}
+	s = NewSession(nil)
+	s.Reported("search_path", `"$user", public`)
+	if got, want := NewConnState(0).SettingsQuery(s), "SET search_path TO '$user', 'public'"; got != want {
+		t.Errorf("another connection has to run %q, want %q", got, want)
+	}
 }
 
 func TestStatementsWithEqualHash(t *testing.T) {
