Relay: one short function for each message that is translated

Cause: buildQuery was a switch of 90 lines, and the look-up of a statement's name on the host stood twice. Change: a function a kind of message, hostName in one place; the tests of the package share one start of a backend. No behaviour changes. Result: the package's tests with -race and the pooling tests of cmd/yokemast pass.

--- a/internal/wire/relay/build.go
+++ b/internal/wire/relay/build.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 
 	"yokemast/internal/control/pooling"
@@ -24,106 +25,152 @@
 // buildQuery translates the batch into the messages for the host and the answers expected to them.
 func (x *batchExchange) buildQuery() error {
 	if x.checkout.skipping {
-		if x.batch.Complete && x.batch.Messages[len(x.batch.Messages)-1].Kind == pg.Sync {
-			x.checkout.skipping = false
-			x.query = pg.Append(x.query, pg.Sync)
-			x.expected = append(x.expected, expectation{kind: pg.Sync})
-		}
+		x.buildSkipped()
 		return nil
 	}
 	x.portals = map[string]*pooling.Statement{}
 	if x.checkout.streamedStatement != nil { // the portal of a Bind streamed before
 		x.portals[x.checkout.streamedPortal], x.checkout.streamedStatement = x.checkout.streamedStatement, nil
 	}
-	expect, ensurePrepared := x.expect, x.ensurePrepared
 	for _, m := range x.batch.Messages {
-		switch m.Kind {
-		case pg.Query:
-			x.query = pg.Append(x.query, pg.Query, m.Body)
-			expect(expectation{kind: pg.Query, commands: x.batch.Commands})
-		case pg.Parse:
-			p, err := pg.ReadParse(m.Body)
-			if err != nil {
-				return &invalidMessage{err}
-			}
-			statement := pooling.NewStatement(p.Text, p.Types)
-			if !x.session.Prepare(p.Name, statement) {
-				// The gateway reports a duplicate name itself, as the host does not know the client's names.
-				expect(expectation{reply: pg.AppendError(nil, &pg.Error{Code: "42P05",
-					Message: fmt.Sprintf("prepared statement %q already exists", p.Name)}), kind: pg.ErrorResponse})
-				return nil
-			}
-			before := len(x.expected)
-			ensurePrepared(statement)
-			if n := len(x.expected); n > before && x.expected[n-1].kind == pg.Parse {
-				x.expected[n-1].hidden, x.expected[n-1].name = false, p.Name
-			} else {
-				expect(expectation{reply: pg.Append(nil, pg.ParseComplete)})
-			}
-		case pg.Bind:
-			if m.Rest != nil {
-				continue // always the last message: it is sent once the messages before it are answered
-			}
-			portal, name, rest, err := pg.ReadBind(m.Body)
-			if err != nil {
-				return &invalidMessage{err}
-			}
-			statement, hostName := x.session.Prepared(name), unknownStatement
-			if statement != nil {
-				hostName = ensurePrepared(statement)
-			}
-			x.portals[portal] = statement
-			x.query = pg.AppendBind(x.query, portal, hostName, rest)
-			expect(expectation{kind: pg.Bind, statement: statement, name: name})
-		case pg.Describe:
-			kind, name, err := pg.ReadTarget(m.Body)
-			if err != nil {
-				return &invalidMessage{err}
-			}
-			if kind == 'S' {
-				hostName := unknownStatement
-				if statement := x.session.Prepared(name); statement != nil {
-					hostName = ensurePrepared(statement)
-				}
-				x.query = pg.AppendTarget(x.query, pg.Describe, 'S', hostName)
-				expect(expectation{kind: pg.Describe, target: 'S', name: name})
-				continue
-			}
-			x.query = pg.Append(x.query, pg.Describe, m.Body)
-			expect(expectation{kind: pg.Describe})
-		case pg.Execute:
-			portal, err := pg.ReadExecute(m.Body)
-			if err != nil {
-				return &invalidMessage{err}
-			}
-			e := expectation{kind: pg.Execute}
-			if statement := x.portals[portal]; statement != nil {
-				e.commands = pooling.Scan(statement.Text)
-			}
-			x.query = pg.Append(x.query, pg.Execute, m.Body)
-			expect(e)
-		case pg.Close:
-			kind, name, err := pg.ReadTarget(m.Body)
-			if err != nil {
-				return &invalidMessage{err}
-			}
-			if kind == 'S' {
-				x.session.Close(name)
-				expect(expectation{reply: pg.Append(nil, pg.CloseComplete)})
-				continue
-			}
-			x.query = pg.Append(x.query, pg.Close, m.Body)
-			expect(expectation{kind: pg.Close})
-		case pg.Flush, pg.Sync:
-			x.query = pg.Append(x.query, m.Kind, m.Body)
-			if m.Kind == pg.Sync {
-				expect(expectation{kind: pg.Sync})
-			}
+		switch err := x.build(m); {
+		case errors.Is(err, errAnswered):
+			return nil
+		case err != nil:
+			return &invalidMessage{err}
+		}
+	}
+	return nil
+}
+
+// errAnswered reports that the gateway answers a message with an error, so that the rest of the batch does not run.
+var errAnswered = errors.New("answered with an error")
+
+// buildSkipped translates a batch of which the host skips all messages but the Sync.
+func (x *batchExchange) buildSkipped() {
+	if x.batch.Complete && x.batch.Messages[len(x.batch.Messages)-1].Kind == pg.Sync {
+		x.checkout.skipping = false
+		x.query = pg.Append(x.query, pg.Sync)
+		x.expect(expectation{kind: pg.Sync})
+	}
+}
+
+// build translates one message.
+func (x *batchExchange) build(m Message) error {
+	switch m.Kind {
+	case pg.Query:
+		x.query = pg.Append(x.query, pg.Query, m.Body)
+		x.expect(expectation{kind: pg.Query, commands: x.batch.Commands})
+	case pg.Parse:
+		return x.buildParse(m.Body)
+	case pg.Bind:
+		if m.Rest == nil { // one in pieces is always the last message: it is sent once the messages before it are answered
+			return x.buildBind(m.Body)
 		}
+	case pg.Describe:
+		return x.buildDescribe(m.Body)
+	case pg.Execute:
+		return x.buildExecute(m.Body)
+	case pg.Close:
+		return x.buildClose(m.Body)
+	case pg.Flush:
+		x.query = pg.Append(x.query, pg.Flush, m.Body)
+	case pg.Sync:
+		x.query = pg.Append(x.query, pg.Sync, m.Body)
+		x.expect(expectation{kind: pg.Sync})
+	}
+	return nil
+}
+
+func (x *batchExchange) buildParse(body []byte) error {
+	p, err := pg.ReadParse(body)
+	if err != nil {
+		return err
+	}
+	statement := pooling.NewStatement(p.Text, p.Types)
+	if !x.session.Prepare(p.Name, statement) {
+		// The gateway reports a duplicate name itself, as the host does not know the client's names.
+		x.expect(expectation{reply: pg.AppendError(nil, &pg.Error{Code: "42P05",
+			Message: fmt.Sprintf("prepared statement %q already exists", p.Name)}), kind: pg.ErrorResponse})
+		return errAnswered
+	}
+	before := len(x.expected)
+	x.ensurePrepared(statement)
+	if n := len(x.expected); n > before && x.expected[n-1].kind == pg.Parse {
+		x.expected[n-1].hidden, x.expected[n-1].name = false, p.Name
+	} else {
+		x.expect(expectation{reply: pg.Append(nil, pg.ParseComplete)})
+	}
+	return nil
+}
+
+func (x *batchExchange) buildBind(body []byte) error {
+	portal, name, rest, err := pg.ReadBind(body)
+	if err != nil {
+		return err
 	}
+	statement := x.session.Prepared(name)
+	hostName := x.hostName(statement)
+	x.portals[portal] = statement
+	x.query = pg.AppendBind(x.query, portal, hostName, rest)
+	x.expect(expectation{kind: pg.Bind, statement: statement, name: name})
 	return nil
 }
 
+func (x *batchExchange) buildDescribe(body []byte) error {
+	kind, name, err := pg.ReadTarget(body)
+	if err != nil {
+		return err
+	}
+	if kind != 'S' {
+		x.query = pg.Append(x.query, pg.Describe, body)
+		x.expect(expectation{kind: pg.Describe})
+		return nil
+	}
+	hostName := x.hostName(x.session.Prepared(name))
+	x.query = pg.AppendTarget(x.query, pg.Describe, 'S', hostName)
+	x.expect(expectation{kind: pg.Describe, target: 'S', name: name})
+	return nil
+}
+
+func (x *batchExchange) buildExecute(body []byte) error {
+	portal, err := pg.ReadExecute(body)
+	if err != nil {
+		return err
+	}
+	e := expectation{kind: pg.Execute}
+	if statement := x.portals[portal]; statement != nil {
+		e.commands = pooling.Scan(statement.Text)
+	}
+	x.query = pg.Append(x.query, pg.Execute, body)
+	x.expect(e)
+	return nil
+}
+
+func (x *batchExchange) buildClose(body []byte) error {
+	kind, name, err := pg.ReadTarget(body)
+	if err != nil {
+		return err
+	}
+	if kind == 'S' {
+		x.session.Close(name)
+		x.expect(expectation{reply: pg.Append(nil, pg.CloseComplete)})
+		return nil
+	}
+	x.query = pg.Append(x.query, pg.Close, body)
+	x.expect(expectation{kind: pg.Close})
+	return nil
+}
+
+// hostName returns the name of a prepared statement on the host, which is prepared first if necessary, or unknownStatement
+// for nil.
+func (x *batchExchange) hostName(statement *pooling.Statement) string {
+	if statement == nil {
+		return unknownStatement
+	}
+	return x.ensurePrepared(statement)
+}
+
 func (x *batchExchange) expect(e expectation) { x.expected = append(x.expected, e) }
 
 // ensurePrepared prepares a statement on this connection if it is not prepared yet, and returns its name on the host.
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -119,12 +119,10 @@
 	if err != nil {
 		return &invalidMessage{err}
 	}
-	statement, hostName := x.session.Prepared(name), unknownStatement
+	statement := x.session.Prepared(name)
 	x.query = x.query[:0]
 	before := len(x.expected)
-	if statement != nil {
-		hostName = x.ensurePrepared(statement)
-	}
+	hostName := x.hostName(statement)
 	x.portals[portal] = statement
 	x.checkout.pendingAnswers = append(x.checkout.pendingAnswers, x.expected[before:]...)
 	x.checkout.pendingAnswers = append(x.checkout.pendingAnswers, expectation{kind: pg.Bind, statement: statement, name: name})
--- a/internal/wire/relay/relay_test.go
+++ b/internal/wire/relay/relay_test.go
@@ -3,21 +3,14 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"net"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
-
 	"yokemast/balance"
-	"yokemast/internal/control/fleetclock"
 	"yokemast/internal/control/pooling"
-	"yokemast/internal/memory/counters"
 	"yokemast/internal/memory/exchange"
-	"yokemast/internal/wire/backend"
 	"yokemast/internal/wire/pg"
 )
 
@@ -80,8 +73,7 @@
 		"too old, but no data":        {"follower", 2 * time.Second, 0, bounded, balance.OK},
 	} {
 		t.Run(name, func(t *testing.T) {
-			clock := exchange.NewClock()
-			clock.Inherit(clock.Now(), fleetclock.Interval{})
+			clock := newClock()
 			if c.demand.MinPosition > 0 {
 				c.demand.MinPosition += clock.Now()
 			}
@@ -92,12 +84,7 @@
 			}
 			answer = append(answer, parameter("node_role", c.role)...)
 			answer = append(answer, parameter("replay_position", (clock.Now()-c.age).Milliseconds())...)
-			ctx, stop := context.WithCancel(context.Background())
-			group, to := &errgroup.Group{}, make(outcomes, 2)
-			defer func() { stop(); _ = group.Wait() }()
-			b := backend.New(ctx, group, backend.Config{Clock: clock, Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 1,
-				ConnectTimeout: testTimeout, IdleTimeout: testTimeout}, to)
-			b.Members([]exchange.Member{{Member: balance.Member{Server: "s"}, Address: host(t, pg.AppendReady(answer))}})
+			b, to := startBackend(t, clock, host(t, pg.AppendReady(answer)))
 			var served []byte
 			checkout := New(pooling.NewSession(pg.Parameters{}), pooling.ByStatement, func(b []byte) error {
 				served = append(served, b...)
--- a/internal/wire/relay/settings_test.go
+++ b/internal/wire/relay/settings_test.go
@@ -82,17 +82,22 @@
 	return slices.Clone(h.queries), h.conns
 }
 
-// startBackend starts a backend with one connection to the host "s" at an address.
-func startBackend(t *testing.T, address string) (*backend.Backend, outcomes, exchange.Clock) {
+// newClock returns a clock of which the offset to the fleet's is known to be 0.
+func newClock() exchange.Clock {
 	clock := exchange.NewClock()
 	clock.Inherit(clock.Now(), fleetclock.Interval{})
+	return clock
+}
+
+// startBackend starts a backend with one connection to the host "s" at an address.
+func startBackend(t *testing.T, clock exchange.Clock, address string) (*backend.Backend, outcomes) {
 	ctx, stop := context.WithCancel(t.Context())
 	group, to := &errgroup.Group{}, make(outcomes, 2)
 	t.Cleanup(func() { stop(); _ = group.Wait() })
 	b := backend.New(ctx, group, backend.Config{Clock: clock, Log: zap.NewNop(), Counters: &counters.Set{}, MaxConns: 1,
 		ConnectTimeout: testTimeout, IdleTimeout: testTimeout}, to)
 	b.Members([]exchange.Member{{Member: balance.Member{Server: "s"}, Address: address}})
-	return b, to, clock
+	return b, to
 }
 
 // Guards against a batch that is sent although the host did not confirm the session's settings, or after the wait for them
@@ -166,7 +171,8 @@
 				}
 				return pg.AppendReady(complete("INSERT 0 1"))
 			})
-			b, to, clock := startBackend(t, h.address)
+			clock := newClock()
+			b, to := startBackend(t, clock, h.address)
 			insert := "INSERT INTO kv (name, content) VALUES ('k', 'v')"
 			send := func(number int, settings pg.Parameters, edit func(clock exchange.Clock, a *exchange.Attempt, b *backend.Backend)) {
 				checkout := New(pooling.NewSession(settings), pooling.ByTransaction, func([]byte) error { return nil }, queryBatch(insert))
@@ -225,7 +231,8 @@
 				}
 				return pg.AppendReadyAs(pg.AppendComplete(nil, "BEGIN"), 'T')
 			})
-			b, to, clock := startBackend(t, h.address)
+			clock := newClock()
+			b, to := startBackend(t, clock, h.address)
 			for number := range 2 {
 				checkout := New(pooling.NewSession(nil), pooling.ByTransaction, func([]byte) error { return nil }, queryBatch("BEGIN"))
 				b.Send(exchange.Attempt{ID: "a", Number: number, Server: "s", Sent: clock.Now(), Deadline: clock.Now() + testTimeout, Command: checkout})
@@ -245,7 +252,8 @@
 // Guards against a panic on a ReadyForQuery that lacks the transaction status.
 func TestReadyWithoutStatusIsInvalid(t *testing.T) {
 	h := startRecordingHost(t, func(string) []byte { return pg.Append(pg.AppendComplete(nil, "INSERT 0 1"), pg.ReadyForQuery) })
-	b, to, clock := startBackend(t, h.address)
+	clock := newClock()
+	b, to := startBackend(t, clock, h.address)
 	checkout := New(pooling.NewSession(nil), pooling.ByTransaction, func([]byte) error { return nil }, queryBatch("INSERT"))
 	b.Send(exchange.Attempt{ID: "a", Server: "s", Sent: clock.Now(), Deadline: clock.Now() + testTimeout, Command: checkout})
 	if o := <-to; o.Result != balance.Garbled {
