--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -277,3 +277,45 @@
 		t.Errorf("the session reads %q, %v", got, err)
 	}
 }
+
+// Guards against a connection that still has a session's startup settings but is believed to lack them, because the session ran
+// a RESET on another connection in between.
+func TestResetOnOneConnectionLeavesSettingsOfAnotherKnown(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
+	config, err := pgx.ParseConfig("postgres://app@" + p.address + "/store?sslmode=disable&app.session=started")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := pgx.ConnectConfig(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close(t.Context())
+	other, holder := p.startClient(t), p.startClient(t)
+	session := func(sql string) {
+		t.Helper()
+		if _, err := k.Exec(t.Context(), sql, pgx.QueryExecModeSimpleProtocol); err != nil {
+			t.Fatal(sql, err)
+		}
+	}
+	hold := func(sql string) { // BEGIN takes the connection that was used last, COMMIT gives it back
+		t.Helper()
+		if got := holder.Ask(sql); got != "ready" {
+			t.Fatal(sql, got)
+		}
+	}
+	session("SHOW app.session")
+	hold("BEGIN")
+	session("SHOW app.session") // on the second connection, which now has the startup settings
+	hold("COMMIT")
+	session("SET app.session = 'changed'") // on the first one again
+	session("RESET ALL")
+	hold("BEGIN")
+	session("SHOW app.session") // on the second one, which has what the session needs
+	if got := other.Ask("SHOW app.session"); got != "row " {
+		t.Errorf("another session reads %q", got)
+	}
+	if n := p.cluster.PeakConns(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
--- a/internal/control/pooling/connstate.go
+++ b/internal/control/pooling/connstate.go
@@ -89,7 +89,8 @@
 	return out
 }
 
-// SettingsApplied records that the host has confirmed the statements of SettingsStatements.
+// SettingsApplied records that the connection has the session's settings: the host has confirmed the statements of
+// SettingsStatements, or there were none.
 func (l *ConnState) SettingsApplied(s *Session) {
 	l.settings, s.settings.undone = s.settings.wanted, NoSettings()
 }
--- a/internal/wire/backend/settings.go
+++ b/internal/wire/backend/settings.go
@@ -90,6 +90,7 @@
 func (c *conn) applySettings(s *pooling.Session, handleStatus func(body []byte)) (changed bool, err error) {
 	statements := c.state.SettingsStatements(s)
 	if len(statements) == 0 {
+		c.state.SettingsApplied(s)
 		return false, nil
 	}
 	err = c.changeSettings(statements, s.Status, handleStatus)
