Pools: a later batch's settings ask neither the drain nor the grounds again

Change: only before the first batch; and no change while a session listens, whose notifications may come in between. Result: TestLaterBatchAppliesSettingsOnDrainingHost fails before and passes now, with -race.

--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -236,8 +236,11 @@
 func (s *Session) Statements() int { return len(s.statements) }
 
 // CanChangeSettings reports whether settings can be changed on the session's connection: not within a pipeline, whose messages
-// a query would interrupt, not in a failed transaction, and not where it could override a SET LOCAL.
-func (s *Session) CanChangeSettings() bool { return !s.batchOpen && s.Status != 'E' && !s.localSet }
+// a query would interrupt, not in a failed transaction, not where it could override a SET LOCAL, and not while notifications of the
+// session may come at any time.
+func (s *Session) CanChangeSettings() bool {
+	return !s.batchOpen && s.Status != 'E' && !s.localSet && s.pins&PinListen == 0
+}
 
 // StartBatch records the start of a batch: a query, or a pipeline up to its Sync. It has no effect within a pipeline, whose
 // parts up to a Flush the host rolls back together.
--- a/internal/wire/backend/checkout.go
+++ b/internal/wire/backend/checkout.go
@@ -37,6 +37,7 @@
 	attempt *attempt
 	reply   reply         // the host's latest statements
 	writeBy time.Duration // limit for the first write; 0 if none
+	begun   bool          // a batch was written
 
 	// unconfirmedCancels counts the cancel requests that the host is not known to have handled: they may hit a later statement.
 	unconfirmedCancels atomic.Int32
@@ -55,6 +56,7 @@
 
 // Write sends bytes to the host.
 func (h *Host) Write(b []byte) error {
+	h.begun = true
 	if h.writeBy > 0 {
 		_ = h.conn.SetWriteDeadline(h.conn.deadline(h.writeBy))
 		defer h.conn.SetWriteDeadline(time.Time{})
--- a/internal/wire/backend/settings.go
+++ b/internal/wire/backend/settings.go
@@ -31,10 +31,10 @@
 
 // ApplySettings changes the connection's settings to those of a session and waits until the host has confirmed the change. A
 // host that fails it would run what follows under the settings that the connection has from another session. It returns a
-// *SetupError if the host did not confirm the change, or if the attempt must not go on after the wait. Session.CanChangeSettings
-// must hold.
+// *SetupError if the host did not confirm the change, or if the attempt must not begin any more after the wait.
+// Session.CanChangeSettings must hold.
 func (h *Host) ApplySettings(s *pooling.Session) error {
-	h.ConnState() // the session's statements will need it
+	h.ConnState() // creates the state of a new connection
 	changed, err := h.conn.applySettings(s, func(body []byte) { h.HandleStatement(body) })
 	if err != nil {
 		return &SetupError{Result: setupResult(err), err: err}
@@ -43,7 +43,7 @@
 		return nil
 	}
 	h.attempt.b.cfg.Counters.SettingsChanged.Add(1)
-	if !h.attempt.mayBegin(h.conn.clock.Now()) {
+	if !h.begun && !h.attempt.mayBegin(h.conn.clock.Now()) {
 		return &SetupError{Result: balance.NotSent, Reusable: true, err: errMayNotBegin}
 	}
 	return nil
--- a/internal/wire/relay/settings_test.go
+++ b/internal/wire/relay/settings_test.go
@@ -260,3 +260,34 @@
 		t.Errorf("outcome %v, want %v", o.Result, balance.Garbled)
 	}
 }
+
+// Guards against a session that is ended on its own connection because its host drains: only what begins there must not.
+func TestLaterBatchAppliesSettingsOnDrainingHost(t *testing.T) {
+	h := startRecordingHost(t, func(query string) []byte {
+		var out []byte
+		for statement := range strings.SplitSeq(query, "; ") {
+			word, _, _ := strings.Cut(statement, " ")
+			out = pg.AppendComplete(out, word)
+		}
+		return pg.AppendReady(out)
+	})
+	clock := newClock()
+	b, to := startBackend(t, clock, h.address)
+	checkout := New(pooling.NewSession(pg.Parameters{"a.one": "1"}), pooling.BySession, func([]byte) error { return nil }, queryBatch("INSERT"))
+	b.Send(exchange.Attempt{ID: "a", Server: "s", Sent: clock.Now(), Deadline: clock.Now() + testTimeout, Command: checkout})
+	for _, next := range []string{"RESET a.one", "UPDATE", ""} {
+		if d := <-checkout.Done(); !d.Keep {
+			t.Fatalf("the session has ended before %q: %+v", next, d)
+		}
+		b.SetSendDeadline("s", clock.Now()-time.Second)
+		if next != "" {
+			checkout.Next(queryBatch(next))
+		}
+	}
+	checkout.Close()
+	<-to
+	got, _ := h.received()
+	if want := []string{"SET a.one TO '1'", "INSERT", "RESET a.one", "SET a.one TO '1'", "UPDATE"}; !slices.Equal(got, want) {
+		t.Errorf("the host received %q, want %q", got, want)
+	}
+}
