Benchmark of pooled statements: round trips, time, and one client at a time

Change: BenchmarkPooled reports round trips and time a statement, for 16 clients on eight connections and for one client after the other on one; the stand-in counts its answers.

--- a/cmd/yokemast/bench_test.go
+++ b/cmd/yokemast/bench_test.go
@@ -90,11 +90,15 @@
 // BenchmarkPooled measures the cost of a statement of a pooled session in the real program on one core, both
 // without session settings and with another session's settings to be replaced before each statement.
 func BenchmarkPooled(b *testing.B) {
-	for _, set := range []bool{false, true} {
-		b.Run(fmt.Sprintf("other settings each time=%v", set), func(b *testing.B) {
-			p := startPooled(b, 1, fmt.Sprintf(onePool, 8), nil, nil)
+	for _, c := range []struct {
+		set         bool
+		connections int
+		clients     int
+	}{{false, 8, 16}, {true, 8, 16}, {false, 1, 1}, {true, 1, 2}} {
+		b.Run(fmt.Sprintf("other settings each time=%v, %d clients on %d connections", c.set, c.clients, c.connections), func(b *testing.B) {
+			p, set := startPooled(b, 1, fmt.Sprintf(onePool, c.connections), nil, nil), c.set
 			var all []*clients.Client
-			for i := range 16 {
+			for i := range c.clients {
 				c, err := clients.Start(p.address, "app", time.Minute)
 				if err != nil {
 					b.Fatal(err)
@@ -104,20 +108,26 @@
 				}
 				all = append(all, c)
 			}
-			before := processCPU(b, p.cmd.Process.Pid)
+			before, answersBefore := processCPU(b, p.cmd.Process.Pid), p.cluster.Hosts()[0].Answers()
 			b.ResetTimer()
 			var work sync.WaitGroup
+			var took atomic.Int64 // all statements together
 			for _, c := range all {
 				work.Go(func() {
 					for range b.N/len(all) + 1 {
+						start := time.Now()
 						if got := c.Ask("SELECT 'x'"); got != "row x" {
 							b.Error(got)
 							return
 						}
+						took.Add(int64(time.Since(start)))
 					}
 				})
 			}
 			work.Wait()
+			statements := float64((b.N/len(all) + 1) * len(all))
+			b.ReportMetric(float64(p.cluster.Hosts()[0].Answers()-answersBefore)/statements, "round-trips/statement")
+			b.ReportMetric(float64(took.Load())/statements/1000, "us/statement")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
 			b.ReportMetric(float64((processCPU(b, p.cmd.Process.Pid)-before).Microseconds())/float64(b.N), "us-cpu/statement")
 		})
--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -95,6 +95,7 @@
 			}
 		}
 		if kind == pg.Query || kind == pg.Sync || kind == pg.Flush {
+			h.answers.Add(1)
 			if _, err := c.Write(out); err != nil {
 				return
 			}
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yokemast/internal/testbed/rules"
@@ -59,6 +60,7 @@
 	ColdFrom float64       // fraction of its capacity directly after a cold start
 	ColdTime time.Duration // until it has its full capacity after a cold start
 
+	answers       atomic.Int64 // written by a general host
 	mu            sync.Mutex
 	role          string // of a host outside a cluster
 	queries       []string
@@ -127,6 +129,9 @@
 	return h.role
 }
 
+// Answers returns the number of answers that a general host has written, one for each round trip.
+func (h *Host) Answers() int64 { return h.answers.Load() }
+
 // SetRole changes the role of a scripted host.
 func (h *Host) SetRole(role string) {
 	h.mu.Lock()
