--- a/internal/wire/backend/checkout.go
+++ b/internal/wire/backend/checkout.go
@@ -143,6 +143,9 @@
 // InputEmpty reports whether no input is buffered beyond what was read.
 func (h *Host) InputEmpty() bool { return h.conn.in.Buffered() == 0 }
 
+// NothingUnread reports whether the host has sent nothing beyond what was read, and has not closed the connection.
+func (h *Host) NothingUnread() bool { return h.conn.alive() }
+
 // Cancel sends a cancel request for the statement that runs on this connection, and waits until the host has
 // handled it, so that it cannot hit a later statement. If that is not known in time, the connection is not used again.
 func (h *Host) Cancel(ctx context.Context, timeout time.Duration) error {
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -47,6 +47,11 @@
 
 // run sends the batch to the host and forwards its answer to the client.
 func (x *batchExchange) run() error {
+	if x.batch != x.checkout.first {
+		if err := x.takeUnsolicited(); err != nil {
+			return err
+		}
+	}
 	if x.session.CanChangeSettings() {
 		if err := x.host.ApplySettings(x.session); err != nil {
 			return err
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -163,6 +163,38 @@
 	return nil
 }
 
+// takeUnsolicited takes what the host has sent since the last batch. A host may send notices, notifications, parameters and a
+// fatal error at any time, which are forwarded. Anything else, such as a second copy of the last answer, would be taken for
+// the answer to the next batch, and is an error.
+func (x *batchExchange) takeUnsolicited() error {
+	if len(x.checkout.pendingAnswers) > 0 { // answers to the messages before a streamed one are still due
+		return nil
+	}
+	for !x.host.NothingUnread() {
+		kind, length, err := x.host.Head()
+		if err != nil {
+			return err
+		}
+		if length > maxBody {
+			return &invalidAnswer{fmt.Sprintf("%c of %d bytes while no answer was due", kind, length)}
+		}
+		body, err := x.host.Body(length, maxBody)
+		if err != nil {
+			return err
+		}
+		switch {
+		case kind == pg.ParameterStatus && x.host.HandleStatement(body):
+		case kind == pg.ParameterStatus, kind == pg.NoticeResponse, kind == pg.NotificationResponse:
+			x.out = pg.Append(x.out, kind, body)
+		case kind == pg.ErrorResponse && pg.ReadError(body).Fatal:
+			return fmt.Errorf("the host ended the session: %s", pg.ReadError(body).Message)
+		default:
+			return &invalidAnswer{fmt.Sprintf("%c while no answer was due", kind)}
+		}
+	}
+	return nil
+}
+
 // writePiece writes a piece of a long row to the client, unless the attempt's deadline has passed.
 func (x *batchExchange) writePiece(piece []byte) error {
 	if x.host.PastDeadline() {
