Pools: no error is written into a row that was begun

The client waited for the row's rest for ever or, where less of it was missing than the error is long, took the error's bytes for the value.

Cause: a long row is passed on in pieces, and generalSession wrote its error without asking whether one was begun.

Change: Checkout knows whether what the client has received ends within a row; then its connection is closed without a message.

Result: TestHostStopsWithinRow fails before in four of four cases (a whole row received, with the error in it) and passes now.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -319,3 +320,38 @@
 		t.Errorf("%d connections, want 2", n)
 	}
 }
+
+// Guards against an error message that is written into the middle of a row, which the client takes for the row's end or for whose
+// rest it waits for ever, when a host hangs within the row until the request's time is over, or closes the connection.
+func TestHostStopsWithinRow(t *testing.T) {
+	const giveUp = time.Second
+	edit := func(config string) string {
+		return strings.ReplaceAll(config, `"giveUp":20000000000`, fmt.Sprintf(`"giveUp":%d`, giveUp))
+	}
+	value := strings.Repeat("x", 3*pg.SmallValue)
+	for name, messages := range map[string][]byte{
+		"simple":   pg.AppendQuery(nil, insertText(value)+" RETURNING content"),
+		"extended": pg.Append(extended(insertText(value)+" RETURNING content"), pg.Sync),
+	} {
+		for _, ends := range []bool{false, true} { // the host closes the connection 20 bytes before the row's end
+			t.Run(fmt.Sprintf("%s, host ends %v", name, ends), func(t *testing.T) {
+				t.Parallel()
+				p := startPooled(t, 1, fmt.Sprintf(onePool, 1), edit, func(h *hosts.Host) {
+					h.HangWithin = func(answer []byte) int {
+						if len(answer) < len(value) {
+							return -1
+						}
+						return bytes.LastIndexByte(answer, 'x') - 20
+					}
+					h.EndAfterHang = ends
+				})
+				c, start := p.startClient(t), time.Now()
+				_, _ = c.Write(messages)
+				got := c.ReadReply()
+				if took := time.Since(start); !got.Closed || got.Row || took > 3*giveUp {
+					t.Errorf("closed %v, row %v after %v", got.Closed, got.Row, took)
+				}
+			})
+		}
+	}
+}
--- a/internal/testbed/hosts/general.go
+++ b/internal/testbed/hosts/general.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"io"
 	"maps"
 	"net"
 	"strings"
@@ -96,6 +97,15 @@
 		}
 		if kind == pg.Query || kind == pg.Sync || kind == pg.Flush {
 			h.answers.Add(1)
+			if f := h.HangWithin; f != nil {
+				if n := f(out); n >= 0 {
+					_, _ = c.Write(out[:n])
+					if !h.EndAfterHang {
+						_, _ = io.Copy(io.Discard, in)
+					}
+					return
+				}
+			}
 			if _, err := c.Write(out); err != nil {
 				return
 			}
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -397,6 +397,9 @@
 		checkout.Mute()
 		checkout.Close()
 		g.setCheckout(nil)
+		if checkout.WithinRow() {
+			return false // an error would be taken for a part of the row
+		}
 		if !first {
 			g.state.ConnectionLost()
 			return g.writeFatal(relay.ConnectionError(fmt.Errorf("%s", reason(a))))
@@ -431,10 +434,14 @@
 	}
 	switch {
 	case d.Err != nil:
-		g.checkout.Mute()
+		checkout := g.checkout
+		checkout.Mute()
 		g.c.s.x.CancelRequest(g.request)
 		g.setCheckout(nil)
 		g.pool.Stats.Lost.Add(1)
+		if checkout.WithinRow() {
+			return false // an error would be taken for a part of the row
+		}
 		g.state.ConnectionLost()
 		return g.writeFatal(relay.ConnectionError(d.Err))
 	case !d.Keep:
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -28,7 +28,11 @@
 	wrote    time.Duration // as Done.Wrote
 }
 
-func (x *batchExchange) flush() error {
+// flush writes the buffered messages to the client.
+func (x *batchExchange) flush() error { return x.flushUpTo(false) }
+
+// flushUpTo writes the buffered output to the client; withinRow states that it ends within a row.
+func (x *batchExchange) flushUpTo(withinRow bool) error {
 	switch {
 	case len(x.out) == 0:
 		return nil
@@ -37,7 +41,7 @@
 		return nil
 	}
 	x.relayed = true
-	err := x.checkout.write(x.out)
+	err := x.checkout.write(x.out, withinRow)
 	x.out = x.out[:0]
 	if err != nil {
 		return fmt.Errorf("writing to the client: %w", err)
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -62,10 +62,16 @@
 			return &invalidAnswer{fmt.Sprintf("%c of %d bytes", kind, length)}
 		}
 		x.out = append(x.out, kind, byte((length+4)>>24), byte((length+4)>>16), byte((length+4)>>8), byte(length+4))
-		if err := x.flush(); err != nil {
+		if err := x.flushUpTo(true); err != nil {
+			return err
+		}
+		if err := x.host.Copy(writerFunc(x.writePiece), length); err != nil {
 			return err
 		}
-		return x.host.Copy(writerFunc(x.writePiece), length)
+		if x.host.PastDeadline() { // pieces were left out
+			return nil
+		}
+		return x.checkout.write(nil, false)
 	}
 	body, err := x.host.Body(length, maxBuffered)
 	if err != nil {
@@ -200,7 +206,7 @@
 	if x.host.PastDeadline() {
 		return nil
 	}
-	return x.checkout.write(piece)
+	return x.checkout.write(piece, true)
 }
 
 type writerFunc func([]byte) error
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -140,8 +140,9 @@
 	running *backend.Host // host that runs a batch, or nil
 	cancels sync.WaitGroup
 
-	writeMu sync.Mutex
-	muted   bool
+	writeMu   sync.Mutex
+	muted     bool
+	withinRow bool // a part of a row was written to the client
 }
 
 // Mute stops all further output of the checkout to the client, and all changes to its session: from now on the session writes
@@ -155,15 +156,29 @@
 	checkout.muted = true
 }
 
-func (checkout *Checkout) write(b []byte) error {
+// write writes to the client. withinRow states that b ends within a row.
+func (checkout *Checkout) write(b []byte, withinRow bool) error {
 	checkout.writeMu.Lock()
 	defer checkout.writeMu.Unlock()
 	if checkout.muted {
-		return errors.New("the lease is over")
+		return errMuted
+	}
+	if checkout.withinRow = withinRow; len(b) == 0 {
+		return nil
 	}
 	return checkout.Write(b)
 }
 
+var errMuted = errors.New("the checkout is over")
+
+// WithinRow reports whether the client has received a part of a row, behind which no other message can follow. It is final
+// once Mute has returned.
+func (checkout *Checkout) WithinRow() bool {
+	checkout.writeMu.Lock()
+	defer checkout.writeMu.Unlock()
+	return checkout.withinRow
+}
+
 // New returns a checkout for a first batch.
 func New(s *pooling.Session, mode pooling.Mode, write func([]byte) error, first *Batch) *Checkout {
 	return &Checkout{Session: s, Mode: mode, Write: write, MaxIdle: time.Minute, first: first, next: make(chan *Batch, 1),
