Pools: a statement without a key is not run again in a keyed class

A transaction in one query of such a class was refused with 53300, as harmless to repeat, after it may have run.

Cause: Router.repeatable and giveUp looked at the class only, not at whether the request carries the key. docs/pooling.md says that such a statement is never sent again; the page stands.

Change: a request of general SQL says that it lacks a key: no k= in its comment, or more than one statement. The module repeats such a request only if it was not executed, answers it with Fail otherwise, and leaves its attempt alone when its host is ejected. A checkout has no key either. Requests of the platform are as before.

--- a/balance/api.go
+++ b/balance/api.go
@@ -225,6 +225,8 @@
 	// deadline, as for any other request.
 	Checkout bool
 	MaxWait  time.Duration
+	// Unkeyed means that the request carries no key although its class is Keyed, so that members run a repeat again.
+	Unkeyed bool
 }
 
 // Role is the role of a member in its group.
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -74,8 +74,8 @@
 // giveUp ends a request at once: with Refuse if it was not executed or may be repeated without harm, otherwise
 // with Fail.
 func (r *Router) giveUp(q *request, reason Reason) {
-	c, bad := q.class, q.cell.badAttempts(q.group).replicas
-	if q.member == nil && q.possiblyExecutedAt == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
+	bad := q.cell.badAttempts(q.group).replicas
+	if q.member == nil && q.possiblyExecutedAt == 0 || q.class.Effect == Safe || q.keyed() && q.class.Scope == ScopeAll {
 		r.emit(Refuse{q.ID, min(cmp.Or(q.QuotaRetryAfter, refusedRetryAfter), r.settings.MaxRetryAfter), reason, bad})
 	} else {
 		r.emit(Fail{q.ID, reason, bad})
@@ -86,10 +86,23 @@
 // repeatable reports whether q may be sent again. Requests keyed within a zone may not once they were
 // possibly executed, as the new primary may be in another zone.
 func (r *Router) repeatable(q *request) bool {
-	return q.possiblyExecutedAt == 0 || !q.Checkout && q.class.Effect == Safe || !q.Checkout && q.class.Effect == Keyed &&
-		q.class.Scope != ScopeZone && r.now-q.possiblyExecutedAt < q.class.KeyTTL-4*r.settings.Tick-r.settings.MaxSendDelay
+	switch {
+	case q.possiblyExecutedAt == 0:
+		return true
+	case q.Checkout:
+		return false
+	case q.class.Effect == Safe:
+		return true
+	case !q.keyed() || q.class.Scope == ScopeZone:
+		return false
+	}
+	return r.now-q.possiblyExecutedAt < q.class.KeyTTL-4*r.settings.Tick-r.settings.MaxSendDelay
 }
 
+// keyed reports whether members recognize a repeat of q by its key. The statements of a checkout are more than the one that a
+// key stands for.
+func (q *request) keyed() bool { return q.class.Effect == Keyed && !q.Unkeyed && !q.Checkout }
+
 // attemptTime returns the time that an attempt is expected to need.
 func (c *class) attemptTime() time.Duration { return min(c.latency*3/2, c.LatencyTarget/2) }
 
--- a/balance/attempts_test.go
+++ b/balance/attempts_test.go
@@ -35,6 +35,42 @@
 	}
 }
 
+// Guards against a second execution of a request that lacks the key of its class, and against telling its client that a repeat
+// does no harm.
+func TestUnkeyedRequestIsNotRepeated(t *testing.T) {
+	inAllMembers := func(s *Settings) {
+		for i := range s.Classes {
+			s.Classes[i].Scope = ScopeAll
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		edit    func(*Request)
+		res     Result
+		retried bool
+		final   string
+	}{
+		{"keyed", func(*Request) {}, Reset, true, ""},
+		{"unkeyed", func(r *Request) { r.Unkeyed = true }, Reset, false, "fail"},
+		{"unkeyed, garbled", func(r *Request) { r.Unkeyed = true }, Garbled, false, "fail"},
+		{"unkeyed, not executed", func(r *Request) { r.Unkeyed = true }, SetupFailed, true, ""},
+		{"checkout", func(r *Request) { r.Checkout = true }, Reset, false, "fail"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(t, inAllMembers)
+			id, acts := g.requestWith("keyed", c.edit)
+			want(t, "first", sends(acts), []string{"p"})
+			acts = append(g.answer(id, "p", 0, c.res, Unknown), g.advance(200*ms)...)
+			if again := len(sends(acts)) > 0; again != c.retried {
+				t.Errorf("sent again %v, want %v", again, c.retried)
+			}
+			if f := finals(acts); c.final != "" && (len(f) != 1 || f[0] != c.final+" "+id) {
+				t.Errorf("final %q, want %s", f, c.final)
+			}
+		})
+	}
+}
+
 func TestOneFinalAnswer(t *testing.T) {
 	g := newRig(t, nil)
 	id, _ := g.request("save", 0)
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -88,6 +88,14 @@
 	return id, g.handle(Request{ID: id, Class: class, Session: "s", Deadline: g.now + life, WriteAge: age})
 }
 
+// requestWith is request with an edit of the request.
+func (g *rig) requestWith(class string, edit func(*Request)) (string, []Action) {
+	g.n++
+	r := Request{ID: fmt.Sprint("q", g.n), Class: class, Session: "s", Deadline: g.now + g.r.cells[0].classes[class].Deadline}
+	edit(&r)
+	return r.ID, g.handle(r)
+}
+
 // advance advances the clock in steps of queueInterval, so that queued requests are tried again.
 func (g *rig) advance(d time.Duration) []Action {
 	var all []Action
--- a/balance/health.go
+++ b/balance/health.go
@@ -30,7 +30,7 @@
 		m.ejectedUntil = r.now + ejectionDuration<<(m.timeouts-1)
 	}
 	for _, q := range m.inFlight {
-		if !q.done && q.class.Effect != Unsafe {
+		if !q.done && q.class.Effect != Unsafe && !q.Unkeyed {
 			r.cancelAttempt(q)
 		}
 	}
--- a/cmd/yokemast/pooling_failures_test.go
+++ b/cmd/yokemast/pooling_failures_test.go
@@ -238,3 +238,39 @@
 		}
 	}
 }
+
+// Guards against a statement that runs twice because its class lets keyed requests go again although it carries no key.
+func TestUnkeyedStatementRunsOnce(t *testing.T) {
+	keyed := func(config string) string {
+		return strings.Replace(config, `"name":"order","effect":"fragile","group":"all"`, `"name":"order","effect":"dedup","group":"all","keyTtl":3000000000`, 1)
+	}
+	for name, c := range map[string]struct {
+		sql  string
+		runs int // the stand-in runs a repeat again, whatever its key
+		code string
+	}{
+		"with a key":                {insertText("x") + " /* k=1 */", 2, ""},
+		"without a key":             {insertText("x"), 1, "58000"},
+		"with a key for one of two": {insertText("x") + "; SELECT 'y' /* k=1 */", 1, "58000"},
+		"transaction with a key":    {"BEGIN; " + insertText("x") + "; COMMIT /* k=1 */", 1, "58000"},
+	} {
+		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+			if mode != pgx.QueryExecModeSimpleProtocol && strings.Contains(c.sql, ";") {
+				continue // one statement only
+			}
+			t.Run(fmt.Sprint(name, ", ", mode), func(t *testing.T) {
+				t.Parallel()
+				var lost atomic.Bool
+				p := startPooled(t, 1, fmt.Sprintf(onePool, 4), keyed, func(h *hosts.Host) { h.AfterCommit = func() bool { return !lost.Swap(true) } })
+				_, err := p.mustConnect(t).Exec(t.Context(), c.sql, mode)
+				var refusal *pgconn.PgError
+				if errors.As(err, &refusal); err != nil != (c.code != "") || err != nil && (refusal == nil || refusal.Code != c.code) {
+					t.Errorf("answered %v, want %q", err, c.code)
+				}
+				if n := p.cluster.CommitsByID()["x"]; n != c.runs {
+					t.Errorf("ran %d times, want %d", n, c.runs)
+				}
+			})
+		}
+	}
+}
--- a/internal/memory/exchange/request.go
+++ b/internal/memory/exchange/request.go
@@ -76,7 +76,7 @@
 	}
 	q := balance.Request{ID: r.ID, Class: r.Class, Session: r.Session, Group: v.Group, Cell: v.Cell, SessionPosition: r.After,
 		Deadline: o.deadline, Elapsed: x.clientRetries.Observe(r.Class, o.class.Deadline, r.Wait), Retry: r.Retry, Checkout: r.Checkout > 0,
-		MaxWait: o.maxHostWait}
+		MaxWait: o.maxHostWait, Unkeyed: r.Unkeyed && o.class.Effect == balance.Keyed}
 	if o.clientRetry = q.Elapsed > 0; o.clientRetry {
 		x.cfg.Counters.ClientRetries.Add(1)
 	}
--- a/internal/memory/exchange/types.go
+++ b/internal/memory/exchange/types.go
@@ -17,6 +17,7 @@
 	After              time.Duration // position that the read must see, by the fleet's clock, or 0 for none
 	QuotaRetryAfter    time.Duration // if positive, the client is over its quota: the request is refused with this retryAfter
 	Checkout           time.Duration // if positive, the request keeps its host until its client has finished, at most for this time
+	Unkeyed            bool          // the request carries no key, which a class may demand of what is sent again
 	ClientDisconnected func() bool   // reports without blocking whether the client has disconnected; nil if only CancelRequest reports that
 	Command            any           // what the host side executes
 	Answer             chan<- Answer // receives the single answer; must have buffer capacity for it
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -320,7 +320,8 @@
 		group = n
 	}
 	r := &exchange.Request{ID: fmt.Sprintf("general-%d", requestIDs.Add(1)), User: c.user, Tenant: hints["tenant"], Class: class, Session: c.user,
-		Group: group, Write: write, Arrived: max(cmd.arrived, g.freeSince)}
+		Group: group, Write: write, Arrived: max(cmd.arrived, g.freeSince),
+		Unkeyed: write && (hints["k"] == "" || len(b.Commands) > 1)}
 	if g.lastWrite > 0 {
 		r.After = g.lastWrite
 	} else if g.lastWrite < 0 {
