Pools: empty settings are one value, so that no batch allocates them

Change: the tree is immutable and shared; the benchmark counts a host's answers, as one write held two of them before.

--- a/cmd/yokemast/bench_test.go
+++ b/cmd/yokemast/bench_test.go
@@ -126,7 +126,7 @@
 			}
 			work.Wait()
 			statements := float64((b.N/len(all) + 1) * len(all))
-			b.ReportMetric(float64(p.cluster.Hosts()[0].Answers()-answersBefore)/statements, "round-trips/statement")
+			b.ReportMetric(float64(p.cluster.Hosts()[0].Answers()-answersBefore)/statements, "answers/statement")
 			b.ReportMetric(float64(took.Load())/statements/1000, "us/statement")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
 			b.ReportMetric(float64((processCPU(b, p.cmd.Process.Pid)-before).Microseconds())/float64(b.N), "us-cpu/statement")
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -42,8 +42,10 @@
 // savepoint can keep a copy at no cost.
 type Settings = *iradix.Tree[string]
 
+var noSettings = iradix.New[string]()
+
 // NoSettings returns empty settings.
-func NoSettings() Settings { return iradix.New[string]() }
+func NoSettings() Settings { return noSettings }
 
 // Statement is a prepared statement, independent of the names that clients have given to it.
 type Statement struct {
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -133,7 +133,7 @@
 	return h.role
 }
 
-// Answers returns the number of answers that a general host has written, one for each round trip.
+// Answers returns the number of answers that a general host has written, one for each query or pipeline.
 func (h *Host) Answers() int64 { return h.answers.Load() }
 
 // SetRole changes the role of a scripted host.
