--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -43,6 +44,21 @@
 	return c
 }
 
+// connectStarted connects with a startup message that sets app.session to "started".
+func (p *pooled) connectStarted(t *testing.T) *pgx.Conn {
+	t.Helper()
+	config, err := pgx.ParseConfig("postgres://app@" + p.address + "/store?sslmode=disable&app.session=started")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := pgx.ConnectConfig(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { k.Close(context.Background()) })
+	return k
+}
+
 // readUntil reads messages up to one of the given type, and returns the types of all.
 func readUntil(t *testing.T, c *clients.Client, until byte) (kinds string) {
 	t.Helper()
@@ -170,15 +186,7 @@
 			t.Run(fmt.Sprint(reset, ", ", mode), func(t *testing.T) {
 				t.Parallel()
 				p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
-				config, err := pgx.ParseConfig("postgres://app@" + p.address + "/store?sslmode=disable&app.session=started")
-				if err != nil {
-					t.Fatal(err)
-				}
-				k, err := pgx.ConnectConfig(t.Context(), config)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer k.Close(t.Context())
+				k := p.connectStarted(t)
 				for _, sql := range []string{"SET app.session = 'changed'", reset} {
 					if _, err := k.Exec(t.Context(), sql, mode); err != nil {
 						t.Fatal(sql, err)
@@ -283,15 +291,7 @@
 // a RESET on another connection in between.
 func TestResetOnOneConnectionLeavesSettingsOfAnotherKnown(t *testing.T) {
 	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
-	config, err := pgx.ParseConfig("postgres://app@" + p.address + "/store?sslmode=disable&app.session=started")
-	if err != nil {
-		t.Fatal(err)
-	}
-	k, err := pgx.ConnectConfig(t.Context(), config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer k.Close(t.Context())
+	k := p.connectStarted(t)
 	other, holder := p.startClient(t), p.startClient(t)
 	session := func(sql string) {
 		t.Helper()
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -8,8 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -211,52 +209,6 @@
 	return nil
 }
 
-// scanCommands returns the commands of a batch, as far as its text is known, and the text of the last statement.
-func (g *generalSession) scanCommands(b *relay.Batch) (out []pooling.Command, text string) {
-	for _, m := range b.Messages {
-		switch m.Kind {
-		case pg.Query:
-			text = string(bytes.TrimSuffix(m.Body, []byte{0}))
-			out = append(out, pooling.Scan(text)...)
-		case pg.Parse:
-			if p, err := pg.ReadParse(m.Body); err == nil {
-				text = p.Text
-				out = append(out, pooling.Scan(text)...)
-			}
-		case pg.Bind:
-			body := m.Body
-			if m.Rest != nil {
-				body = append(bytes.Clone(body), make([]byte, 6)...) // m.Body holds the names only
-			}
-			if _, name, _, err := pg.ReadBind(body); err == nil {
-				if st := g.state.Prepared(name); st != nil {
-					text = st.Text
-					out = append(out, pooling.Scan(text)...)
-				}
-			}
-		}
-	}
-	return out, text
-}
-
-// parseComment parses the name=value pairs in the last comment of a statement.
-func parseComment(text string) map[string]string {
-	out := map[string]string{}
-	start, end := strings.LastIndex(text, "/*"), strings.LastIndex(text, "*/")
-	if start < 0 || end < start {
-		return out
-	}
-	for field := range strings.SplitSeq(text[start+2:end], ",") {
-		if name, value, ok := strings.Cut(strings.TrimSpace(field), "="); ok {
-			out[name] = value
-		}
-	}
-	return out
-}
-
-// requestIDs numbers the requests of general SQL sessions, whose clients send no request ID.
-var requestIDs atomic.Int64
-
 // answer executes a batch and writes its answer. It returns false if the session ends.
 func (g *generalSession) answer(ctx context.Context, cmd command) bool {
 	c, b := g.c, cmd.batch
@@ -278,7 +230,7 @@
 		}
 	}
 	last := b.Messages[len(b.Messages)-1].Kind
-	begins, readOnly := b.Begins()
+	begins, _ := b.Begins()
 	switch {
 	case len(b.Messages) == 1 && last == pg.Sync && g.checkout == nil:
 		return c.write(pg.AppendReady(nil))
@@ -303,49 +255,13 @@
 		g.checkout.Next(b)
 		return g.awaitBatch(ctx, b, false)
 	}
-	hints := parseComment(text)
-	write := b.Writes() || begins && !readOnly
-	class := g.pool.Read
-	switch {
-	case write:
-		class = g.pool.Write
-	case g.lastWrite != 0:
-		class = g.pool.ReadAfterWrite
-	}
-	if hints["c"] != "" && !write {
-		class = hints["c"]
-	}
-	group := g.pool.Group
-	if n, err := strconv.Atoi(hints["cluster"]); err == nil {
-		group = n
-	}
-	r := &exchange.Request{ID: fmt.Sprintf("general-%d", requestIDs.Add(1)), User: c.user, Tenant: hints["tenant"], Class: class, Session: c.user,
-		Group: group, Write: write, Arrived: max(cmd.arrived, g.freeSince),
-		Unkeyed: write && (hints["k"] == "" || len(b.Commands) > 1)}
-	if g.lastWrite > 0 {
-		r.After = g.lastWrite
-	} else if g.lastWrite < 0 {
-		r.After = c.s.cfg.Clock.MaxFleetTime() // it wrote, and the host did not state the position
-	}
-	pins := false
-	for _, x := range b.Commands {
-		pins = pins || x.Pin != 0
-	}
-	if pins || begins || g.pool.Mode == pooling.BySession || !b.Complete {
-		r.Checkout = g.pool.MaxTransaction
-		if pins || g.pool.Mode == pooling.BySession {
-			r.Checkout = maxSessionCheckout
-		}
-	}
-	if m := int64(g.pool.MaxSessions); m > 0 && g.pool.Stats.CheckedOut.Load() >= m {
-		r.QuotaRetryAfter = poolLimitRetryAfter
-	}
+	r := g.newRequest(cmd, text)
 	if begins {
 		g.pool.Stats.Transactions.Add(1)
 	}
 	checkout := relay.New(g.state, g.pool.Mode, g.write, b)
 	checkout.MaxIdle = g.pool.MaxIdle
-	if !write && r.Checkout == 0 && g.lastWrite > 0 {
+	if !r.Write && r.Checkout == 0 && g.lastWrite > 0 {
 		checkout.MinPosition = g.lastWrite
 	}
 	checkout.OnPinned = func(p pooling.Pin) {
