Pools: a query behind a failed pipeline keeps its connection until the Sync

What callers saw (in the test; no report of it exists): after an error in a pipeline that ended with a Flush, a client sent a query before the Sync; the connection went to the next session, whose messages the host discarded until its time was over (53300).

Cause: Converse took a batch that ends with a Query as the end of the pipeline; the host discards it. CanChangeSettings, which speaks of the session's own connection, was asked for the first batch on another one too.

Change: a checkout that skips goes on to the Sync, and its connection is not clean before; the settings are always applied before a first batch.

Result: TestQueryBehindFailedPipelineIsSkipped fails before ("another session reads 53300 come back", "the session reads row ") and passes now.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -355,3 +355,29 @@
 		}
 	}
 }
+
+// Guards against a connection that is shared while its host skips messages, because a query came behind a failed pipeline that
+// has no Sync yet: the host discards that query as well.
+func TestQueryBehindFailedPipelineIsSkipped(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
+	c := p.startClient(t)
+	if got := c.Ask("SET app.session = 'mine'"); got != "ready" {
+		t.Fatal(got)
+	}
+	_, _ = c.Write(pg.Append(extended("FAIL"), pg.Flush))
+	readUntil(t, c, pg.ErrorResponse)
+	c.Send("SELECT 'skipped'")
+	time.Sleep(50 * time.Millisecond)
+	for range 2 {
+		if got := p.startClient(t).Ask("SHOW app.session"); got != "row " {
+			t.Errorf("another session reads %q", got)
+		}
+	}
+	_, _ = c.Write(pg.Append(nil, pg.Sync))
+	if got := readUntil(t, c, pg.ReadyForQuery); got != string(pg.ReadyForQuery) {
+		t.Errorf("the Sync is answered by messages of types %q", got)
+	}
+	if got := c.Ask("SHOW app.session"); got != "row mine" {
+		t.Errorf("the session reads %q", got)
+	}
+}
--- a/internal/wire/backend/settings.go
+++ b/internal/wire/backend/settings.go
@@ -31,8 +31,8 @@
 
 // ApplySettings changes the connection's settings to those of a session and waits until the host has confirmed the change. A
 // host that fails it would run what follows under the settings that the connection has from another session. It returns a
-// *SetupError if the host did not confirm the change, or if the attempt must not begin any more after the wait.
-// Session.CanChangeSettings must hold.
+// *SetupError if the host did not confirm the change, or if the attempt must not begin any more after the wait. It must be called
+// before a first batch, and before a later one if Session.CanChangeSettings holds.
 func (h *Host) ApplySettings(s *pooling.Session) error {
 	h.ConnState() // creates the state of a new connection
 	changed, err := h.conn.applySettings(s, func(body []byte) { h.HandleStatement(body) })
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -51,12 +51,13 @@
 
 // run sends the batch to the host and forwards its answer to the client.
 func (x *batchExchange) run() error {
-	if x.batch != x.checkout.first {
+	first := x.batch == x.checkout.first
+	if !first {
 		if err := x.takeUnsolicited(); err != nil {
 			return err
 		}
 	}
-	if x.session.CanChangeSettings() {
+	if first || x.session.CanChangeSettings() {
 		if err := x.host.ApplySettings(x.session); err != nil {
 			return err
 		}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -241,7 +241,9 @@
 			return end
 		}
 		checkout.publishSession(session)
-		keep := !batch.Complete || session.InTransaction() || session.Pins() != 0 || checkout.Mode == pooling.BySession
+		// Without its Sync, a pipeline has an implicit transaction open at the host, or the host skips all messages.
+		synced := batch.Complete && !checkout.skipping
+		keep := !synced || session.InTransaction() || session.Pins() != 0 || checkout.Mode == pooling.BySession
 		if !keep {
 			checkout.finish(Done{Wrote: exchange.wrote})
 			end.Result, end.Clean = balance.OK, h.InputEmpty()
@@ -253,9 +255,8 @@
 			batch = next
 			continue
 		}
-		// Neither pinned state nor the implicit transaction of a pipeline without its Sync can be removed from the connection.
-		removable := session.Pins() == 0 && batch.Complete
-		end.Result, end.Clean = balance.OK, exchange.rollback() && removable
+		// Pinned state cannot be removed from the connection.
+		end.Result, end.Clean = balance.OK, exchange.rollback() && session.Pins() == 0 && synced
 		checkout.finish(Done{Err: ended})
 		return end
 	}
