Pools: the place in a pool is free before the end of the answer goes out

Cause: relay.Converse wrote the whole answer and reported Done after it; the front end counted the checkout out on Done. Change: run leaves the end of the answer in the buffer; Converse calls OnReleased, if no connection is kept, and writes it then. The place is a poolSlot, counted out once, by the relay or by a session that gives the checkout up.

--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -62,6 +62,7 @@
 	heldBytes  int          // bytes held of the statement budget
 
 	checkout  *relay.Checkout // checked-out connection that is kept between batches; nil: none
+	slot      *poolSlot       // that checkout counts in the pool's limit; nil: no checkout
 	request   *exchange.Request
 	answers   chan exchange.Answer
 	skipping  bool          // after an error, messages up to the next Sync are skipped
@@ -275,6 +276,7 @@
 	r.Command, r.Answer, r.ClientDisconnected = checkout, g.answers, c.clientDisconnected
 	g.request = r
 	g.setCheckout(checkout)
+	checkout.OnReleased = g.slot.release
 	c.s.x.Submit(r)
 	return g.awaitBatch(ctx, b, true)
 }
@@ -288,10 +290,11 @@
 	g.c.mu.Lock()
 	if checkout != nil {
 		g.c.open++
-		g.pool.Stats.CheckedOut.Add(1)
+		g.slot = takeSlot(g.pool.Stats)
 	} else {
 		g.c.open--
-		g.pool.Stats.CheckedOut.Add(-1)
+		g.slot.release()
+		g.slot = nil
 	}
 	g.c.mu.Unlock()
 	g.checkout = checkout
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// run sends the batch to the host and forwards its answer to the client.
+// run sends the batch to the host and forwards its answer to the client, but for the end of the answer, which flush writes.
 func (x *batchExchange) run() error {
 	first := x.batch == x.checkout.first
 	if !first {
@@ -99,10 +99,7 @@
 		}
 	}
 	if x.batch.Streamed {
-		if err := x.stream(x.batch.Messages[len(x.batch.Messages)-1]); err != nil {
-			return err
-		}
-		return x.flush()
+		return x.stream(x.batch.Messages[len(x.batch.Messages)-1])
 	}
 	switch minPosition := x.checkout.MinPosition; {
 	case x.host.PastDeadline():
@@ -112,7 +109,7 @@
 	case x.rowRead && x.host.TooOld():
 		return errStale
 	}
-	return x.flush()
+	return nil
 }
 
 // maxWriteAhead is the number of bytes written before answers are read; they fit into the socket buffers of both ends.
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -10,7 +10,7 @@
 	"yokemast/internal/wire/pg"
 )
 
-// receiveAll reads all expected answers and forwards them.
+// receiveAll reads all expected answers and forwards them. The last message stays in the buffer.
 func (x *batchExchange) receiveAll() error {
 	for len(x.expected) > 0 {
 		e := &x.expected[0]
@@ -25,7 +25,7 @@
 		if err := x.receive(e); err != nil {
 			return err
 		}
-		if x.mustFlush() {
+		if len(x.expected) > 0 && x.mustFlush() {
 			if err := x.flush(); err != nil {
 				return err
 			}
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -122,6 +122,7 @@
 	MinPosition time.Duration      // position that a read must see, or 0
 	MaxIdle     time.Duration      // longest time that a transaction may be open and idle
 	OnPinned    func(pooling.Pin)  // called with new reasons to pin
+	OnReleased  func()             // called before the client receives the end of the answer after which no connection is kept
 
 	skipping          bool          // the host skips all messages until a Sync
 	pendingAnswers    []expectation // expected answers to messages sent before a streamed one
@@ -182,7 +183,7 @@
 // New returns a checkout for a first batch.
 func New(s *pooling.Session, mode pooling.Mode, write func([]byte) error, first *Batch) *Checkout {
 	return &Checkout{Session: s, Mode: mode, Write: write, MaxIdle: time.Minute, first: first, next: make(chan *Batch, 1),
-		done: make(chan Done, 2), closed: make(chan struct{}), OnPinned: func(pooling.Pin) {}}
+		done: make(chan Done, 2), closed: make(chan struct{}), OnPinned: func(pooling.Pin) {}, OnReleased: func() {}}
 }
 
 // Done returns the channel that receives the result of each batch.
@@ -234,6 +235,15 @@
 		exchange := &batchExchange{checkout: checkout, host: h, session: session, batch: batch}
 		checkout.setRunning(h)
 		err := exchange.run()
+		// Without its Sync, a pipeline has an implicit transaction open at the host, or the host skips all messages.
+		synced := batch.Complete && !checkout.skipping
+		keep := !synced || session.InTransaction() || session.Pins() != 0 || checkout.Mode == pooling.BySession
+		if err == nil {
+			if !keep {
+				checkout.OnReleased()
+			}
+			err = exchange.flush()
+		}
 		checkout.setRunning(nil)
 		end.Busy += time.Since(start)
 		if err != nil {
@@ -241,9 +251,6 @@
 			return end
 		}
 		checkout.publishSession(session)
-		// Without its Sync, a pipeline has an implicit transaction open at the host, or the host skips all messages.
-		synced := batch.Complete && !checkout.skipping
-		keep := !synced || session.InTransaction() || session.Pins() != 0 || checkout.Mode == pooling.BySession
 		if !keep {
 			checkout.finish(Done{Wrote: exchange.wrote})
 			end.Result, end.Clean = balance.OK, h.InputEmpty()
