Testbed: each stand-in host has an IP address of its own, which a crash keeps

Cause: all hosts listened at 127.0.0.1 and a port of the kernel's choice. Change: hosts.unusedAddress gives each host its own address of 127.2.0.0 to 127.63.255.250.

--- a/internal/testbed/hosts/cluster.go
+++ b/internal/testbed/hosts/cluster.go
@@ -55,7 +55,7 @@
 func NewCluster(group int, prefix string, n int, ledger *rules.Ledger, configure func(*Host)) (*Cluster, error) {
 	c := &Cluster{Group: group, commits: map[string][]commit{}}
 	for i := range n {
-		h := &Host{ID: fmt.Sprintf("%s%d", prefix, i), Address: "127.0.0.1:0", Group: group, cluster: c, Ledger: ledger}
+		h := &Host{ID: fmt.Sprintf("%s%d", prefix, i), Address: unusedAddress(), Group: group, cluster: c, Ledger: ledger}
 		if configure != nil {
 			configure(h)
 		}
--- a/internal/testbed/hosts/host.go
+++ b/internal/testbed/hosts/host.go
@@ -84,7 +84,7 @@
 
 // New starts a scripted host that listens on loopback.
 func New(id, role string, script func(n int, query string) []byte) (*Host, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", unusedAddress())
 	if err != nil {
 		return nil, err
 	}
