Pools: a pipeline that goes again begins anew on its next connection

Cause: that the host skips all messages up to the Sync was kept in the checkout, and believed of the next connection too. Change: what an open pipeline leaves is one value, pipeline, which Converse resets for each connection.

--- a/internal/wire/relay/build.go
+++ b/internal/wire/relay/build.go
@@ -24,13 +24,13 @@
 
 // buildQuery translates the batch into the messages for the host and the answers expected to them.
 func (x *batchExchange) buildQuery() error {
-	if x.checkout.skipping {
+	if x.checkout.pipeline.skipping {
 		x.buildSkipped()
 		return nil
 	}
 	x.portals = map[string]*pooling.Statement{}
-	if x.checkout.streamedStatement != nil { // the portal of a Bind streamed before
-		x.portals[x.checkout.streamedPortal], x.checkout.streamedStatement = x.checkout.streamedStatement, nil
+	if x.checkout.pipeline.streamedStatement != nil { // the portal of a Bind streamed before
+		x.portals[x.checkout.pipeline.streamedPortal], x.checkout.pipeline.streamedStatement = x.checkout.pipeline.streamedStatement, nil
 	}
 	for _, m := range x.batch.Messages {
 		switch err := x.build(m); {
@@ -49,7 +49,7 @@
 // buildSkipped translates a batch of which the host skips all messages but the Sync.
 func (x *batchExchange) buildSkipped() {
 	if x.batch.Complete && x.batch.Messages[len(x.batch.Messages)-1].Kind == pg.Sync {
-		x.checkout.skipping = false
+		x.checkout.pipeline.skipping = false
 		x.query = pg.Append(x.query, pg.Sync)
 		x.expect(expectation{kind: pg.Sync})
 	}
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -72,8 +72,8 @@
 		x.query = pg.Append(x.query, pg.Sync)
 		x.expected = append(x.expected, expectation{kind: pg.Sync})
 	}
-	x.expected = append(x.checkout.pendingAnswers, x.expected...)
-	x.checkout.pendingAnswers = nil
+	x.expected = append(x.checkout.pipeline.pendingAnswers, x.expected...)
+	x.checkout.pipeline.pendingAnswers = nil
 	if x.batch.Streamed && len(x.expected) > 0 {
 		x.query = pg.Append(x.query, pg.Flush) // the answers must be read before the long message is written, or both ends could block
 	}
@@ -117,7 +117,7 @@
 
 // stream forwards a Bind as it arrives. It cannot be retried, on this host or another.
 func (x *batchExchange) stream(m Message) error {
-	if x.checkout.skipping {
+	if x.checkout.pipeline.skipping {
 		m.Rest.Discard()
 		return nil
 	}
@@ -131,10 +131,10 @@
 	before := len(x.expected)
 	hostName := x.hostName(statement)
 	x.portals[portal] = statement
-	x.checkout.pendingAnswers = append(x.checkout.pendingAnswers, x.expected[before:]...)
-	x.checkout.pendingAnswers = append(x.checkout.pendingAnswers, expectation{kind: pg.Bind, statement: statement, name: name})
+	x.checkout.pipeline.pendingAnswers = append(x.checkout.pipeline.pendingAnswers, x.expected[before:]...)
+	x.checkout.pipeline.pendingAnswers = append(x.checkout.pipeline.pendingAnswers, expectation{kind: pg.Bind, statement: statement, name: name})
 	x.expected = nil
-	x.checkout.streamedPortal, x.checkout.streamedStatement = portal, statement
+	x.checkout.pipeline.streamedPortal, x.checkout.pipeline.streamedStatement = portal, statement
 	x.query = pg.AppendLong(x.query, pg.Bind, m.Rest.Length, []byte(portal), []byte{0}, []byte(hostName), []byte{0})
 	x.sent, x.relayed = true, true
 	if err := x.host.Write(x.query); err != nil {
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -173,7 +173,7 @@
 // fatal error at any time, which are forwarded. Anything else, such as a second copy of the last answer, would be taken for
 // the answer to the next batch, and is an error.
 func (x *batchExchange) takeUnsolicited() error {
-	if len(x.checkout.pendingAnswers) > 0 { // answers to the messages before a streamed one are still due
+	if len(x.checkout.pipeline.pendingAnswers) > 0 { // answers to the messages before a streamed one are still due
 		return nil
 	}
 	for !x.host.NothingUnread() {
@@ -277,7 +277,7 @@
 		x.pop()
 	}
 	if len(x.expected) == 0 {
-		x.checkout.skipping = true // the batch ended with a Flush: the host skips all until the client sends a Sync
+		x.checkout.pipeline.skipping = true // the batch ended with a Flush: the host skips all until the client sends a Sync
 	}
 	return nil
 }
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -124,10 +124,7 @@
 	OnPinned    func(pooling.Pin)  // called with new reasons to pin
 	OnReleased  func()             // called before the client receives the end of the answer after which no connection is kept
 
-	skipping          bool          // the host skips all messages until a Sync
-	pendingAnswers    []expectation // expected answers to messages sent before a streamed one
-	streamedPortal    string        // portal created by a streamed Bind
-	streamedStatement *pooling.Statement
+	pipeline pipeline
 
 	first  *Batch
 	next   chan *Batch
@@ -146,6 +143,15 @@
 	withinRow bool // a part of a row was written to the client
 }
 
+// pipeline is the state of a pipeline whose Sync the host has not received yet. It belongs to the host connection: on another one
+// the pipeline begins anew.
+type pipeline struct {
+	skipping          bool          // the host skips all messages until a Sync
+	pendingAnswers    []expectation // expected answers to messages sent before a streamed one
+	streamedPortal    string        // portal created by a streamed Bind
+	streamedStatement *pooling.Statement
+}
+
 // Mute stops all further output of the checkout to the client, and all changes to its session: from now on the session writes
 // its own messages.
 func (checkout *Checkout) Mute() {
@@ -223,6 +229,7 @@
 // further one on the host.
 func (checkout *Checkout) Converse(h *backend.Host) (end backend.ConversationResult) {
 	batch := checkout.first
+	checkout.pipeline = pipeline{}
 	for {
 		start, session := time.Now(), checkout.cloneSession()
 		if session == nil && batch == checkout.first {
@@ -236,7 +243,7 @@
 		checkout.setRunning(h)
 		err := exchange.run()
 		// Without its Sync, a pipeline has an implicit transaction open at the host, or the host skips all messages.
-		synced := batch.Complete && !checkout.skipping
+		synced := batch.Complete && !checkout.pipeline.skipping
 		keep := !synced || session.InTransaction() || session.Pins() != 0 || checkout.Mode == pooling.BySession
 		if err == nil {
 			if !keep {
