Pools: a portal that an earlier batch has bound is followed like one of the batch itself

Seen (by reading, shown by the test): a session that binds SET app.session, sends a Flush, executes the portal and sends the Sync leaves its setting on the connection, and the next session runs under it ("row first"); its own next statement may run without it. The same with a portal bound before a Sync of a transaction. A write executed so was not counted for the session's own reads either. Cause: the statement of a portal was remembered for one batch, so that the completion of such an Execute belonged to no command. Change: Checkout.portals lasts until the host reports that no transaction is open, or the connection ends.

--- a/cmd/yokemast/pooling_state_test.go
+++ b/cmd/yokemast/pooling_state_test.go
@@ -381,3 +381,44 @@
 		t.Errorf("the session reads %q", got)
 	}
 }
+
+// Guards against a statement whose effect on its connection is not noticed because its portal was bound by an earlier batch of
+// the pipeline or of the transaction: the next session would get the connection with a setting of this one.
+func TestEarlierPortalIsTracked(t *testing.T) {
+	const set = "SET app.session = 'first'"
+	bind := func(sql, portal string) []byte {
+		return pg.AppendBind(pg.AppendParse(nil, pg.ParseMessage{Text: sql}), portal, "", make([]byte, 6))
+	}
+	execute := func(portal string) []byte {
+		return pg.Append(nil, pg.Execute, append([]byte(portal), make([]byte, 5)...))
+	}
+	for name, batches := range map[string][][]byte{
+		"unnamed, after a Flush":       {pg.Append(bind(set, ""), pg.Flush), pg.Append(execute(""), pg.Sync)},
+		"named, after a Flush":         {pg.Append(bind(set, "p"), pg.Flush), pg.Append(execute("p"), pg.Sync)},
+		"named, after two Flushes":     {pg.Append(bind(set, "p"), pg.Flush), pg.Append(bind("SELECT 'x'", ""), pg.Flush), pg.Append(execute("p"), pg.Sync)},
+		"named, within a transaction":  {pg.AppendQuery(nil, "BEGIN"), pg.Append(bind(set, "p"), pg.Sync), pg.Append(execute("p"), pg.Sync), pg.AppendQuery(nil, "COMMIT")},
+		"after a batch of another one": {pg.AppendQuery(nil, "BEGIN"), pg.Append(bind(set, "p"), pg.Sync), pg.AppendQuery(nil, "SELECT 'x'"), pg.Append(execute("p"), pg.Sync), pg.AppendQuery(nil, "COMMIT")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+			first := p.startClient(t)
+			for i, batch := range batches {
+				_, _ = first.Write(batch)
+				until := pg.ReadyForQuery
+				if i < len(batches)-1 && batch[len(batch)-5] == pg.Flush {
+					until = pg.BindComplete
+				}
+				if kinds := readUntil(t, first, byte(until)); strings.ContainsRune(kinds, rune(pg.ErrorResponse)) {
+					t.Errorf("batch %d is answered with an error: %q", i, kinds)
+				}
+			}
+			if got := p.startClient(t).Ask("SHOW app.session"); got != "row " {
+				t.Errorf("the next session's setting: %q", got)
+			}
+			if got := first.Ask("SHOW app.session"); got != "row first" {
+				t.Errorf("the session's own setting: %q", got)
+			}
+		})
+	}
+}
--- a/internal/wire/relay/build.go
+++ b/internal/wire/relay/build.go
@@ -28,10 +28,7 @@
 		x.buildSkipped()
 		return nil
 	}
-	x.portals = map[string]*pooling.Statement{}
-	if x.checkout.pipeline.streamedStatement != nil { // the portal of a Bind streamed before
-		x.portals[x.checkout.pipeline.streamedPortal], x.checkout.pipeline.streamedStatement = x.checkout.pipeline.streamedStatement, nil
-	}
+	x.tracked = pooling.ChangesSettings(x.batch.Commands)
 	for _, m := range x.batch.Messages {
 		switch err := x.build(m); {
 		case errors.Is(err, errAnswered):
@@ -111,7 +108,7 @@
 	}
 	statement := x.session.Prepared(name)
 	hostName := x.hostName(statement)
-	x.portals[portal] = statement
+	x.checkout.bound(portal, statement)
 	x.query = pg.AppendBind(x.query, portal, hostName, rest)
 	x.expect(expectation{kind: pg.Bind, statement: statement, name: name})
 	return nil
@@ -139,8 +136,9 @@
 		return err
 	}
 	e := expectation{kind: pg.Execute}
-	if statement := x.portals[portal]; statement != nil {
+	if statement := x.checkout.portals[portal]; statement != nil { // which an earlier batch may have bound
 		e.commands = pooling.Scan(statement.Text)
+		x.tracked = x.tracked || pooling.ChangesSettings(e.commands)
 	}
 	x.query = pg.Append(x.query, pg.Execute, body)
 	x.expect(e)
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -17,7 +17,6 @@
 	host     *backend.Host
 	session  *pooling.Session // a copy, which becomes the client's session if the batch ends well
 	batch    *Batch
-	portals  map[string]*pooling.Statement
 	query    []byte
 	expected []expectation
 	out      []byte
@@ -25,6 +24,7 @@
 	relayed  bool          // something was sent to the client
 	lastKind byte          // kind of the last message from the host
 	rowRead  bool          // the host has sent a row
+	tracked  bool          // a statement of the batch changes settings in a way that the session tracks from its text
 	wrote    time.Duration // as Done.Wrote
 }
 
@@ -130,11 +130,10 @@
 	x.query = x.query[:0]
 	before := len(x.expected)
 	hostName := x.hostName(statement)
-	x.portals[portal] = statement
+	x.checkout.bound(portal, statement)
 	x.checkout.pipeline.pendingAnswers = append(x.checkout.pipeline.pendingAnswers, x.expected[before:]...)
 	x.checkout.pipeline.pendingAnswers = append(x.checkout.pipeline.pendingAnswers, expectation{kind: pg.Bind, statement: statement, name: name})
 	x.expected = nil
-	x.checkout.pipeline.streamedPortal, x.checkout.pipeline.streamedStatement = portal, statement
 	x.query = pg.AppendLong(x.query, pg.Bind, m.Rest.Length, []byte(portal), []byte{0}, []byte(hostName), []byte{0})
 	x.sent, x.relayed = true, true
 	if err := x.host.Write(x.query); err != nil {
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -88,7 +88,7 @@
 			return nil
 		}
 		x.out = pg.Append(x.out, kind, body)
-		if name, value, err := pg.Parameter(body); err == nil && !pooling.ChangesSettings(x.batch.Commands) && !x.session.InTransaction() {
+		if name, value, err := pg.Parameter(body); err == nil && !x.tracked && !x.session.InTransaction() {
 			x.session.Reported(name, value)
 		}
 		return nil
@@ -237,6 +237,9 @@
 		x.wrote = p
 	}
 	x.session.EndBatch(body[0])
+	if !x.session.InTransaction() {
+		clear(x.checkout.portals)
+	}
 	x.host.ConnState().AdoptSettings(x.session)
 }
 
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -125,6 +125,7 @@
 	OnReleased  func()             // called before the client receives the end of the answer after which no connection is kept
 
 	pipeline pipeline
+	portals  map[string]*pooling.Statement // open on the connection, by name: they last until the transaction or the pipeline ends
 
 	first  *Batch
 	next   chan *Batch
@@ -146,10 +147,16 @@
 // pipeline is the state of a pipeline whose Sync the host has not received yet. It belongs to the host connection: on another one
 // the pipeline begins anew.
 type pipeline struct {
-	skipping          bool          // the host skips all messages until a Sync
-	pendingAnswers    []expectation // expected answers to messages sent before a streamed one
-	streamedPortal    string        // portal created by a streamed Bind
-	streamedStatement *pooling.Statement
+	skipping       bool          // the host skips all messages until a Sync
+	pendingAnswers []expectation // expected answers to messages sent before a streamed one
+}
+
+// bound records that a portal was bound to a statement.
+func (checkout *Checkout) bound(portal string, statement *pooling.Statement) {
+	if checkout.portals == nil {
+		checkout.portals = map[string]*pooling.Statement{}
+	}
+	checkout.portals[portal] = statement
 }
 
 // Mute stops all further output of the checkout to the client, and all changes to its session: from now on the session writes
@@ -229,7 +236,7 @@
 // further one on the host.
 func (checkout *Checkout) Converse(h *backend.Host) (end backend.ConversationResult) {
 	batch := checkout.first
-	checkout.pipeline = pipeline{}
+	checkout.pipeline, checkout.portals = pipeline{}, nil
 	for {
 		start, session := time.Now(), checkout.cloneSession()
 		if session == nil && batch == checkout.first {
