Pools: what a pipeline's error skips changes no name of a prepared statement

Seen (by reading, shown by the test): behind an error in the same pipeline, a skipped Parse of a text that the connection knows left its name in use (the same Parse later: 42P05), and a skipped Close took a name away (Bind later: 26000). Cause: names change when a message is translated; only the names of statements that were sent to be prepared were taken back. Change: each answer due notes what its name meant before; undoSkipped restores the names in reverse order.

--- /dev/null
+++ b/cmd/yokemast/pooling_prepared_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"yokemast/internal/testbed/clients"
+	"yokemast/internal/wire/pg"
+)
+
+// askPipeline sends messages and a Sync, and returns the types of the answers, the code of the error if there is one, and the transaction
+// status.
+func askPipeline(t *testing.T, c *clients.Client, messages []byte) (kinds, code string, status byte) {
+	t.Helper()
+	_, _ = c.Write(pg.Append(messages, pg.Sync))
+	for {
+		kind, body, err := pg.Read(c.In, 1<<20)
+		if err != nil {
+			t.Fatalf("after messages of types %q: %v", kinds, err)
+		}
+		switch kind {
+		case pg.ParameterStatus:
+			continue
+		case pg.ErrorResponse:
+			code = pg.ReadError(body).Code
+		case pg.ReadyForQuery:
+			return kinds + string(kind), code, body[0]
+		}
+		kinds += string(kind)
+	}
+}
+
+func parseNamed(name, sql string) []byte {
+	return pg.AppendParse(nil, pg.ParseMessage{Name: name, Text: sql})
+}
+
+func runNamed(name string) []byte {
+	return pg.Append(pg.AppendBind(nil, "", name, make([]byte, 6)), pg.Execute, make([]byte, 5))
+}
+
+// Guards against names of prepared statements that the session keeps or loses although the host has skipped their Parse or Close
+// after an error in the same pipeline.
+func TestSkippedMessagesLeavePreparedNames(t *testing.T) {
+	const text, other = "SELECT 'text'", "SELECT 'other'"
+	fail := extended("FAIL")
+	for name, c := range map[string]struct {
+		pipeline []byte // behind an error
+		then     []byte
+		want     string // types of the answers
+	}{
+		"a Parse of a known text":        {parseNamed("b", text), parseNamed("b", text), "1Z"},
+		"a Parse of a new text":          {parseNamed("b", other), parseNamed("b", text), "1Z"},
+		"a Close":                        {pg.AppendTarget(nil, pg.Close, 'S', "a"), runNamed("a"), "2DCZ"},
+		"a Close and a Parse":            {append(pg.AppendTarget(nil, pg.Close, 'S', "a"), parseNamed("a", other)...), runNamed("a"), "2DCZ"},
+		"a Parse and a Close":            {append(parseNamed("b", text), pg.AppendTarget(nil, pg.Close, 'S', "b")...), parseNamed("b", text), "1Z"},
+		"a Parse of the unnamed":         {parseNamed("", other), runNamed("a"), "2DCZ"},
+		"nothing but the failed Execute": {nil, runNamed("a"), "2DCZ"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+			k := p.startClient(t)
+			if kinds, code, _ := askPipeline(t, k, parseNamed("a", text)); kinds != "1Z" {
+				t.Fatalf("the first Parse is answered %q %s", kinds, code)
+			}
+			if _, code, _ := askPipeline(t, k, append(fail[:len(fail):len(fail)], c.pipeline...)); code != "22012" {
+				t.Fatalf("the failing pipeline is answered %q", code)
+			}
+			if kinds, code, _ := askPipeline(t, k, c.then); kinds != c.want {
+				t.Errorf("answered %q %s, want %q", kinds, code, c.want)
+			}
+		})
+	}
+}
--- a/internal/control/pooling/session.go
+++ b/internal/control/pooling/session.go
@@ -234,6 +234,15 @@
 	return &out
 }
 
+// Restore makes a name mean a statement again, or no statement if it is nil.
+func (s *Session) Restore(name string, st *Statement) {
+	if st == nil {
+		delete(s.statements, name)
+		return
+	}
+	s.statements[name] = st
+}
+
 // Statements returns the number of prepared statements.
 func (s *Session) Statements() int { return len(s.statements) }
 
--- a/internal/wire/relay/build.go
+++ b/internal/wire/relay/build.go
@@ -17,6 +17,8 @@
 	target    byte               // target of a Describe: 'S' for a statement
 	name      string             // the client's name of the statement
 	commands  []pooling.Command  // commands that the answer completes, in order
+	renames   bool               // the message gives name to a statement or takes it away
+	previous  *pooling.Statement // with renames: what the name meant before, or nil
 }
 
 // unknownStatement is a statement name that exists on no host connection, so that the host itself reports the error.
@@ -84,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	statement := pooling.NewStatement(p.Text, p.Types)
+	statement, previous := pooling.NewStatement(p.Text, p.Types), x.session.Prepared(p.Name)
 	if !x.session.Prepare(p.Name, statement) {
 		// The gateway reports a duplicate name itself, as the host does not know the client's names.
 		x.expect(expectation{reply: pg.AppendError(nil, &pg.Error{Code: "42P05",
@@ -93,11 +95,11 @@
 	}
 	before := len(x.expected)
 	x.ensurePrepared(statement)
-	if n := len(x.expected); n > before && x.expected[n-1].kind == pg.Parse {
-		x.expected[n-1].hidden, x.expected[n-1].name = false, p.Name
-	} else {
+	if n := len(x.expected); n == before || x.expected[n-1].kind != pg.Parse { // the connection has the statement
 		x.expect(expectation{reply: pg.Append(nil, pg.ParseComplete)})
 	}
+	e := &x.expected[len(x.expected)-1]
+	e.hidden, e.name, e.renames, e.previous = false, p.Name, true, previous
 	return nil
 }
 
@@ -151,8 +153,8 @@
 		return err
 	}
 	if kind == 'S' {
+		x.expect(expectation{reply: pg.Append(nil, pg.CloseComplete), name: name, renames: true, previous: x.session.Prepared(name)})
 		x.session.Close(name)
-		x.expect(expectation{reply: pg.Append(nil, pg.CloseComplete)})
 		return nil
 	}
 	x.query = pg.Append(x.query, pg.Close, body)
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"yokemast/internal/control/pooling"
@@ -267,17 +268,10 @@
 		e.commands = nil
 		return nil // ReadyForQuery follows
 	}
-	for len(x.expected) > 0 && x.expected[0].kind != pg.Sync {
-		skipped := &x.expected[0]
-		if skipped.kind == pg.Parse {
-			// It was never prepared on this connection, nor, if this batch introduced its name, in the session.
-			x.host.ConnState().Forget(skipped.statement)
-			x.host.ConnState().Evicted()
-			if !skipped.hidden {
-				x.session.Close(skipped.name)
-			}
-		}
-		x.pop()
+	endsUnnamed := e.kind == pg.Parse && e.renames && e.name == "" // a failed Parse has ended the unnamed statement before
+	x.undoSkipped()
+	if endsUnnamed {
+		x.session.Close("")
 	}
 	if len(x.expected) == 0 {
 		x.checkout.pipeline.skipping = true // the batch ended with a Flush: the host skips all until the client sends a Sync
@@ -285,4 +279,26 @@
 	return nil
 }
 
+// undoSkipped takes the message that has failed, and those that the host skips for that, off the expected answers, and undoes what
+// they were to change: their statements are not prepared on the connection, their names mean in the session what they meant before.
+func (x *batchExchange) undoSkipped() {
+	skipped := len(x.expected)
+	for i := range x.expected {
+		if x.expected[i].kind == pg.Sync {
+			skipped = i
+			break
+		}
+	}
+	for _, e := range slices.Backward(x.expected[:skipped]) {
+		if e.kind == pg.Parse && e.statement != nil {
+			x.host.ConnState().Forget(e.statement)
+			x.host.ConnState().Evicted()
+		}
+		if e.renames {
+			x.session.Restore(e.name, e.previous)
+		}
+	}
+	x.expected = x.expected[skipped:]
+}
+
 var _ io.Writer = writerFunc(nil)
