Pools: a Parse under a name in use fails its pipeline and transaction at the host

Seen (by reading, shown by the test): a pipeline of an INSERT and a Parse under a name in use was answered with 42P05, and the INSERT was committed all the same (2 of 2); within a transaction the status stayed T, so that a COMMIT would have kept what a server undoes. Cause: the gateway answered the error itself, as the host does not know the client's names, and sent a Sync behind what came before. Change: the Parse goes to the host under a name that is in use there, so the host fails it; its text gets the client's name. Result: TestDuplicateNameFailsPipelineAtHost fails before and passes now; TestDuplicateNameErrorHasClientsName passes.

--- a/cmd/yokemast/pooling_prepared_test.go
+++ b/cmd/yokemast/pooling_prepared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"yokemast/internal/testbed/clients"
@@ -72,3 +73,51 @@
 		})
 	}
 }
+
+// Guards against an error that the client gets while the host goes on as if there was none: what precedes a Parse under a name that is
+// in use was committed, and the transaction went on.
+func TestDuplicateNameFailsPipelineAtHost(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+	k := p.startClient(t)
+	const text = "SELECT 'text'"
+	if kinds, code, _ := askPipeline(t, k, parseNamed("a", text)); kinds != "1Z" {
+		t.Fatalf("the first Parse is answered %q %s", kinds, code)
+	}
+	for _, duplicate := range []string{text, "SELECT 'other'"} {
+		if _, code, status := askPipeline(t, k, append(extended(insertText("undone")), parseNamed("a", duplicate)...)); code != "42P05" || status != 'I' {
+			t.Errorf("a pipeline with a name in use is answered %q, status %c", code, status)
+		}
+		if got := k.Ask("BEGIN"); got != "ready" {
+			t.Fatalf("BEGIN is answered %q", got)
+		}
+		if _, code, status := askPipeline(t, k, parseNamed("a", duplicate)); code != "42P05" || status != 'E' {
+			t.Errorf("within a transaction a name in use is answered %q, status %c, want 42P05 and E", code, status)
+		}
+		_ = k.Ask("ROLLBACK")
+	}
+	if kinds, code, _ := askPipeline(t, k, runNamed("a")); kinds != "2DCZ" {
+		t.Errorf("the statement of the name is answered %q %s", kinds, code)
+	}
+	if ids := p.cluster.CommitsByID(); ids["undone"] != 0 {
+		t.Errorf("committed: %v", ids)
+	}
+}
+
+// The text of an error names the statement as the client does.
+func TestDuplicateNameErrorHasClientsName(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 1), nil, nil)
+	k := p.startClient(t)
+	_, _ = k.Write(pg.Append(append(parseNamed("customer", "SELECT 'x'"), parseNamed("customer", "SELECT 'y'")...), pg.Sync))
+	for {
+		kind, body, err := pg.Read(k.In, 1<<20)
+		if err != nil || kind == pg.ReadyForQuery {
+			t.Fatalf("no error came: %v", err)
+		}
+		if kind == pg.ErrorResponse {
+			if e := pg.ReadError(body); !strings.Contains(e.Message, `"customer"`) {
+				t.Errorf("the error is %q", e.Message)
+			}
+			return
+		}
+	}
+}
--- a/internal/wire/relay/build.go
+++ b/internal/wire/relay/build.go
@@ -1,9 +1,6 @@
 package relay
 
 import (
-	"errors"
-	"fmt"
-
 	"yokemast/internal/control/pooling"
 	"yokemast/internal/wire/pg"
 )
@@ -19,6 +16,7 @@
 	commands  []pooling.Command  // commands that the answer completes, in order
 	renames   bool               // the message gives name to a statement or takes it away
 	previous  *pooling.Statement // with renames: what the name meant before, or nil
+	duplicate string             // of a Parse that the host must fail: the statement's name on the host, which is in use
 }
 
 // unknownStatement is a statement name that exists on no host connection, so that the host itself reports the error.
@@ -32,19 +30,13 @@
 	}
 	x.tracked = pooling.ChangesSettings(x.batch.Commands)
 	for _, m := range x.batch.Messages {
-		switch err := x.build(m); {
-		case errors.Is(err, errAnswered):
-			return nil
-		case err != nil:
+		if err := x.build(m); err != nil {
 			return &invalidMessage{err}
 		}
 	}
 	return nil
 }
 
-// errAnswered reports that the gateway answers a message with an error, so that the rest of the batch does not run.
-var errAnswered = errors.New("answered with an error")
-
 // buildSkipped translates a batch of which the host skips all messages but the Sync.
 func (x *batchExchange) buildSkipped() {
 	if x.batch.Complete && x.batch.Messages[len(x.batch.Messages)-1].Kind == pg.Sync {
@@ -88,10 +80,8 @@
 	}
 	statement, previous := pooling.NewStatement(p.Text, p.Types), x.session.Prepared(p.Name)
 	if !x.session.Prepare(p.Name, statement) {
-		// The gateway reports a duplicate name itself, as the host does not know the client's names.
-		x.expect(expectation{reply: pg.AppendError(nil, &pg.Error{Code: "42P05",
-			Message: fmt.Sprintf("prepared statement %q already exists", p.Name)}), kind: pg.ErrorResponse})
-		return errAnswered
+		x.buildDuplicate(p, previous)
+		return nil
 	}
 	before := len(x.expected)
 	x.ensurePrepared(statement)
@@ -103,6 +93,14 @@
 	return nil
 }
 
+// buildDuplicate translates a Parse under a name that is in use. The host must fail it, and with it the transaction or the pipeline,
+// but does not know the client's names: it is given one that is in use there.
+func (x *batchExchange) buildDuplicate(p pg.ParseMessage, inUse *pooling.Statement) {
+	hostName := x.ensurePrepared(inUse)
+	x.query = pg.AppendParse(x.query, pg.ParseMessage{Name: hostName, Text: p.Text, Types: p.Types})
+	x.expect(expectation{kind: pg.Parse, name: p.Name, duplicate: hostName})
+}
+
 func (x *batchExchange) buildBind(body []byte) error {
 	portal, name, rest, err := pg.ReadBind(body)
 	if err != nil {
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -67,11 +67,6 @@
 	if err := x.buildQuery(); err != nil {
 		return err
 	}
-	if n := len(x.expected); n > 0 && x.expected[n-1].reply != nil && x.expected[n-1].kind == pg.ErrorResponse {
-		// The gateway found an error within the batch: the messages before it run, the rest up to Sync does not.
-		x.query = pg.Append(x.query, pg.Sync)
-		x.expected = append(x.expected, expectation{kind: pg.Sync})
-	}
 	x.expected = append(x.checkout.pipeline.pendingAnswers, x.expected...)
 	x.checkout.pipeline.pendingAnswers = nil
 	if x.batch.Streamed && len(x.expected) > 0 {
--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -17,9 +17,6 @@
 		e := &x.expected[0]
 		if e.reply != nil {
 			x.out = append(x.out, e.reply...)
-			if e.kind == pg.ErrorResponse {
-				x.session.Failed()
-			}
 			x.pop()
 			continue
 		}
@@ -104,7 +101,7 @@
 	ok := false
 	switch e.kind {
 	case pg.Parse:
-		if ok = kind == pg.ParseComplete; ok {
+		if ok = kind == pg.ParseComplete && e.duplicate == ""; ok {
 			forward()
 			x.pop()
 		}
@@ -251,8 +248,11 @@
 		return &invalidAnswer{"an error without a code"}
 	}
 	x.session.Failed()
-	if failure.Code == "26000" {
-		body = bytes.ReplaceAll(body, []byte(unknownStatement), []byte(e.name)) // the name that the client uses
+	switch { // the client's name takes the place of the one on the host
+	case failure.Code == "26000":
+		body = bytes.ReplaceAll(body, []byte(unknownStatement), []byte(e.name))
+	case e.duplicate != "":
+		body = bytes.ReplaceAll(body, []byte(`"`+e.duplicate+`"`), []byte(`"`+e.name+`"`))
 	}
 	x.out = pg.Append(x.out, pg.ErrorResponse, body)
 	if e.kind == pg.Bind && e.statement != nil && strings.HasPrefix(failure.Message, "cached plan must not change") {
