Pools: a refused message behind a Flush ends the session, so that the pipeline is undone

Seen (by reading, shown by the test): a client sends an INSERT and a Flush, then a message that the gateway refuses (longer than `batch`, or a COPY) and the Sync. It is told of the error and gets ReadyForQuery; its next query commits the INSERT, which a retry then doubles. Cause: the gateway answered the refusal and the Sync itself, while the host had the first part in an implicit transaction. Change: the front end notes that the last batch ended without a Sync; an error of its own in that state is fatal and closes the checkout.

--- a/cmd/yokemast/pooling_prepared_test.go
+++ b/cmd/yokemast/pooling_prepared_test.go
@@ -121,3 +121,40 @@
 		}
 	}
 }
+
+// Guards against work that is committed although its client was told that the pipeline has failed: the gateway refused a message, and
+// the host, which had got an earlier part up to a Flush, did not know of it.
+func TestRefusedMessageUndoesItsPipeline(t *testing.T) {
+	for name, c := range map[string]struct {
+		message []byte
+		code    string
+	}{
+		"a COPY":         {pg.AppendParse(nil, pg.ParseMessage{Text: "COPY kv FROM STDIN"}), "0A000"},
+		"a long message": {pg.AppendParse(nil, pg.ParseMessage{Text: "SELECT '" + strings.Repeat("x", 100<<10) + "'"}), "54000"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPooled(t, 1, strings.Replace(fmt.Sprintf(onePool, 1), "(read view)", "(read view) (batch 65536)", 1), nil, nil)
+			k := p.startClient(t)
+			_, _ = k.Write(pg.Append(extended(insertText("undone")), pg.Flush))
+			readUntil(t, k, pg.CommandComplete)
+			_, _ = k.Write(pg.Append(c.message, pg.Sync))
+			if _, body, err := pg.Read(k.In, 1<<20); err != nil || pg.ReadError(body).Code != c.code {
+				t.Errorf("refused with %v, %q", err, body)
+			}
+			_, _ = k.Write(pg.AppendQuery(nil, "SELECT 'x'"))
+			for err := error(nil); err == nil; { // up to the end of the session
+				var kind byte
+				if kind, _, err = pg.Read(k.In, 1<<20); kind == pg.DataRow {
+					break
+				}
+			}
+			if got := p.startClient(t).Ask(insertText("next")); got != "ready" {
+				t.Errorf("the next session is answered %q", got)
+			}
+			if ids := p.cluster.CommitsByID(); ids["undone"] != 0 || ids["next"] != 1 {
+				t.Errorf("committed: %v", ids)
+			}
+		})
+	}
+}
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -66,6 +66,7 @@
 	request   *exchange.Request
 	answers   chan exchange.Answer
 	skipping  bool          // after an error, messages up to the next Sync are skipped
+	unsynced  bool          // the last batch went to the host of checkout without a Sync at its end
 	lastWrite time.Duration // position of the session's last write by the fleet's clock; negative: unknown, 0: none
 	// freeSince is the end of the last batch after which no connection was kept, or 0 if there was none. The next batch
 	// counts as arrived then at the earliest: clients of general SQL do not state how long they wait, so the time spent
@@ -252,6 +253,7 @@
 	case begins && g.pool.Mode == pooling.ByStatement:
 		return g.writeError(b, &pg.Error{Code: pg.CodeNotSupported, Message: "this pool carries no transactions"})
 	}
+	g.unsynced = !b.Complete
 	if g.checkout != nil {
 		g.checkout.Next(b)
 		return g.awaitBatch(ctx, b, false)
@@ -379,8 +381,16 @@
 	return false
 }
 
-// writeError answers a batch with an error of the gateway.
+// inPipeline reports whether the host has a part of a pipeline without its Sync. It would commit that part with the session's next
+// query, so an error of the gateway must end the session.
+func (g *generalSession) inPipeline() bool { return g.checkout != nil && g.unsynced }
+
+// writeError answers a batch with an error of the gateway. It returns false if the session ends.
 func (g *generalSession) writeError(b *relay.Batch, e *pg.Error) bool {
+	if g.inPipeline() {
+		e.Fatal = true
+		return g.writeFatal(e)
+	}
 	out := pg.AppendError(nil, e)
 	if g.skipping = !b.Complete; b.Complete {
 		out = pg.AppendReadyAs(out, g.state.Status)
--- a/internal/wire/frontend/session.go
+++ b/internal/wire/frontend/session.go
@@ -203,6 +203,9 @@
 
 // answer writes the answer to one command. It returns false if the session ends.
 func (c *session) answer(ctx context.Context, cmd command) bool {
+	if cmd.err != nil && c.general != nil && c.general.inPipeline() {
+		cmd.err.Fatal = true
+	}
 	switch {
 	case cmd.err != nil && cmd.err.Fatal:
 		if c.write(pg.AppendError(nil, cmd.err)) {
