Relay: what a message of the host means has a short function for each question

Need: receive had over a hundred lines and mixed reading, forwarding, parameters and which message may answer which. Change: answeredBy says whether a message is due and the last of its answer; forwardLongRow and handleParameter are apart. No behaviour changes. Result: the tests of relay, frontend and pools pass.

--- a/internal/wire/relay/receive.go
+++ b/internal/wire/relay/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"slices"
@@ -59,36 +60,15 @@
 		if kind != pg.DataRow || e.hidden {
 			return &invalidAnswer{fmt.Sprintf("%c of %d bytes", kind, length)}
 		}
-		x.out = append(x.out, kind, byte((length+4)>>24), byte((length+4)>>16), byte((length+4)>>8), byte(length+4))
-		if err := x.flushUpTo(true); err != nil {
-			return err
-		}
-		if err := x.host.Copy(writerFunc(x.writePiece), length); err != nil {
-			return err
-		}
-		if x.host.PastDeadline() { // pieces were left out
-			return nil
-		}
-		return x.checkout.write(nil, false)
+		return x.forwardLongRow(length)
 	}
 	body, err := x.host.Body(length, maxBuffered)
 	if err != nil {
 		return err
 	}
-	forward := func() {
-		if !e.hidden {
-			x.out = pg.Append(x.out, kind, body)
-		}
-	}
 	switch kind {
 	case pg.ParameterStatus:
-		if x.host.HandleStatement(body) {
-			return nil
-		}
-		x.out = pg.Append(x.out, kind, body)
-		if name, value, err := pg.Parameter(body); err == nil && !x.tracked && !x.session.InTransaction() {
-			x.session.Reported(name, value)
-		}
+		x.handleParameter(body)
 		return nil
 	case pg.NoticeResponse, pg.NotificationResponse:
 		x.out = pg.Append(x.out, kind, body)
@@ -98,73 +78,81 @@
 	case pg.CopyInResponse, pg.CopyOutResponse, pg.CopyBothResponse:
 		return &invalidAnswer{"a copy, which is not carried"}
 	}
-	ok := false
+	due, last := e.answeredBy(kind, body)
+	if !due {
+		return &invalidAnswer{fmt.Sprintf("%c where the answer to %c was due", kind, e.kind)}
+	}
+	switch kind {
+	case pg.CommandComplete:
+		x.handleCompletion(e, pg.ReadTag(body))
+	case pg.ReadyForQuery:
+		x.handleReady(body)
+	}
+	if !e.hidden {
+		x.out = pg.Append(x.out, kind, body)
+	}
+	if last {
+		x.pop()
+	}
+	return nil
+}
+
+// forwardLongRow forwards a row that is too long to be held, in pieces.
+func (x *batchExchange) forwardLongRow(length int) error {
+	head := binary.BigEndian.AppendUint32([]byte{pg.DataRow}, uint32(length+4))
+	x.out = append(x.out, head...)
+	if err := x.flushUpTo(true); err != nil {
+		return err
+	}
+	if err := x.host.Copy(writerFunc(x.writePiece), length); err != nil {
+		return err
+	}
+	if x.host.PastDeadline() { // pieces were left out
+		return nil
+	}
+	return x.checkout.write(nil, false)
+}
+
+// handleParameter handles a ParameterStatus, which may be a statement of the host that is not meant for the client.
+func (x *batchExchange) handleParameter(body []byte) {
+	if x.host.HandleStatement(body) {
+		return
+	}
+	x.out = pg.Append(x.out, pg.ParameterStatus, body)
+	if name, value, err := pg.Parameter(body); err == nil && !x.tracked && !x.session.InTransaction() {
+		x.session.Reported(name, value)
+	}
+}
+
+// answeredBy reports whether a message of the host is due in the answer to e, and whether it is the last one of that answer.
+func (e *expectation) answeredBy(kind byte, body []byte) (due, last bool) {
+	ready := kind == pg.ReadyForQuery && len(body) == 1
 	switch e.kind {
 	case pg.Parse:
-		if ok = kind == pg.ParseComplete && e.duplicate == ""; ok {
-			forward()
-			x.pop()
-		}
+		due = kind == pg.ParseComplete && e.duplicate == ""
+		return due, due
 	case pg.Bind:
-		if ok = kind == pg.BindComplete; ok {
-			forward()
-			x.pop()
-		}
+		due = kind == pg.BindComplete
+		return due, due
 	case pg.Close:
-		if ok = kind == pg.CloseComplete; ok {
-			forward()
-			x.pop()
-		}
+		due = kind == pg.CloseComplete
+		return due, due
 	case pg.Describe:
-		switch kind {
-		case pg.ParameterDescription:
-			ok = e.target == 'S'
-			forward()
-		case pg.RowDescription, pg.NoData:
-			ok = true
-			forward()
-			x.pop()
-		}
+		last = kind == pg.RowDescription || kind == pg.NoData
+		return last || kind == pg.ParameterDescription && e.target == 'S', last
 	case pg.Execute:
-		switch kind {
-		case pg.DataRow:
-			ok = true
-			forward()
-		case pg.CommandComplete, pg.EmptyQueryResponse, pg.PortalSuspended:
-			ok = true
-			forward()
-			if kind == pg.CommandComplete {
-				x.handleCompletion(e, pg.ReadTag(body))
-			}
-			x.pop()
-		}
+		last = kind == pg.CommandComplete || kind == pg.EmptyQueryResponse || kind == pg.PortalSuspended
+		return last || kind == pg.DataRow, last
 	case pg.Query:
 		switch kind {
-		case pg.RowDescription, pg.DataRow, pg.EmptyQueryResponse:
-			ok = true
-			forward()
-		case pg.CommandComplete:
-			ok = true
-			forward()
-			x.handleCompletion(e, pg.ReadTag(body))
-		case pg.ReadyForQuery:
-			if ok = len(body) == 1; ok {
-				x.handleReady(body)
-				forward()
-				x.pop()
-			}
+		case pg.RowDescription, pg.DataRow, pg.EmptyQueryResponse, pg.CommandComplete:
+			return true, false
 		}
+		return ready, ready
 	case pg.Sync:
-		if ok = kind == pg.ReadyForQuery && len(body) == 1; ok {
-			x.handleReady(body)
-			forward()
-			x.pop()
-		}
+		return ready, ready
 	}
-	if !ok {
-		return &invalidAnswer{fmt.Sprintf("%c where the answer to %c was due", kind, e.kind)}
-	}
-	return nil
+	return false, false
 }
 
 // takeUnsolicited takes what the host has sent since the last batch. A host may send notices, notifications, parameters and a
