Pools: the end of an answer comes with the end of its checkout, and the session writes it

Seen: freed the pool's place before the relay wrote the end of the answer; a client that does not read could hold its connection beyond the pool's `most` in that write. Cause: the relay wrote to the client while it held the host connection. Change: Done carries the rest of the answer; the session counts the checkout out and writes it.

--- a/cmd/yokemast/pooling_limits_test.go
+++ b/cmd/yokemast/pooling_limits_test.go
@@ -133,3 +133,35 @@
 	_ = p.cmd.Process.Signal(syscall.SIGUSR1)
 	p.waitLog(`"panics":0`)
 }
+
+// Guards against a session that is refused because another, whose transaction's end is answered, still counts in its pool.
+func TestPoolPlaceIsFreeOnceAnswered(t *testing.T) {
+	p := startPooled(t, 1, strings.Replace(fmt.Sprintf(onePool, 1), "(read view)", "(read view) (most 1)", 1), nil, nil)
+	var sessions [2]*clients.Client
+	for i := range sessions {
+		c, err := clients.Start(p.address, "app", testTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		sessions[i] = c
+	}
+	const rounds = 500
+	refused := 0
+	for i := range rounds {
+		first, second := sessions[i%2], sessions[1-i%2]
+		for _, sql := range []string{"BEGIN", "ROLLBACK"} {
+			if got := first.Ask(sql); got != "ready" {
+				t.Fatalf("%s is answered %q", sql, got)
+			}
+		}
+		if got := second.Ask("SELECT 'x'"); got == pg.CodeTooMany {
+			refused++
+		} else if got != "row x" {
+			t.Fatalf("the other session is answered %q", got)
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d statements were refused right after the end of another session's transaction", refused, rounds)
+	}
+}
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -62,7 +62,6 @@
 	heldBytes  int          // bytes held of the statement budget
 
 	checkout  *relay.Checkout // checked-out connection that is kept between batches; nil: none
-	slot      *poolSlot       // that checkout counts in the pool's limit; nil: no checkout
 	request   *exchange.Request
 	answers   chan exchange.Answer
 	skipping  bool          // after an error, messages up to the next Sync are skipped
@@ -278,7 +277,6 @@
 	r.Command, r.Answer, r.ClientDisconnected = checkout, g.answers, c.clientDisconnected
 	g.request = r
 	g.setCheckout(checkout)
-	checkout.OnReleased = g.slot.release
 	c.s.x.Submit(r)
 	return g.awaitBatch(ctx, b, true)
 }
@@ -292,11 +290,10 @@
 	g.c.mu.Lock()
 	if checkout != nil {
 		g.c.open++
-		g.slot = takeSlot(g.pool.Stats)
+		g.pool.Stats.CheckedOut.Add(1)
 	} else {
 		g.c.open--
-		g.slot.release()
-		g.slot = nil
+		g.pool.Stats.CheckedOut.Add(-1)
 	}
 	g.c.mu.Unlock()
 	g.checkout = checkout
@@ -369,6 +366,7 @@
 	case !d.Keep:
 		g.setCheckout(nil)
 		g.freeSince = g.c.s.cfg.Clock.Now()
+		return g.c.write(d.Rest)
 	}
 	return true
 }
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// run sends the batch to the host and forwards its answer to the client, but for the end of the answer, which flush writes.
+// run sends the batch to the host and forwards its answer to the client, but for the end of the answer, which is left in out.
 func (x *batchExchange) run() error {
 	first := x.batch == x.checkout.first
 	if !first {
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -108,6 +108,9 @@
 	Relayed bool          // with Err: part of the answer was sent to the client
 	Unsent  bool          // with Err: nothing was sent to the host
 	Wrote   time.Duration // position after the batch's writes; 0 if it wrote nothing, -1 if the position is unknown
+	// Rest is the end of the answer, which the session writes to the client once it counts the checkout as ended: a client that
+	// has its whole answer holds no connection. With Keep or Err it is empty.
+	Rest []byte
 }
 
 // ErrIdle reports that an open transaction was idle for too long.
@@ -122,7 +125,6 @@
 	MinPosition time.Duration      // position that a read must see, or 0
 	MaxIdle     time.Duration      // longest time that a transaction may be open and idle
 	OnPinned    func(pooling.Pin)  // called with new reasons to pin
-	OnReleased  func()             // called before the client receives the end of the answer after which no connection is kept
 
 	pipeline pipeline
 	portals  map[string]*pooling.Statement // open on the connection, by name: they last until the transaction or the pipeline ends
@@ -196,7 +198,7 @@
 // New returns a checkout for a first batch.
 func New(s *pooling.Session, mode pooling.Mode, write func([]byte) error, first *Batch) *Checkout {
 	return &Checkout{Session: s, Mode: mode, Write: write, MaxIdle: time.Minute, first: first, next: make(chan *Batch, 1),
-		done: make(chan Done, 2), closed: make(chan struct{}), OnPinned: func(pooling.Pin) {}, OnReleased: func() {}}
+		done: make(chan Done, 2), closed: make(chan struct{}), OnPinned: func(pooling.Pin) {}}
 }
 
 // Done returns the channel that receives the result of each batch.
@@ -252,10 +254,7 @@
 		// Without its Sync, a pipeline has an implicit transaction open at the host, or the host skips all messages.
 		synced := batch.Complete && !checkout.pipeline.skipping
 		keep := !synced || session.InTransaction() || session.Pins() != 0 || checkout.Mode == pooling.BySession
-		if err == nil {
-			if !keep {
-				checkout.OnReleased()
-			}
+		if err == nil && keep {
 			err = exchange.flush()
 		}
 		checkout.setRunning(nil)
@@ -266,7 +265,7 @@
 		}
 		checkout.publishSession(session)
 		if !keep {
-			checkout.finish(Done{Wrote: exchange.wrote})
+			checkout.finish(Done{Wrote: exchange.wrote, Rest: exchange.out})
 			end.Result, end.Clean = balance.OK, h.InputEmpty()
 			return end
 		}
--- a/internal/wire/relay/release_test.go
+++ b/internal/wire/relay/release_test.go
@@ -12,8 +12,8 @@
 )
 
 // Guards against a client that has its answer while its checkout still counts in the pool: another session that asks because of
-// that answer is refused.
-func TestCheckoutIsReleasedBeforeEndOfAnswer(t *testing.T) {
+// that answer is refused. The end of the answer must come with Done, on which the session counts the checkout out.
+func TestEndOfAnswerComesWithEndOfCheckout(t *testing.T) {
 	transaction := []string{"BEGIN", "ROLLBACK"}
 	withoutEnd := len(pg.AppendRow(nil, pg.Value{}, "SELECT 1"))
 	for name, c := range map[string]struct {
@@ -46,26 +46,23 @@
 			b, to := startBackend(t, clock, h.address)
 			session := pooling.NewSession(nil)
 			for remaining := c.queries; len(remaining) > 0; {
-				released := 0
 				var received []byte
 				checkout := New(session, pooling.ByTransaction, func(b []byte) error {
-					received = append(received, b...)
-					if ended := bytes.HasSuffix(received, pg.AppendReady(nil)); ended && released != 1 {
-						t.Errorf("released %d times before the end of the answer", released)
+					if received = append(received, b...); bytes.HasSuffix(received, pg.AppendReady(nil)) {
+						t.Error("the relay has written the end of the answer")
 					}
 					return nil
 				}, queryBatch(remaining[0]))
-				checkout.OnReleased = func() { released++ }
 				b.Send(exchange.Attempt{ID: "a", Server: "s", Sent: clock.Now(), Deadline: clock.Now() + time.Second, Command: checkout})
 				d := <-checkout.Done()
 				for remaining = remaining[1:]; d.Keep; remaining = remaining[1:] {
-					if released != 0 {
-						t.Error("released within a transaction")
+					if len(d.Rest) > 0 {
+						t.Errorf("%q is left of an answer within a transaction", d.Rest)
 					}
 					checkout.Next(queryBatch(remaining[0]))
 					d = <-checkout.Done()
 				}
-				if o := <-to; d.Err != nil || !bytes.HasSuffix(received, pg.AppendReady(nil)) {
+				if o := <-to; d.Err != nil || !bytes.HasSuffix(d.Rest, pg.AppendReady(nil)) {
 					t.Errorf("%+v, outcome %v, %d bytes received", d, o.Result, len(received))
 				}
 			}
