Pools: a statement prepared and bound in one batch is routed by its own comment

A request for one tenant went out, and was allowed, as one for another. Cause: scanCommands looked a Bind up in the session, which learns of the batch's Parse only when the batch runs; it also counted such a statement twice, so that no keyed statement of the extended protocol counted as keyed. Change: the batch's own statements are looked up first and counted once; Batch.Runs says how often they run: a keyed class repeats one run.

--- a/internal/wire/frontend/general_request.go
+++ b/internal/wire/frontend/general_request.go
@@ -13,8 +13,10 @@
 	"yokemast/internal/wire/relay"
 )
 
-// scanCommands returns the commands of a batch, as far as its text is known, and the text of the last statement.
+// scanCommands returns the commands of a batch, as far as its text is known, and the text of the last statement, whose comment says
+// how to route the batch.
 func (g *generalSession) scanCommands(b *relay.Batch) (out []pooling.Command, text string) {
+	prepared := map[string]string{} // by the batch itself
 	for _, m := range b.Messages {
 		switch m.Kind {
 		case pg.Query:
@@ -22,7 +24,7 @@
 			out = append(out, pooling.Scan(text)...)
 		case pg.Parse:
 			if p, err := pg.ReadParse(m.Body); err == nil {
-				text = p.Text
+				text, prepared[p.Name] = p.Text, p.Text
 				out = append(out, pooling.Scan(text)...)
 			}
 		case pg.Bind:
@@ -30,11 +32,15 @@
 			if m.Rest != nil {
 				body = append(bytes.Clone(body), make([]byte, 6)...) // m.Body holds the names only
 			}
-			if _, name, _, err := pg.ReadBind(body); err == nil {
-				if st := g.state.Prepared(name); st != nil {
-					text = st.Text
-					out = append(out, pooling.Scan(text)...)
-				}
+			_, name, _, err := pg.ReadBind(body)
+			if err != nil {
+				continue
+			}
+			if own, ok := prepared[name]; ok { // its commands are there
+				text = own
+			} else if st := g.state.Prepared(name); st != nil {
+				text = st.Text
+				out = append(out, pooling.Scan(text)...)
 			}
 		}
 	}
@@ -81,7 +87,7 @@
 	}
 	r := &exchange.Request{ID: fmt.Sprintf("general-%d", requestIDs.Add(1)), User: c.user, Tenant: hints["tenant"], Class: class, Session: c.user,
 		Group: group, Write: write, Arrived: max(cmd.arrived, g.freeSince),
-		Unkeyed: write && (hints["k"] == "" || len(b.Commands) > 1)}
+		Unkeyed: write && (hints["k"] == "" || len(b.Commands) > 1 || b.Runs() != 1)}
 	if g.lastWrite > 0 {
 		r.After = g.lastWrite
 	} else if g.lastWrite < 0 {
--- a/internal/wire/relay/relay.go
+++ b/internal/wire/relay/relay.go
@@ -91,6 +91,19 @@
 	return false
 }
 
+// Runs returns how many statements the batch runs, or more if a Query follows other messages.
+func (b *Batch) Runs() (n int) {
+	for _, m := range b.Messages {
+		switch m.Kind {
+		case pg.Query:
+			n += len(b.Commands)
+		case pg.Execute:
+			n++
+		}
+	}
+	return n
+}
+
 // Begins reports whether the batch opens a transaction, and whether that is read-only.
 func (b *Batch) Begins() (begins, readOnly bool) {
 	for _, c := range b.Commands {
