Pools: the tenant of a statement that is prepared and bound in one batch, as a client sees it

Test of the commit before on the real program: of a user of tenant apollo a statement that claims tenant medi was served, and the next one of apollo refused (42501).

--- a/cmd/yokemast/pooling_prepared_test.go
+++ b/cmd/yokemast/pooling_prepared_test.go
@@ -158,3 +158,15 @@
 		})
 	}
 }
+
+// Guards against a request that is allowed and routed as one of another tenant, that of the session's unnamed statement before.
+func TestUnnamedStatementBelongsToItsOwnTenant(t *testing.T) {
+	p := startPooled(t, 1, `(cells (claims yes) (cell "c") (tenant "apollo") (tenant "medi") (user "app" (tenants "apollo")))
+		(pools (rest 0s) (pool "apollo" (tenant "apollo") (read view) (own own) (write order)))`, nil, nil)
+	k := p.startClient(t)
+	for _, c := range []struct{ tenant, code string }{{"apollo", ""}, {"medi", "42501"}, {"apollo", ""}} {
+		if _, code, _ := askPipeline(t, k, extended("SELECT 'x' /* tenant="+c.tenant+" */")); code != c.code {
+			t.Errorf("a statement of %s is answered %q, want %q", c.tenant, code, c.code)
+		}
+	}
+}
