Pools: a DEALLOCATE is not answered for the host within a pipeline or a failed transaction

Seen (by reading, shown by the test): INSERT, Flush, then the query DEALLOCATE of a prepared statement was answered with ReadyForQuery I, as if the pipeline was committed, which the host knew nothing of: the INSERT was lost when the client left (0 commits). In a failed transaction DEALLOCATE was answered as run. Cause: the gateway answers the statement itself, as the host has another name for it, whatever the state of the checkout. Change: within a pipeline it is refused, which ends the session; in a failed transaction it gets 25P02. The stand-in fails a DEALLOCATE of a name it does not know, as PostgreSQL does; it took it for DEALLOCATE ALL.

--- a/cmd/yokemast/pooling_prepared_test.go
+++ b/cmd/yokemast/pooling_prepared_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"yokemast/internal/testbed/clients"
 	"yokemast/internal/wire/pg"
@@ -170,3 +171,41 @@
 		}
 	}
 }
+
+// Guards against a DEALLOCATE that the gateway answers as if the host had run it: within a pipeline it told the client that the
+// work before was committed, and in a failed transaction that it had run.
+func TestDeallocateIsNotAnsweredForHost(t *testing.T) {
+	p := startPooled(t, 1, fmt.Sprintf(onePool, 2), nil, nil)
+	start := func() *clients.Client {
+		k := p.startClient(t)
+		if kinds, code, _ := askPipeline(t, k, parseNamed("a", "SELECT 'x'")); kinds != "1Z" {
+			t.Fatalf("the Parse is answered %q %s", kinds, code)
+		}
+		return k
+	}
+	k := start()
+	_, _ = k.Write(pg.Append(extended(insertText("piped")), pg.Flush))
+	readUntil(t, k, pg.CommandComplete)
+	got := k.Ask("DEALLOCATE a")
+	k.Close()
+	if got == "ready" {
+		time.Sleep(50 * time.Millisecond) // what the gateway does after the client has left
+	}
+	if n := p.cluster.CommitsByID()["piped"]; (got == "ready") != (n == 1) {
+		t.Errorf("DEALLOCATE behind a Flush is answered %q, and the INSERT before it was committed %d times", got, n)
+	}
+	k = start()
+	if got := k.Ask("BEGIN"); got != "ready" {
+		t.Fatalf("BEGIN is answered %q", got)
+	}
+	_ = k.Ask("FAIL")
+	if got := k.Ask("DEALLOCATE a"); got != "25P02" {
+		t.Errorf("in a failed transaction DEALLOCATE is answered %q", got)
+	}
+	_ = k.Ask("ROLLBACK")
+	for _, want := range []string{"ready", "26000"} {
+		if got := k.Ask("DEALLOCATE a"); got != want {
+			t.Errorf("DEALLOCATE is answered %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/testbed/hosts/sql.go
+++ b/internal/testbed/hosts/sql.go
@@ -174,6 +174,14 @@
 		delete(s.sessionSettings, words[1])
 		delete(s.settings, words[1])
 		return completed("RESET"), true
+	case first == "deallocate" && words[len(words)-1] != "all":
+		name := words[len(words)-1]
+		if _, ok := s.prepared[name]; !ok {
+			e := notPrepared(name)
+			return failure(e.Code, e.Message), true
+		}
+		delete(s.prepared, name)
+		return completed("DEALLOCATE"), true
 	case first == "deallocate":
 		s.prepared = map[string]string{}
 		return completed("DEALLOCATE ALL"), true
--- a/internal/wire/frontend/general.go
+++ b/internal/wire/frontend/general.go
@@ -46,6 +46,9 @@
 // connections.
 const poolLimitRetryAfter = 50 * time.Millisecond
 
+// codeFailedTransaction is PostgreSQL's code in_failed_sql_transaction.
+const codeFailedTransaction = "25P02"
+
 // maxSessionCheckout limits how long a session may keep its host connection.
 const maxSessionCheckout = 24 * time.Hour
 
@@ -246,9 +249,7 @@
 		return c.write(pg.AppendReady(pg.Append(nil, pg.EmptyQueryResponse)))
 	case len(b.Messages) == 1 && last == pg.Query && len(b.Commands) == 1 && b.Commands[0].Kind == pooling.Deallocate &&
 		g.state.Prepared(b.Commands[0].Name) != nil:
-		// The host may have the statement under another name, so the gateway answers itself.
-		g.state.Close(b.Commands[0].Name)
-		return c.write(pg.AppendReadyAs(pg.Append(nil, pg.CommandComplete, []byte("DEALLOCATE\x00")), g.state.Status))
+		return g.deallocate(b)
 	case begins && g.pool.Mode == pooling.ByStatement:
 		return g.writeError(b, &pg.Error{Code: pg.CodeNotSupported, Message: "this pool carries no transactions"})
 	}
@@ -281,6 +282,18 @@
 	return g.awaitBatch(ctx, b, true)
 }
 
+// deallocate answers a query that is a DEALLOCATE of a statement of the protocol, which the host may have under another name.
+func (g *generalSession) deallocate(b *relay.Batch) bool {
+	switch {
+	case g.inPipeline(): // the query would also commit the pipeline
+		return g.writeError(b, &pg.Error{Code: pg.CodeNotSupported, Message: "DEALLOCATE within a pipeline is not supported"})
+	case g.state.Status == 'E':
+		return g.writeError(b, &pg.Error{Code: codeFailedTransaction, Message: "current transaction is aborted, commands ignored until end of transaction block"})
+	}
+	g.state.Close(b.Commands[0].Name)
+	return g.c.write(pg.AppendReadyAs(pg.Append(nil, pg.CommandComplete, []byte("DEALLOCATE\x00")), g.state.Status))
+}
+
 // setCheckout sets the checked-out connection, or clears it for nil. A session that has one counts as busy.
 func (g *generalSession) setCheckout(checkout *relay.Checkout) {
 	if (g.checkout == nil) == (checkout == nil) {
