--- a/review/8/case/main.go
+++ b/review/8/case/main.go
@@ -50,7 +50,7 @@
 		}
 		all = append(all, h)
 	}
-	d, err := c.Deploy(settings(), "", all...)
+	d, err := c.Deploy(settings(), "", nil, all...)
 	if err != nil {
 		return err
 	}
--- a/review/kit-2/gateway.go
+++ b/review/kit-2/gateway.go
@@ -14,8 +14,8 @@
 	Process               *Process
 }
 
-// Deploy starts the agent and the gateway and waits until it is ready. args follow the run command of the deploy file.
-func (c *Case) Deploy(settings, args string, hosts ...*Host) (*Deployment, error) {
+// Deploy starts the agent and the gateway and waits until it is ready. args follow the run command of the deploy file, env is added to the environment.
+func (c *Case) Deploy(settings, args string, env []string, hosts ...*Host) (*Deployment, error) {
 	d := &Deployment{Agent: NewAgent(hosts...)}
 	var err error
 	if d.Listen, err = FreeAddress(); err != nil {
@@ -27,7 +27,7 @@
 	if d.Config, err = c.WriteConfig(d.Listen, d.Agent.Listener.Addr().String(), d.Admin, settings); err != nil {
 		return nil, err
 	}
-	if d.Process, err = c.StartGateway("gateway", d.Config, args); err != nil {
+	if d.Process, err = c.StartGateway("gateway", d.Config, args, env...); err != nil {
 		return nil, err
 	}
 	return d, c.WaitReady(d.Listen)
--- a/review/kit-2/host.go
+++ b/review/kit-2/host.go
@@ -59,6 +59,8 @@
 	Work func(s *pg.Statement) time.Duration
 	// Answer, if set, returns another answer to a request: nil stands for the host's own one, empty if it was written already.
 	Answer func(n net.Conn, s *pg.Statement) []byte
+	// General, if set, answers a statement of general SQL with the messages before ReadyForQuery.
+	General func(query string) []byte
 	// Begun is called when the last byte of a request has arrived.
 	Begun func(s *pg.Statement, at time.Time)
 
@@ -148,6 +150,13 @@
 			answer = pg.AppendReady(pg.AppendRow(nil, pg.Value{Data: []byte(load)}, "SHOW"))
 		} else {
 			s, bad := pg.ParseStatement([]byte(query))
+			if bad != nil && h.General != nil {
+				h.c.Note("%s (%s): received a statement of %d bytes: %.60q", h.ID, h.role(), len(query), query)
+				if _, err := n.Write(pg.AppendReady(append(h.statements(h.Position()), h.General(query)...))); err != nil {
+					return
+				}
+				continue
+			}
 			if bad != nil {
 				h.c.Note("%s: an unknown statement %q", h.ID, query)
 				return
