--- a/review/6/case/main.go
+++ b/review/6/case/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -112,7 +113,9 @@
 			return errors.New("the data can't be copied")
 		}
 		copying.Close()
-		move := exec.Command(filepath.Join(c.Root(), "bin", "yokemast"), "cells", "move", "apollo", "--from-group", "1", "--to-group", "2", "--socket", socket)
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		defer stop()
+		move := exec.CommandContext(ctx, filepath.Join(c.Root(), "bin", "yokemast"), "cells", "move", "apollo", "--from-group", "1", "--to-group", "2", "--socket", socket)
 		out, err := move.CombinedOutput()
 		c.Note("operator: moves apollo from group 1 to group 2: %s (%v)", strings.TrimSpace(string(out)), err)
 		if err != nil {
--- a/review/8/case/main.go
+++ b/review/8/case/main.go
@@ -74,8 +74,10 @@
 	defer ordinary.Close()
 	served := 0
 	ask := func() bool {
+		c.Note("ordinary client: sends \"SELECT 'x'\"")
 		ordinary.Send("SELECT 'x'")
 		got := ordinary.ReadReply()
+		c.Note("ordinary client: answered: row %t, code %q, closed %t", got.Row, got.Code, got.Closed)
 		if got.Row {
 			served++
 		}
--- a/review/kit-2/kit.go
+++ b/review/kit-2/kit.go
@@ -38,6 +38,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes []*Process
+	ended     bool // nothing is started any more
 	violation []string
 }
 
@@ -70,8 +71,21 @@
 		c.end()
 		os.Exit(CannotRun)
 	}()
-	err = run(c)
+	err = func() (err error) {
+		defer func() {
+			if p := recover(); p != nil {
+				err = fmt.Errorf("panic: %v", p)
+			}
+		}()
+		return run(c)
+	}()
 	timeout.Stop()
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended { // by a signal or the time limit, which has the result
+		select {}
+	}
 	code := Held
 	switch {
 	case err != nil:
@@ -87,8 +101,13 @@
 	os.Exit(code)
 }
 
+// end ends all processes that the case has started, and lets no other start.
 func (c *Case) end() {
-	for _, p := range c.processes {
+	c.mu.Lock()
+	c.ended = true
+	processes := c.processes
+	c.mu.Unlock()
+	for _, p := range processes {
 		p.kill()
 	}
 	_ = os.RemoveAll(c.Dir)
@@ -106,8 +125,14 @@
 	}
 }
 
-// Break records that the rule was broken.
+// Break records that the rule was broken. What is seen once the case was ended from outside doesn't count.
 func (c *Case) Break(format string, args ...any) {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended {
+		return
+	}
 	c.Note("BROKEN: "+format, args...)
 	c.mu.Lock()
 	c.violation = append(c.violation, fmt.Sprintf(format, args...))
@@ -153,18 +178,23 @@
 	}
 	defer f.Close()
 	p.cmd.Stderr, p.cmd.Stdout = f, f
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return nil, errors.New("the case has ended")
+	}
 	if err := p.cmd.Start(); err != nil {
+		c.mu.Unlock()
 		return nil, err
 	}
+	c.processes = append(c.processes, p)
+	c.mu.Unlock()
 	c.Note("%s: started with %q, process %d", name, run, p.cmd.Process.Pid)
 	go func() {
 		err := p.cmd.Wait()
 		c.Note("%s: ended (%v)", name, err)
 		close(p.Exited)
 	}()
-	c.mu.Lock()
-	c.processes = append(c.processes, p)
-	c.mu.Unlock()
 	return p, nil
 }
 
